--- /dev/null
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -0,0 +1,120 @@
+#ifndef TREFOILBEND_BALANCING_DISPATCHER_H_
+#define TREFOILBEND_BALANCING_DISPATCHER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "trefoilbend/admission/queue.h"
+#include "trefoilbend/balancing/messages.h"
+#include "trefoilbend/balancing/target_table.h"
+
+namespace trefoilbend::balancing {
+
+/** @brief Options of a dispatcher. */
+struct DispatcherOptions {
+  /** @brief Name of the strategy that chooses targets. */
+  std::string strategy = "least-in-flight";
+  /** @brief Bounds of each service's queue. */
+  admission::QueueLimits queue;
+  /** @brief Seed of the random numbers. */
+  std::uint64_t seed = 1;
+  /** @brief Attempts that one call may take. */
+  std::uint32_t attempts = 3;
+};
+
+/**
+ * @brief Decides which call goes to which target, when, and what becomes of
+ * failures.
+ *
+ * The calling duty carries the decisions out. A call is in exactly one place:
+ * waiting, in flight, or over.
+ */
+class Dispatcher {
+ public:
+  /**
+   * @brief Makes a dispatcher that knows no service yet.
+   * @param options Options of the dispatcher.
+   */
+  explicit Dispatcher(DispatcherOptions options);
+
+  /**
+   * @brief Puts a configuration into force.
+   * @param update Configuration and list of instances.
+   * @param now Current time.
+   * @return Decisions for waiting calls.
+   */
+  [[nodiscard]] Decisions Configure(const configuration::Update& update, core::TimePoint now);
+
+  /**
+   * @brief Takes a call.
+   * @param call Call that needs a target.
+   * @param now Current time.
+   * @return Decisions that follow.
+   */
+  [[nodiscard]] Decisions Submit(const SubmitCall& call, core::TimePoint now);
+
+  /**
+   * @brief Drops a call whose caller has gone; a started non-idempotent one
+   * runs to its end.
+   * @param call Call that nobody waits for.
+   * @param now Current time.
+   * @return Decisions that follow.
+   */
+  [[nodiscard]] Decisions Cancel(const CancelCall& call, core::TimePoint now);
+
+  /**
+   * @brief Takes note of an exchange that ended.
+   * @param ended Report of the exchange.
+   * @param now Current time.
+   * @return Decisions that follow: another attempt, a refusal, or the next
+   * waiting call.
+   */
+  [[nodiscard]] Decisions Ended(const forwarding::ExchangeEnded& ended, core::TimePoint now);
+
+  /**
+   * @brief Refuses waiting calls whose deadline has passed and serves those
+   * that can be.
+   * @param now Current time.
+   * @return Decisions that follow.
+   */
+  [[nodiscard]] Decisions Tick(core::TimePoint now);
+
+  /** @return Number of calls that wait or are in flight. */
+  [[nodiscard]] std::size_t Calls() const noexcept { return this->calls.size(); }
+
+ private:
+  struct ServiceState {
+    TargetTable targets;
+    admission::Queue queue;
+  };
+
+  struct CallState {
+    std::shared_ptr<const core::CallRequest> request;
+    std::vector<core::InstanceName> tried;
+    std::optional<core::ExchangeId> exchange;
+    bool cancelled{};
+    bool perhaps_run{};
+  };
+
+  void Serve(ServiceState& service, core::TimePoint now, Decisions& decisions);
+  [[nodiscard]] bool TryStart(ServiceState& service, core::CallId id, core::TimePoint now,
+                              Decisions& decisions);
+  void RetryOrRefuse(ServiceState& service, const forwarding::ExchangeEnded& ended,
+                     core::TimePoint now, Decisions& decisions);
+  void Refuse(core::CallId id, core::RefusalReason reason, Decisions& decisions);
+
+  DispatcherOptions options;
+  std::map<core::ServiceName, ServiceState> services;
+  std::unordered_map<core::CallId, CallState> calls;
+  core::ExchangeId last_exchange;
+};
+
+}  // namespace trefoilbend::balancing
+
+#endif  // TREFOILBEND_BALANCING_DISPATCHER_H_
--- /dev/null
+++ b/packages/balancing/include/trefoilbend/balancing/fwd.h
@@ -0,0 +1,18 @@
+#ifndef TREFOILBEND_BALANCING_FWD_H_
+#define TREFOILBEND_BALANCING_FWD_H_
+
+namespace trefoilbend::balancing {
+
+struct TargetState;
+struct SubmitCall;
+struct CancelCall;
+struct CallRefused;
+
+class Strategy;
+class TargetTable;
+class Dispatcher;
+class BalancingDuty;
+
+}  // namespace trefoilbend::balancing
+
+#endif  // TREFOILBEND_BALANCING_FWD_H_
--- /dev/null
+++ b/packages/balancing/include/trefoilbend/balancing/strategy.h
@@ -0,0 +1,60 @@
+#ifndef TREFOILBEND_BALANCING_STRATEGY_H_
+#define TREFOILBEND_BALANCING_STRATEGY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trefoilbend/core/clock.h"
+
+namespace trefoilbend::balancing {
+
+/** @brief Source of random numbers of the decisions. */
+using Random = std::mt19937_64;
+
+/** @brief What a strategy knows of a target that may take a call. */
+struct Candidate {
+  /** @brief Position of the target in its service's table. */
+  std::size_t target{};
+  /** @brief Calls that this entry has in flight there. */
+  std::uint32_t in_flight{};
+  /** @brief Requests that the target works on at the same time. */
+  std::uint32_t slots{};
+  /** @brief Requests at the target by its last report. */
+  std::uint32_t reported{};
+};
+
+/** @brief Way of choosing a target. */
+class Strategy {
+ public:
+  virtual ~Strategy() = default;
+
+  /**
+   * @brief Chooses a target.
+   * @param candidates Targets that may take the call; at least one.
+   * @param now Current time.
+   * @return Position of the chosen one among the candidates.
+   */
+  [[nodiscard]] virtual std::size_t Choose(std::span<const Candidate> candidates,
+                                           core::TimePoint now) = 0;
+};
+
+/** @return Names of the strategies that MakeStrategy knows. */
+[[nodiscard]] std::vector<std::string> StrategyNames();
+
+/**
+ * @brief Makes a strategy.
+ * @param name One of StrategyNames.
+ * @param seed Seed of the strategy's random numbers.
+ * @return The strategy, or null for an unknown name.
+ */
+[[nodiscard]] std::unique_ptr<Strategy> MakeStrategy(std::string_view name, std::uint64_t seed);
+
+}  // namespace trefoilbend::balancing
+
+#endif  // TREFOILBEND_BALANCING_STRATEGY_H_
--- /dev/null
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -0,0 +1,96 @@
+#ifndef TREFOILBEND_BALANCING_TARGET_TABLE_H_
+#define TREFOILBEND_BALANCING_TARGET_TABLE_H_
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "trefoilbend/balancing/strategy.h"
+#include "trefoilbend/core/clock.h"
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/forwarding/messages.h"
+#include "trefoilbend/http/address.h"
+#include "trefoilbend/inventory/objects.h"
+
+namespace trefoilbend::balancing {
+
+/** @brief What this entry knows of one target. */
+struct TargetState {
+  /** @brief The target as the asset register has it. */
+  inventory::Instance instance;
+  /** @brief Whether the target may take new calls. */
+  bool usable{};
+  /** @brief Calls that this entry has in flight there. */
+  std::uint32_t in_flight{};
+  /** @brief Calls that this entry may have in flight there. */
+  std::uint32_t limit{};
+  /** @brief Last load that the target told. */
+  forwarding::LoadReport report;
+  /** @brief Time of the last report. */
+  core::TimePoint reported_at{};
+  /** @brief Time until which the target is left out because connecting to it
+   * failed. */
+  core::TimePoint avoided_until{};
+};
+
+/** @brief The targets of one service and the way of choosing among them. */
+class TargetTable {
+ public:
+  /**
+   * @brief Makes an empty table.
+   * @param strategy Way of choosing.
+   */
+  explicit TargetTable(std::unique_ptr<Strategy> strategy) : strategy(std::move(strategy)) {}
+
+  /** @brief A target that the register has, and whether it may take new calls.
+   */
+  struct Member {
+    /** @brief The target. */
+    inventory::Instance instance;
+    /** @brief Whether it may take new calls. */
+    bool usable{};
+    /** @brief Calls that this entry may have in flight there. */
+    std::uint32_t limit{};
+  };
+
+  /**
+   * @brief Replaces the members; what is known of those that stay is kept.
+   * @param members Targets of the service.
+   */
+  void SetMembers(std::vector<Member> members);
+
+  /**
+   * @brief Chooses a target and counts the call as in flight there.
+   * @param excluded Targets that already had the call.
+   * @param now Current time.
+   * @return The target, or null if none may take a call.
+   */
+  [[nodiscard]] const inventory::Instance* Choose(const std::vector<core::InstanceName>& excluded,
+                                                  core::TimePoint now);
+
+  /**
+   * @brief Takes note of an exchange that ended.
+   * @param ended Report of the exchange.
+   * @param now Current time.
+   */
+  void Ended(const forwarding::ExchangeEnded& ended, core::TimePoint now);
+
+  /** @return Whether any target may take new calls, now or once calls in flight
+   * end. */
+  [[nodiscard]] bool HasUsable() const noexcept;
+
+  /** @return All targets. */
+  [[nodiscard]] const std::vector<TargetState>& Targets() const noexcept { return this->targets; }
+
+ private:
+  std::unique_ptr<Strategy> strategy;
+  std::vector<TargetState> targets;
+  std::unordered_map<core::InstanceName, std::size_t> positions;
+  std::vector<Candidate> candidates;
+};
+
+}  // namespace trefoilbend::balancing
+
+#endif  // TREFOILBEND_BALANCING_TARGET_TABLE_H_
--- /dev/null
+++ b/packages/balancing/src/duty.cc
@@ -0,0 +1,111 @@
+#include "trefoilbend/balancing/duty.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+#include "trefoilbend/core/duty.h"
+#include "trefoilbend/core/invariant.h"
+#include "trefoilbend/core/outcome.h"
+
+namespace trefoilbend::balancing {
+
+namespace {
+
+constexpr std::size_t kMessagesPerCall = 4;
+constexpr std::size_t kConfigurations = 64;
+constexpr std::chrono::milliseconds kTick{5};
+
+}  // namespace
+
+class BalancingDuty::Loop {
+ public:
+  Loop(DispatcherOptions options, const std::size_t max_calls)
+      : from_callers(max_calls * kMessagesPerCall),
+        from_forwarding(max_calls * kMessagesPerCall),
+        from_configuration(kConfigurations),
+        dispatcher(std::move(options)),
+        timer(this->duty.Context()) {
+    this->duty.Read(this->from_callers, [this](FromCallers&& message) {
+      std::visit(core::Visitor{[](std::monostate) {},
+                               [this](const SubmitCall& call) {
+                                 this->Carry(this->dispatcher.Submit(call, Now()));
+                               },
+                               [this](const CancelCall& call) {
+                                 this->Carry(this->dispatcher.Cancel(call, Now()));
+                               }},
+                 message);
+    });
+    this->duty.Read(this->from_forwarding, [this](forwarding::ToBalancing&& message) {
+      if (const auto* ended = std::get_if<forwarding::ExchangeEnded>(&message)) {
+        this->Carry(this->dispatcher.Ended(*ended, Now()));
+      }
+    });
+    this->duty.Read(this->from_configuration, [this](const configuration::Update& update) {
+      this->Carry(this->dispatcher.Configure(update, Now()));
+    });
+  }
+
+  void Start(const Outlets writes) {
+    this->outlets = writes;
+    this->Wait();
+    this->duty.Start();
+  }
+
+  core::Ring<FromCallers> from_callers;
+  core::Ring<forwarding::ToBalancing> from_forwarding;
+  core::Ring<configuration::Update> from_configuration;
+  core::Duty duty{"balancing"};
+
+ private:
+  static core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
+
+  void Wait() {
+    this->timer.expires_after(kTick);
+    this->timer.async_wait([this](const boost::system::error_code error) {
+      if (error) {
+        return;
+      }
+      this->Carry(this->dispatcher.Tick(Now()));
+      this->Wait();
+    });
+  }
+
+  void Carry(Decisions decisions) {
+    for (Decision& decision : decisions) {
+      const bool pushed = std::visit(
+          core::Visitor{
+              [this](CallRefused& refused) {
+                return this->outlets.callers->TryPush(ToCallers{refused});
+              },
+              [this](auto& order) { return this->outlets.forwarding->TryPush(std::move(order)); }},
+          decision);
+      core::CheckInvariant(pushed, "the rings behind balancing have room for every call");
+    }
+  }
+
+  Dispatcher dispatcher;
+  Outlets outlets;
+  boost::asio::steady_timer timer;
+};
+
+BalancingDuty::BalancingDuty(DispatcherOptions options, const std::size_t max_calls)
+    : loop(std::make_unique<Loop>(std::move(options), max_calls)) {}
+
+BalancingDuty::~BalancingDuty() { this->Stop(); }
+
+core::Ring<FromCallers>& BalancingDuty::CallersInlet() noexcept { return this->loop->from_callers; }
+
+core::Ring<forwarding::ToBalancing>& BalancingDuty::ForwardingInlet() noexcept {
+  return this->loop->from_forwarding;
+}
+
+core::Ring<configuration::Update>& BalancingDuty::ConfigurationInlet() noexcept {
+  return this->loop->from_configuration;
+}
+
+void BalancingDuty::Start(const Outlets outlets) { this->loop->Start(outlets); }
+
+void BalancingDuty::Stop() { this->loop->duty.Stop(); }
+
+}  // namespace trefoilbend::balancing
--- /dev/null
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -0,0 +1,115 @@
+#ifndef TREFOILBEND_CALLERS_DUTY_H_
+#define TREFOILBEND_CALLERS_DUTY_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "trefoilbend/balancing/messages.h"
+#include "trefoilbend/configuration/messages.h"
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/core/outcome.h"
+#include "trefoilbend/core/ring.h"
+#include "trefoilbend/forwarding/messages.h"
+#include "trefoilbend/http/address.h"
+
+namespace prometheus {
+class Registry;
+}  // namespace prometheus
+
+namespace trefoilbend::callers {
+
+/** @brief Bounds of what callers may send. */
+struct Limits {
+  /** @brief Greatest number of calls in progress. */
+  std::size_t calls = 4'096;
+  /** @brief Greatest number of open connections. */
+  std::size_t connections = 8'192;
+  /** @brief Longest request header in bytes. */
+  std::uint32_t header = 16U << 10U;
+  /** @brief Longest request body in bytes. */
+  std::uint64_t body = 256U << 10U;
+  /** @brief Longest time for a request to arrive once it has begun. */
+  std::chrono::milliseconds receive{10'000};
+  /** @brief Longest time for the caller to take a part of an answer. */
+  std::chrono::milliseconds send{30'000};
+  /** @brief Longest time for which a connection may be idle. */
+  std::chrono::milliseconds idle{60'000};
+};
+
+/** @brief Options of the callers' duty. */
+struct Options {
+  /** @brief Name of this entry. */
+  core::InstanceName self;
+  /** @brief Address that serves callers. */
+  http::Address address;
+  /** @brief Longest time for which callers keep an answer that names entries.
+   */
+  std::chrono::milliseconds keep{2'000};
+  /** @brief Seed of the random numbers. */
+  std::uint64_t seed = 1;
+  /** @brief Bounds of what callers may send. */
+  Limits limits;
+};
+
+/** @brief Rings that the callers' duty writes to. */
+struct Outlets {
+  /** @brief Calls for the duty that chooses targets. */
+  core::Ring<balancing::FromCallers>* balancing{};
+  /** @brief Messages for the duty that carries exchanges. */
+  core::Ring<forwarding::FromCallers>* forwarding{};
+};
+
+/** @brief Duty that talks to callers. */
+class CallersDuty {
+ public:
+  /**
+   * @brief Makes the duty; it runs after Start.
+   * @param options Options of the duty.
+   * @param registry Takes the duty's metrics.
+   */
+  CallersDuty(Options options, prometheus::Registry& registry);
+  ~CallersDuty();
+
+  CallersDuty(const CallersDuty&) = delete;
+  CallersDuty& operator=(const CallersDuty&) = delete;
+
+  /** @return Ring for refusals. */
+  [[nodiscard]] core::Ring<balancing::ToCallers>& BalancingInlet() noexcept;
+
+  /** @return Ring for answers. */
+  [[nodiscard]] core::Ring<forwarding::ToCallers>& ForwardingInlet() noexcept;
+
+  /** @return Ring for configurations. */
+  [[nodiscard]] core::Ring<configuration::Update>& ConfigurationInlet() noexcept;
+
+  /**
+   * @brief Starts the duty.
+   * @param outlets Rings to write to.
+   * @return Nothing, or the reason why the address cannot be used.
+   */
+  [[nodiscard]] core::Outcome<std::monostate, std::string> Start(Outlets outlets);
+
+  /**
+   * @brief Begins a graceful stop: serves until answers that name this entry
+   * have expired and every call has ended.
+   * @param done Called once, from the duty's thread.
+   */
+  void Drain(std::function<void()> done);
+
+  /** @brief Stops the duty at once. */
+  void Stop();
+
+ private:
+  class Loop;
+
+  std::unique_ptr<Loop> loop;
+};
+
+}  // namespace trefoilbend::callers
+
+#endif  // TREFOILBEND_CALLERS_DUTY_H_
--- /dev/null
+++ b/packages/callers/include/trefoilbend/callers/fwd.h
@@ -0,0 +1,14 @@
+#ifndef TREFOILBEND_CALLERS_FWD_H_
+#define TREFOILBEND_CALLERS_FWD_H_
+
+namespace trefoilbend::callers {
+
+struct Limits;
+struct Options;
+struct Outlets;
+
+class CallersDuty;
+
+}  // namespace trefoilbend::callers
+
+#endif  // TREFOILBEND_CALLERS_FWD_H_
--- /dev/null
+++ b/packages/callers/src/internal/session.h
@@ -0,0 +1,153 @@
+#ifndef TREFOILBEND_CALLERS_INTERNAL_SESSION_H_
+#define TREFOILBEND_CALLERS_INTERNAL_SESSION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "trefoilbend/callers/classify.h"
+#include "trefoilbend/callers/duty.h"
+#include "trefoilbend/core/call.h"
+#include "trefoilbend/discovery/directory.h"
+#include "trefoilbend/http/message.h"
+
+namespace trefoilbend::callers::internal {
+
+class Session;
+
+/** @brief What a session needs of the duty that carries it. */
+class SessionOwner {
+ public:
+  virtual ~SessionOwner() = default;
+
+  /** @return Bounds of what callers may send. */
+  [[nodiscard]] virtual const Limits& GetLimits() const noexcept = 0;
+
+  /** @return Whether connections close after the answer that is under way. */
+  [[nodiscard]] virtual bool IsDraining() const noexcept = 0;
+
+  /**
+   * @brief Answers a caller's question which entries to use.
+   * @param question Question of the caller.
+   * @return The answer.
+   */
+  [[nodiscard]] virtual discovery::Answer Ask(const discovery::Question& question) = 0;
+
+  /**
+   * @brief Takes a call.
+   * @param session Session that gets the answer.
+   * @param request What the caller asks for.
+   * @param wishes What the caller asks for beyond its method and path.
+   * @return The call, or a refusal.
+   */
+  [[nodiscard]] virtual core::Outcome<core::CallId, core::Refusal> Submit(
+      const std::shared_ptr<Session>& session, core::CallRequest request, const Wishes& wishes) = 0;
+
+  /**
+   * @brief Asks for the next part of an answer.
+   * @param call Call that is answered.
+   */
+  virtual void Continue(core::CallId call) = 0;
+
+  /**
+   * @brief Forgets a call whose answer is whole or broken.
+   * @param call Call that is over.
+   */
+  virtual void Close(core::CallId call) = 0;
+
+  /**
+   * @brief Gives up a call whose caller has gone.
+   * @param call Call that nobody waits for.
+   */
+  virtual void Abandon(core::CallId call) = 0;
+};
+
+/** @brief One connection of a caller. */
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  /**
+   * @brief Makes a session.
+   * @param owner Duty that carries the session and outlives it.
+   * @param socket Connection of the caller.
+   * @param token Shared by all open sessions, which counts them.
+   */
+  Session(SessionOwner& owner, boost::asio::ip::tcp::socket socket,
+          std::shared_ptr<const void> token);
+
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  /** @brief Reads the next request. */
+  void Read();
+
+  /**
+   * @brief Sends the first part of an answer.
+   * @param head First part.
+   */
+  void Answer(core::AnswerHead head);
+
+  /**
+   * @brief Sends a further part of an answer.
+   * @param part Further part.
+   */
+  void Answer(core::AnswerPart part);
+
+  /**
+   * @brief Sends a refusal.
+   * @param refusal Refusal of the call.
+   */
+  void Refuse(const core::Refusal& refusal);
+
+  /** @brief Closes the connection so that the answer cannot look whole. */
+  void Break();
+
+  /** @brief Closes the connection if no request is under way. */
+  void CloseIfIdle();
+
+ private:
+  template <typename Body>
+  using Response = boost::beast::http::response<Body>;
+  using StringResponse = Response<boost::beast::http::string_body>;
+  using StreamResponse = Response<boost::beast::http::buffer_body>;
+  using StreamSerializer = boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
+
+  void OnRead(boost::system::error_code error);
+  void RefuseRequest(boost::system::error_code error);
+  void Serve();
+  void ServeEntries();
+  void ServeCall();
+  [[nodiscard]] std::string CallerAddress();
+  void WatchCaller();
+  void Send(http::Response response);
+  void SendWhole(core::AnswerHead head);
+  void BeginStream(core::AnswerHead head);
+  void WritePart(std::string body, bool complete);
+  void OnPartWritten(boost::system::error_code error);
+  void FinishAnswer();
+  void AbandonCall();
+
+  SessionOwner& owner;
+  std::shared_ptr<const void> token;
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
+  StringResponse whole;
+  StreamResponse streamed;
+  std::optional<StreamSerializer> serializer;
+  std::string part;
+  bool part_is_last{};
+  std::optional<core::CallId> call;
+  bool keep_alive{};
+  bool is_head{};
+  bool waiting_for_request{};
+};
+
+}  // namespace trefoilbend::callers::internal
+
+#endif  // TREFOILBEND_CALLERS_INTERNAL_SESSION_H_
--- /dev/null
+++ b/packages/callers/src/refusal_text.cc
@@ -0,0 +1,50 @@
+#include "trefoilbend/callers/refusal_text.h"
+
+#include <array>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace trefoilbend::callers {
+
+namespace {
+
+struct ReasonText {
+  std::string_view word;
+  std::uint16_t status;
+  std::string_view title;
+};
+
+const ReasonText& TextOf(const core::RefusalReason reason) noexcept {
+  static constexpr std::array<ReasonText, 7> kTexts{
+      {{"unknown-service", 404, "The Host field names no service."},
+       {"no-target", 503, "No target of the service may take calls."},
+       {"busy", 503, "The service has no room for the call."},
+       {"deadline", 504, "The deadline passed."},
+       {"target-failed", 502, "The target failed."},
+       {"stopping", 503, "This entry is stopping."},
+       {"not-ready", 503, "This entry has no current configuration."}}};
+  return kTexts.at(static_cast<std::size_t>(reason));
+}
+
+}  // namespace
+
+std::string_view ToString(const core::RefusalReason reason) noexcept { return TextOf(reason).word; }
+
+http::Response ToResponse(const core::Refusal& refusal) {
+  const ReasonText& text = TextOf(refusal.reason);
+  const std::string outcome = refusal.run == core::RunState::kNotRun ? "not-run" : "unknown";
+  http::Response response{
+      .status = text.status,
+      .content_type = "application/problem+json",
+      .fields = {{std::string{kOutcomeField}, outcome},
+                 {std::string{kReasonField}, std::string{text.word}}},
+      .body = nlohmann::json{{"title", text.title}, {"outcome", outcome}, {"reason", text.word}}
+                  .dump()};
+  if (refusal.retry_after.count() > 0) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
+    response.fields.emplace_back("Retry-After", std::to_string(seconds.count()));
+  }
+  return response;
+}
+
+}  // namespace trefoilbend::callers
--- /dev/null
+++ b/packages/callers/src/session.cc
@@ -0,0 +1,319 @@
+#include "internal/session.h"
+
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "trefoilbend/callers/refusal_text.h"
+#include "trefoilbend/forwarding/fields.h"
+
+namespace trefoilbend::callers::internal {
+
+namespace {
+
+namespace beast = boost::beast;
+using boost::asio::ip::tcp;
+
+constexpr std::string_view kEntriesPath = "/v1/entries";
+constexpr std::string_view kTimeoutField = "Trefoilbend-Timeout";
+constexpr unsigned kHttp11 = 11;
+
+std::string_view View(const beast::string_view text) { return {text.data(), text.size()}; }
+
+std::string_view FieldOf(const auto& message, const std::string_view name) {
+  return View(message[beast::string_view{name.data(), name.size()}]);
+}
+
+/** Urgency of RFC 9218 from 0, the most urgent, to 7. */
+bool AsksForUrgency(const std::string_view priority) {
+  return priority.find("u=0") != std::string_view::npos ||
+         priority.find("u=1") != std::string_view::npos;
+}
+
+std::optional<std::chrono::milliseconds> TimeoutOf(const std::string_view text) {
+  std::int64_t count{};
+  const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), count);
+  constexpr std::int64_t kMost = std::chrono::milliseconds{std::chrono::hours{24}}.count();
+  if (problem != std::errc{} || end != text.data() + text.size() || count < 1 || count > kMost) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds{count};
+}
+
+}  // namespace
+
+Session::Session(SessionOwner& owner, tcp::socket socket, std::shared_ptr<const void> token)
+    : owner(owner), token(std::move(token)), stream(std::move(socket)) {
+  boost::system::error_code ignored;
+  this->stream.socket().set_option(tcp::no_delay(true), ignored);
+}
+
+void Session::Read() {
+  this->waiting_for_request = true;
+  this->parser.emplace();
+  this->parser->header_limit(this->owner.GetLimits().header);
+  this->parser->body_limit(this->owner.GetLimits().body);
+  this->stream.expires_after(this->owner.GetLimits().idle);
+  beast::http::async_read_header(
+      this->stream, this->buffer, *this->parser,
+      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+        self->waiting_for_request = false;
+        if (error) {
+          self->RefuseRequest(error);
+          return;
+        }
+        self->stream.expires_after(self->owner.GetLimits().receive);
+        beast::http::async_read(self->stream, self->buffer, *self->parser,
+                                [self](const boost::system::error_code failure, std::size_t) {
+                                  self->OnRead(failure);
+                                });
+      });
+}
+
+void Session::OnRead(const boost::system::error_code error) {
+  if (error) {
+    this->RefuseRequest(error);
+    return;
+  }
+  this->stream.expires_never();
+  this->keep_alive = this->parser->get().keep_alive();
+  this->is_head = this->parser->get().method() == beast::http::verb::head;
+  this->Serve();
+}
+
+void Session::RefuseRequest(const boost::system::error_code error) {
+  struct Status {
+    boost::system::error_code error;
+    std::uint16_t status;
+  };
+  static const std::array<Status, 3> kStatuses{{{beast::http::error::body_limit, 413},
+                                                {beast::http::error::header_limit, 431},
+                                                {beast::error::timeout, 408}}};
+  const bool partly_read = this->parser->got_some();
+  this->keep_alive = false;
+  for (const Status& known : kStatuses) {
+    if (error == known.error && partly_read) {
+      this->Send({.status = known.status,
+                  .content_type = "text/plain",
+                  .fields = {{std::string{kOutcomeField}, "not-run"}},
+                  .body = {}});
+      return;
+    }
+  }
+  static const boost::system::error_code kEndOfStream = beast::http::error::end_of_stream;
+  if (error.category() == kEndOfStream.category() && error != kEndOfStream &&
+      error != beast::http::error::partial_message) {
+    this->Send({.status = 400,
+                .content_type = "text/plain",
+                .fields = {{std::string{kOutcomeField}, "not-run"}},
+                .body = error.message()});
+  }
+}
+
+void Session::Serve() {
+  if (http::PathOf(View(this->parser->get().target())) == kEntriesPath) {
+    this->ServeEntries();
+  } else {
+    this->ServeCall();
+  }
+}
+
+void Session::ServeEntries() {
+  const auto query = http::QueryOf(View(this->parser->get().target()));
+  const auto near = query.find("data-centre");
+  const discovery::Answer answer =
+      this->owner.Ask({.caller = this->CallerAddress(),
+                       .near = core::DataCentreName{near == query.end() ? "" : near->second}});
+  nlohmann::json body{{"entries", nlohmann::json::array()}, {"keep_ms", answer.keep.count()}};
+  for (const http::Address& entry : answer.entries) {
+    body["entries"].push_back(http::ToString(entry));
+  }
+  this->Send({.status = 200, .fields = {}, .body = body.dump()});
+}
+
+std::string Session::CallerAddress() {
+  boost::system::error_code error;
+  const auto peer = this->stream.socket().remote_endpoint(error);
+  return peer.address().to_string() + ':' + std::to_string(peer.port());
+}
+
+void Session::ServeCall() {
+  auto& message = this->parser->get();
+  core::CallRequest request;
+  request.service = core::ServiceName{std::string{View(message[beast::http::field::host])}};
+  request.method = std::string{View(message.method_string())};
+  request.path = std::string{View(message.target())};
+  for (const auto& field : message) {
+    const std::string_view name = View(field.name_string());
+    if (!forwarding::IsHopByHop(name) && field.name() != beast::http::field::host &&
+        field.name() != beast::http::field::expect) {
+      request.fields.emplace_back(name, field.value());
+    }
+  }
+  request.body = std::move(message.body());
+  const Wishes wishes{.timeout = TimeoutOf(FieldOf(message, kTimeoutField)),
+                      .urgent = AsksForUrgency(FieldOf(message, "Priority"))};
+  auto submitted = this->owner.Submit(this->shared_from_this(), std::move(request), wishes);
+  if (!core::Succeeded(submitted)) {
+    this->Refuse(core::ProblemOf(submitted));
+    return;
+  }
+  this->call = core::ValueOf(submitted);
+  this->WatchCaller();
+}
+
+void Session::WatchCaller() {
+  this->stream.socket().async_wait(
+      tcp::socket::wait_read, [self = this->shared_from_this(),
+                               watched = *this->call](const boost::system::error_code error) {
+        if (error || self->call != watched) {
+          return;
+        }
+        boost::system::error_code failure;
+        char byte{};
+        self->stream.socket().non_blocking(true, failure);
+        self->stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek,
+                                      failure);
+        if (failure && failure != boost::asio::error::would_block) {
+          self->Break();
+        }
+      });
+}
+
+void Session::Answer(core::AnswerHead head) {
+  if (head.complete) {
+    this->SendWhole(std::move(head));
+  } else {
+    this->BeginStream(std::move(head));
+  }
+}
+
+void Session::Answer(core::AnswerPart part) {
+  this->WritePart(std::move(part.body), part.complete);
+}
+
+void Session::Refuse(const core::Refusal& refusal) {
+  this->call.reset();
+  this->Send(ToResponse(refusal));
+}
+
+void Session::Send(http::Response response) {
+  core::AnswerHead head{.status = response.status,
+                        .fields = std::move(response.fields),
+                        .length = response.body.size(),
+                        .body = std::move(response.body),
+                        .complete = true};
+  head.fields.emplace_back("Content-Type", response.content_type);
+  this->SendWhole(std::move(head));
+}
+
+void Session::SendWhole(core::AnswerHead head) {
+  StringResponse& message = this->whole;
+  message = {};
+  message.version(kHttp11);
+  message.result(head.status);
+  for (const auto& [name, value] : head.fields) {
+    message.insert(name, value);
+  }
+  this->keep_alive = this->keep_alive && !this->owner.IsDraining();
+  message.keep_alive(this->keep_alive);
+  if (this->is_head) {
+    if (head.length) {
+      message.content_length(*head.length);
+    }
+  } else {
+    message.body() = std::move(head.body);
+    message.prepare_payload();
+  }
+  this->stream.expires_after(this->owner.GetLimits().send);
+  beast::http::async_write(
+      this->stream, message,
+      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+        if (error) {
+          self->AbandonCall();
+          return;
+        }
+        self->FinishAnswer();
+      });
+}
+
+void Session::BeginStream(core::AnswerHead head) {
+  StreamResponse& message = this->streamed;
+  message = {};
+  message.version(kHttp11);
+  message.result(head.status);
+  for (const auto& [name, value] : head.fields) {
+    message.insert(name, value);
+  }
+  this->keep_alive = this->keep_alive && !this->owner.IsDraining();
+  message.keep_alive(this->keep_alive);
+  if (head.length) {
+    message.content_length(*head.length);
+  } else {
+    message.chunked(true);
+  }
+  this->serializer.emplace(message);
+  this->WritePart(std::move(head.body), false);
+}
+
+void Session::WritePart(std::string body, const bool complete) {
+  this->part = std::move(body);
+  this->part_is_last = complete;
+  auto& out = this->streamed.body();
+  out.data = this->part.empty() ? nullptr : this->part.data();
+  out.size = this->part.size();
+  out.more = !complete;
+  this->stream.expires_after(this->owner.GetLimits().send);
+  beast::http::async_write(
+      this->stream, *this->serializer,
+      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+        self->OnPartWritten(error);
+      });
+}
+
+void Session::OnPartWritten(const boost::system::error_code error) {
+  if (error && error != beast::http::error::need_buffer) {
+    this->AbandonCall();
+    return;
+  }
+  if (this->part_is_last) {
+    this->FinishAnswer();
+    return;
+  }
+  this->stream.expires_never();
+  if (this->call) {
+    this->owner.Continue(*this->call);
+  }
+}
+
+void Session::FinishAnswer() {
+  if (this->call) {
+    this->owner.Close(*std::exchange(this->call, std::nullopt));
+  }
+  this->serializer.reset();
+  if (this->keep_alive) {
+    this->Read();
+    return;
+  }
+  boost::system::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void Session::Break() {
+  this->AbandonCall();
+  this->stream.close();
+}
+
+void Session::CloseIfIdle() {
+  if (this->waiting_for_request && !this->parser->got_some()) {
+    this->stream.close();
+  }
+}
+
+void Session::AbandonCall() {
+  if (this->call) {
+    this->owner.Abandon(*std::exchange(this->call, std::nullopt));
+  }
+}
+
+}  // namespace trefoilbend::callers::internal
--- /dev/null
+++ b/packages/configuration/include/trefoilbend/configuration/messages.h
@@ -0,0 +1,76 @@
+#ifndef TREFOILBEND_CONFIGURATION_MESSAGES_H_
+#define TREFOILBEND_CONFIGURATION_MESSAGES_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "trefoilbend/core/number.h"
+#include "trefoilbend/inventory/change.h"
+#include "trefoilbend/inventory/configuration.h"
+#include "trefoilbend/platform/messages.h"
+
+namespace trefoilbend::configuration {
+
+/** @brief Instances of the platform's list, shared by the duties. */
+using InstanceList = std::shared_ptr<const std::vector<platform::ListedInstance>>;
+
+/** @brief The configuration and the list of instances that are in force from
+ * now on. */
+struct Update {
+  /** @brief Configuration. */
+  inventory::ConfigurationPtr configuration;
+  /** @brief Instances of the platform's list. */
+  InstanceList listed;
+};
+
+/** @brief Identity of a request within this process. */
+using RequestId = core::Number<struct ChangeRequestTag>;
+
+/** @brief An operator's request to change objects. */
+struct ChangeRequest {
+  /** @brief Identity of the request within this process. */
+  RequestId request;
+  /** @brief Identity of the change, the same when the operator repeats it. */
+  std::string change_id;
+  /** @brief Who asks. */
+  std::string who;
+  /** @brief Why, in the operator's words. */
+  std::string why;
+  /** @brief Changes; each object must still be as the change's before. */
+  std::vector<inventory::Change> changes;
+};
+
+/** @brief The change has taken effect. */
+struct ChangeAccepted {
+  /** @brief Revision that begins with the change. */
+  core::Revision revision;
+};
+
+/** @brief Another change came first. */
+struct ChangeClash {
+  /** @brief The change that came first. */
+  inventory::Revised other;
+};
+
+/** @brief The change was not taken. */
+struct ChangeRefused {
+  /** @brief Whether the change may take effect all the same. */
+  bool effect_unknown{};
+  /** @brief Reason and what to do. */
+  std::string message;
+};
+
+/** @brief Result of an operator's request. */
+struct ChangeResult {
+  /** @brief Identity of the request. */
+  RequestId request;
+  /** @brief What came of it. */
+  std::variant<ChangeRefused, ChangeAccepted, ChangeClash> result;
+};
+
+}  // namespace trefoilbend::configuration
+
+#endif  // TREFOILBEND_CONFIGURATION_MESSAGES_H_
--- /dev/null
+++ b/packages/discovery/include/trefoilbend/discovery/fwd.h
@@ -0,0 +1,13 @@
+#ifndef TREFOILBEND_DISCOVERY_FWD_H_
+#define TREFOILBEND_DISCOVERY_FWD_H_
+
+namespace trefoilbend::discovery {
+
+struct Question;
+struct Answer;
+
+class Directory;
+
+}  // namespace trefoilbend::discovery
+
+#endif  // TREFOILBEND_DISCOVERY_FWD_H_
--- /dev/null
+++ b/packages/entry/src/entry.cc
@@ -0,0 +1,64 @@
+#include "trefoilbend/entry/entry.h"
+
+#include <prometheus/registry.h>
+
+#include "trefoilbend/balancing/duty.h"
+#include "trefoilbend/forwarding/duty.h"
+
+namespace trefoilbend::entry {
+
+struct Entry::Duties {
+  explicit Duties(const Settings& settings)
+      : forwarding(settings.callers.limits.calls),
+        balancing(settings.balancing, settings.callers.limits.calls),
+        callers(settings.callers, this->registry),
+        operations(settings.operations, this->registry),
+        configuration(settings.configuration) {}
+
+  prometheus::Registry registry;
+  forwarding::ForwardingDuty forwarding;
+  balancing::BalancingDuty balancing;
+  callers::CallersDuty callers;
+  operations::OperationsDuty operations;
+  configuration::ConfigurationDuty configuration;
+};
+
+Entry::Entry(Settings settings) : duties(std::make_unique<Duties>(settings)) {}
+
+Entry::~Entry() {
+  this->duties->configuration.Stop();
+  this->duties->operations.Stop();
+  this->duties->callers.Stop();
+  this->duties->balancing.Stop();
+  this->duties->forwarding.Stop();
+}
+
+core::Outcome<std::monostate, std::string> Entry::Start() {
+  Duties& all = *this->duties;
+  all.forwarding.Start(
+      {.callers = &all.callers.ForwardingInlet(), .balancing = &all.balancing.ForwardingInlet()});
+  all.balancing.Start(
+      {.callers = &all.callers.BalancingInlet(), .forwarding = &all.forwarding.BalancingInlet()});
+  auto serving = all.callers.Start(
+      {.balancing = &all.balancing.CallersInlet(), .forwarding = &all.forwarding.CallersInlet()});
+  if (!core::Succeeded(serving)) {
+    return serving;
+  }
+  auto operating = all.operations.Start({.configuration = &all.configuration.OperationsInlet()});
+  if (!core::Succeeded(operating)) {
+    return operating;
+  }
+  all.configuration.Start(
+      {.followers = {&all.callers.ConfigurationInlet(), &all.balancing.ConfigurationInlet(),
+                     &all.operations.ConfigurationInlet()},
+       .operations = &all.operations.ResultInlet()});
+  return std::monostate{};
+}
+
+void Entry::Drain(std::function<void()> done) { this->duties->callers.Drain(std::move(done)); }
+
+std::unique_ptr<Entry> Entry::Builder::Build() {
+  return std::unique_ptr<Entry>(new Entry(std::move(this->settings)));
+}
+
+}  // namespace trefoilbend::entry
--- /dev/null
+++ b/packages/entry/src/settings.cc
@@ -0,0 +1,135 @@
+#include "trefoilbend/entry/settings.h"
+
+#include <chrono>
+#include <utility>
+
+#include "trefoilbend/balancing/strategy.h"
+#include "trefoilbend/settings/section.h"
+
+namespace trefoilbend::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+using settings::Mistakes;
+using settings::Section;
+
+constexpr std::uint64_t kMostCalls = 1'000'000;
+constexpr std::uint64_t kMostHeader = 1U << 20U;
+constexpr std::uint64_t kMostBody = 64U << 20U;
+constexpr std::uint64_t kMostAttempts = 10;
+
+std::chrono::milliseconds Milliseconds(const std::chrono::microseconds time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+class Reader {
+ public:
+  explicit Reader(const settings::Document& document) : document(document) {}
+
+  core::Outcome<Settings, Mistakes> Read() {
+    const std::vector<std::pair<std::string, void (Reader::*)(Section&)>> readers{
+        {"entry", &Reader::ReadEntry},           {"callers", &Reader::ReadCallers},
+        {"balancing", &Reader::ReadBalancing},   {"platform", &Reader::ReadPlatform},
+        {"operations", &Reader::ReadOperations}, {"log", &Reader::ReadLog}};
+    this->RefuseOtherSections(readers);
+    for (const auto& [name, reader] : readers) {
+      Section section{this->document.File(), name, this->EntriesOf(name), this->mistakes};
+      (this->*reader)(section);
+      section.RefuseOtherKeys();
+    }
+    if (!this->mistakes.empty()) {
+      return std::move(this->mistakes);
+    }
+    return std::move(this->result);
+  }
+
+ private:
+  const settings::Document::Entries& EntriesOf(const std::string& name) const {
+    static const settings::Document::Entries kNone;
+    for (const auto& [title, entries] : this->document.Sections()) {
+      if (title == name) {
+        return entries;
+      }
+    }
+    return kNone;
+  }
+
+  template <typename Readers>
+  void RefuseOtherSections(const Readers& readers) {
+    std::string expected = "one of the sections";
+    for (const auto& [name, reader] : readers) {
+      expected += " [" + name + "]";
+    }
+    for (const auto& [title, entries] : this->document.Sections()) {
+      bool known = false;
+      for (const auto& [name, reader] : readers) {
+        known = known || name == title;
+      }
+      if (!known) {
+        Section{this->document.File(), title, entries, this->mistakes}.Refuse("", expected);
+      }
+    }
+  }
+
+  void ReadEntry(Section& section) {
+    const core::InstanceName self{section.Text("name")};
+    this->result.callers.self = self;
+    this->result.configuration.self = self;
+    this->result.operations.self = self;
+  }
+
+  void ReadCallers(Section& section) {
+    callers::Options& options = this->result.callers;
+    callers::Limits& limits = options.limits;
+    options.address = section.Address("address");
+    options.keep = Milliseconds(section.Time("keep", {100ms, 1min}, options.keep));
+    limits.calls = section.Integer("max-calls", {1, kMostCalls}, limits.calls);
+    limits.connections = section.Integer("max-connections", {1, kMostCalls}, limits.connections);
+    limits.header = static_cast<std::uint32_t>(
+        section.Bytes("max-header", {1'024, kMostHeader}, limits.header));
+    limits.body = section.Bytes("max-body", {0, kMostBody}, limits.body);
+    limits.receive = Milliseconds(section.Time("receive-timeout", {10ms, 1h}, limits.receive));
+    limits.send = Milliseconds(section.Time("send-timeout", {10ms, 1h}, limits.send));
+    limits.idle = Milliseconds(section.Time("idle-timeout", {10ms, 1h}, limits.idle));
+  }
+
+  void ReadBalancing(Section& section) {
+    balancing::DispatcherOptions& options = this->result.balancing;
+    options.strategy = section.Word("strategy", balancing::StrategyNames(), options.strategy);
+    options.queue.length = section.Integer("queue", {1, kMostCalls}, options.queue.length);
+    options.attempts = static_cast<std::uint32_t>(
+        section.Integer("attempts", {1, kMostAttempts}, options.attempts));
+  }
+
+  void ReadPlatform(Section& section) {
+    configuration::Options& options = this->result.configuration;
+    options.platform = section.Address("address");
+    options.timeout = Milliseconds(section.Time("timeout", {10ms, 1min}, options.timeout));
+    options.poll = Milliseconds(section.Time("poll", {10ms, 5s}, options.poll));
+  }
+
+  void ReadOperations(Section& section) {
+    this->result.operations.address = section.Address("address");
+  }
+
+  void ReadLog(Section& section) {
+    static const std::vector<std::string> kLevels{"trace", "debug", "info", "warn", "error", "off"};
+    this->result.log_level = section.Word("level", kLevels, this->result.log_level);
+    for (const char* part : {"callers", "configuration", "operations", "entry"}) {
+      this->result.log_levels[part] = section.Word(part, kLevels, this->result.log_level);
+    }
+  }
+
+  const settings::Document& document;
+  Mistakes mistakes;
+  Settings result;
+};
+
+}  // namespace
+
+core::Outcome<Settings, Mistakes> ReadSettings(const settings::Document& document) {
+  return Reader{document}.Read();
+}
+
+}  // namespace trefoilbend::entry
--- /dev/null
+++ b/packages/entry/test/settings_test.cc
@@ -0,0 +1,66 @@
+#include "trefoilbend/entry/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace trefoilbend::entry {
+
+namespace {
+
+constexpr const char* kText = R"([entry]
+name = entry-1
+[callers]
+address = 127.0.0.1:7001
+keep = 3s
+[platform]
+address = 127.0.0.1:7900
+[operations]
+address = 127.0.0.1:7101
+[log]
+level = warn
+callers = debug
+)";
+
+core::Outcome<Settings, settings::Mistakes> Read(const std::string& text) {
+  return ReadSettings(core::ValueOf(settings::Document::Parse("entry.ini", text)));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(the_settings_of_an_entry)
+
+BOOST_AUTO_TEST_CASE(are_read_with_defaults) {
+  const auto outcome = Read(kText);
+  BOOST_REQUIRE(core::Succeeded(outcome));
+  const Settings& settings = core::ValueOf(outcome);
+  BOOST_TEST((settings.callers.keep == std::chrono::seconds{3}));
+  BOOST_TEST(settings.balancing.strategy == "least-in-flight");
+  BOOST_TEST(settings.log_levels.at("callers") == "debug");
+  BOOST_TEST(settings.log_levels.at("operations") == "warn");
+}
+
+BOOST_AUTO_TEST_SUITE(with_mistakes)
+
+BOOST_AUTO_TEST_CASE(are_refused_with_all_of_them) {
+  const auto outcome = Read(
+      "[entry]\n[callers]\naddress = localhost:1\nkeep = 3\ncolour = red\n"
+      "[balancing]\nstrategy = best\n[colours]\nx = 1\n[operations]\naddress = "
+      "127.0.0.1:7101\n");
+  BOOST_REQUIRE(!core::Succeeded(outcome));
+  std::vector<std::string> places;
+  for (const settings::Mistake& mistake : core::ProblemOf(outcome)) {
+    places.push_back(mistake.place + ' ' + mistake.key);
+  }
+  const std::vector<std::string> expected{
+      "section [colours] ",         "section [entry] name",     "section [callers] address",
+      "section [callers] keep",     "section [callers] colour", "section [balancing] strategy",
+      "section [platform] address",
+  };
+  BOOST_TEST(places == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::entry
--- /dev/null
+++ b/packages/forwarding/include/trefoilbend/forwarding/fwd.h
@@ -0,0 +1,20 @@
+#ifndef TREFOILBEND_FORWARDING_FWD_H_
+#define TREFOILBEND_FORWARDING_FWD_H_
+
+namespace trefoilbend::forwarding {
+
+struct StartExchange;
+struct CancelExchange;
+struct ContinueAnswer;
+struct AbandonAnswer;
+struct AnswerStarted;
+struct AnswerContinued;
+struct AnswerBroken;
+struct ExchangeEnded;
+struct LoadReport;
+
+class ForwardingDuty;
+
+}  // namespace trefoilbend::forwarding
+
+#endif  // TREFOILBEND_FORWARDING_FWD_H_
--- /dev/null
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -0,0 +1,133 @@
+#ifndef TREFOILBEND_FORWARDING_MESSAGES_H_
+#define TREFOILBEND_FORWARDING_MESSAGES_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+
+#include "trefoilbend/core/call.h"
+#include "trefoilbend/core/clock.h"
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/core/number.h"
+#include "trefoilbend/http/address.h"
+
+namespace trefoilbend::forwarding {
+
+/** @brief Order to send a call to a target. */
+struct StartExchange {
+  /** @brief Call that is sent. */
+  core::CallId call;
+  /** @brief Identity of this attempt. */
+  core::ExchangeId exchange;
+  /** @brief Target that gets the call. */
+  core::InstanceName target;
+  /** @brief Address of the target. */
+  http::Address address;
+  /** @brief What is sent. */
+  std::shared_ptr<const core::CallRequest> request;
+};
+
+/** @brief Order to give up an exchange and to close its connection. */
+struct CancelExchange {
+  /** @brief Exchange to give up. */
+  core::ExchangeId exchange;
+};
+
+/** @brief Orders from the duty that chooses targets. */
+using FromBalancing = std::variant<std::monostate, StartExchange, CancelExchange>;
+
+/** @brief The caller has taken a part of the answer; the next one may follow.
+ */
+struct ContinueAnswer {
+  /** @brief Call whose answer goes on. */
+  core::CallId call;
+};
+
+/** @brief Nobody takes the answer any more; the rest is read and dropped. */
+struct AbandonAnswer {
+  /** @brief Call whose answer is dropped. */
+  core::CallId call;
+};
+
+/** @brief Messages from the duty that talks to callers. */
+using FromCallers = std::variant<std::monostate, ContinueAnswer, AbandonAnswer>;
+
+/** @brief The first part of a call's answer. */
+struct AnswerStarted {
+  /** @brief Call that is answered. */
+  core::CallId call;
+  /** @brief First part of the answer. */
+  core::AnswerHead head;
+};
+
+/** @brief A further part of a call's answer. */
+struct AnswerContinued {
+  /** @brief Call that is answered. */
+  core::CallId call;
+  /** @brief Part of the answer. */
+  core::AnswerPart part;
+};
+
+/** @brief The answer ended before it was whole. */
+struct AnswerBroken {
+  /** @brief Call whose answer is not whole. */
+  core::CallId call;
+};
+
+/** @brief Messages to the duty that talks to callers. */
+using ToCallers = std::variant<std::monostate, AnswerStarted, AnswerContinued, AnswerBroken>;
+
+/** @brief Load of a target by its own account. */
+struct LoadReport {
+  /** @brief Requests that the target works on. */
+  std::uint32_t in_flight{};
+  /** @brief Requests that wait at the target. */
+  std::uint32_t queued{};
+  /** @brief Whether the target has not warmed up yet. */
+  bool cold{};
+  /** @brief Whether the target takes no new work. */
+  bool draining{};
+};
+
+/** @brief How an exchange ended. */
+enum class ExchangeResult : std::uint8_t {
+  /** @brief The answer came whole. */
+  kAnswered,
+  /** @brief No connection was made, so nothing was sent. */
+  kNotSent,
+  /** @brief The connection failed before the answer's head. */
+  kBrokenBeforeAnswer,
+  /** @brief The connection failed within the answer. */
+  kBrokenWithinAnswer,
+  /** @brief The deadline passed before the answer's head. */
+  kTimedOut,
+  /** @brief The exchange was given up by order. */
+  kCancelled,
+};
+
+/** @brief Report of an exchange that ended. */
+struct ExchangeEnded {
+  /** @brief Call that was sent. */
+  core::CallId call;
+  /** @brief Identity of the attempt. */
+  core::ExchangeId exchange;
+  /** @brief Target that got the call. */
+  core::InstanceName target;
+  /** @brief How the exchange ended. */
+  ExchangeResult result = ExchangeResult::kNotSent;
+  /** @brief Status of the answer; 0 without one. */
+  std::uint16_t status{};
+  /** @brief Time from the start of the exchange to the answer's head, or to the
+   * failure. */
+  core::Duration latency{};
+  /** @brief Load that the target told with its answer. */
+  std::optional<LoadReport> load;
+};
+
+/** @brief Messages to the duty that chooses targets. */
+using ToBalancing = std::variant<std::monostate, ExchangeEnded>;
+
+}  // namespace trefoilbend::forwarding
+
+#endif  // TREFOILBEND_FORWARDING_MESSAGES_H_
--- /dev/null
+++ b/packages/forwarding/src/duty.cc
@@ -0,0 +1,117 @@
+#include "trefoilbend/forwarding/duty.h"
+
+#include <unordered_map>
+#include <utility>
+
+#include "internal/exchange.h"
+#include "trefoilbend/core/invariant.h"
+#include "trefoilbend/core/outcome.h"
+
+namespace trefoilbend::forwarding {
+
+namespace {
+
+constexpr std::size_t kOrdersPerCall = 4;
+
+}  // namespace
+
+class ForwardingDuty::Loop final : public internal::ExchangeOwner {
+ public:
+  explicit Loop(const std::size_t max_calls)
+      : from_balancing(max_calls * kOrdersPerCall), from_callers(max_calls * kOrdersPerCall) {
+    this->duty.Read(this->from_balancing, [this](FromBalancing&& message) {
+      std::visit(core::Visitor{[](std::monostate) {},
+                               [this](StartExchange& order) { this->Start(std::move(order)); },
+                               [this](const CancelExchange& order) { this->Cancel(order); }},
+                 message);
+    });
+    this->duty.Read(this->from_callers, [this](FromCallers&& message) {
+      std::visit(core::Visitor{[](std::monostate) {},
+                               [this](const ContinueAnswer& order) {
+                                 this->ForCall(order.call, &internal::Exchange::Continue);
+                               },
+                               [this](const AbandonAnswer& order) {
+                                 this->ForCall(order.call, &internal::Exchange::Abandon);
+                               }},
+                 message);
+    });
+  }
+
+  [[nodiscard]] internal::ConnectionPool& Pool() noexcept override { return this->pool; }
+
+  [[nodiscard]] boost::asio::io_context& Context() noexcept override {
+    return this->duty.Context();
+  }
+
+  void Answer(ToCallers message) override {
+    core::CheckInvariant(this->outlets.callers->TryPush(std::move(message)),
+                         "the ring to callers has room for every call's answer");
+  }
+
+  void End(ExchangeEnded ended) override {
+    this->exchanges.erase(ended.exchange);
+    const auto by_call = this->exchange_of_call.find(ended.call);
+    if (by_call != this->exchange_of_call.end() && by_call->second == ended.exchange) {
+      this->exchange_of_call.erase(by_call);
+    }
+    core::CheckInvariant(this->outlets.balancing->TryPush(std::move(ended)),
+                         "the ring to balancing has room for every call's report");
+  }
+
+  core::Ring<FromBalancing> from_balancing;
+  core::Ring<FromCallers> from_callers;
+  Outlets outlets;
+  core::Duty duty{"forwarding"};
+
+ private:
+  void Start(StartExchange order) {
+    const core::ExchangeId id = order.exchange;
+    this->exchange_of_call[order.call] = id;
+    const auto exchange = std::make_shared<internal::Exchange>(*this, std::move(order));
+    this->exchanges.emplace(id, exchange);
+    exchange->Start();
+  }
+
+  void Cancel(const CancelExchange& order) {
+    const auto found = this->exchanges.find(order.exchange);
+    if (found != this->exchanges.end()) {
+      const std::shared_ptr<internal::Exchange> exchange = found->second;
+      exchange->Cancel();
+    }
+  }
+
+  void ForCall(const core::CallId call, void (internal::Exchange::*action)()) {
+    const auto id = this->exchange_of_call.find(call);
+    if (id == this->exchange_of_call.end()) {
+      return;
+    }
+    const std::shared_ptr<internal::Exchange> exchange = this->exchanges.at(id->second);
+    (*exchange.*action)();
+  }
+
+  internal::ConnectionPool pool;
+  std::unordered_map<core::ExchangeId, std::shared_ptr<internal::Exchange>> exchanges;
+  std::unordered_map<core::CallId, core::ExchangeId> exchange_of_call;
+};
+
+ForwardingDuty::ForwardingDuty(const std::size_t max_calls)
+    : loop(std::make_unique<Loop>(max_calls)) {}
+
+ForwardingDuty::~ForwardingDuty() { this->Stop(); }
+
+core::Ring<FromBalancing>& ForwardingDuty::BalancingInlet() noexcept {
+  return this->loop->from_balancing;
+}
+
+core::Ring<FromCallers>& ForwardingDuty::CallersInlet() noexcept {
+  return this->loop->from_callers;
+}
+
+void ForwardingDuty::Start(const Outlets outlets) {
+  this->loop->outlets = outlets;
+  this->loop->duty.Start();
+}
+
+void ForwardingDuty::Stop() { this->loop->duty.Stop(); }
+
+}  // namespace trefoilbend::forwarding
--- /dev/null
+++ b/packages/forwarding/src/exchange.cc
@@ -0,0 +1,251 @@
+#include "internal/exchange.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+
+#include "trefoilbend/forwarding/fields.h"
+#include "trefoilbend/forwarding/load_report.h"
+
+namespace trefoilbend::forwarding::internal {
+
+namespace {
+
+namespace beast = boost::beast;
+using boost::asio::ip::tcp;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint32_t kHeadLimit = 32U << 10U;
+constexpr std::uint64_t kNoLimit = UINT64_MAX;
+
+beast::string_view View(const std::string_view text) { return {text.data(), text.size()}; }
+
+beast::http::request<beast::http::string_body> Encode(const core::CallRequest& request,
+                                                      const core::TimePoint now) {
+  beast::http::request<beast::http::string_body> message;
+  message.version(kHttp11);
+  message.method_string(request.method);
+  message.target(request.path);
+  for (const auto& [name, value] : request.fields) {
+    message.insert(name, value);
+  }
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
+  message.set(beast::http::field::host, request.service.Text());
+  message.set("Trefoilbend-Timeout", std::to_string(std::max<std::int64_t>(left.count(), 0)));
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+Exchange::Exchange(ExchangeOwner& owner, StartExchange order)
+    : owner(owner), order(std::move(order)), started(std::chrono::steady_clock::now()) {}
+
+void Exchange::Start() {
+  this->out = Encode(*this->order.request, this->started);
+  this->connection = this->owner.Pool().Take(this->order.address);
+  if (this->connection) {
+    this->connection->expires_at(this->order.request->deadline);
+    this->Write();
+    return;
+  }
+  this->Connect();
+}
+
+void Exchange::Connect() {
+  this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
+  this->connection->expires_at(this->order.request->deadline);
+  boost::system::error_code error;
+  const auto host = boost::asio::ip::make_address(this->order.address.host, error);
+  this->connection->async_connect(
+      tcp::endpoint{host, this->order.address.port},
+      [self = this->shared_from_this()](const boost::system::error_code failure) {
+        if (failure) {
+          self->Fail(failure);
+          return;
+        }
+        boost::system::error_code ignored;
+        self->connection->socket().set_option(tcp::no_delay(true), ignored);
+        self->Write();
+      });
+}
+
+void Exchange::Write() {
+  if (this->ended) {
+    return;
+  }
+  this->sent = true;
+  beast::http::async_write(
+      *this->connection, this->out,
+      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+        if (error) {
+          self->Fail(error);
+          return;
+        }
+        self->ReadHead();
+      });
+}
+
+void Exchange::ReadHead() {
+  if (this->ended) {
+    return;
+  }
+  this->parser.emplace();
+  this->parser->header_limit(kHeadLimit);
+  this->parser->body_limit(kNoLimit);
+  this->parser->skip(this->out.method() == beast::http::verb::head);
+  beast::http::async_read_header(
+      *this->connection, this->buffer, *this->parser,
+      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+void Exchange::OnHead(const boost::system::error_code error) {
+  if (error || this->ended) {
+    this->Fail(error);
+    return;
+  }
+  this->latency = this->Elapsed();
+  const auto report = this->parser->get().find(View(kLoadField));
+  if (report != this->parser->get().end()) {
+    this->load = ParseLoadReport({report->value().data(), report->value().size()});
+  }
+  if (this->parser->is_done()) {
+    this->Deliver("", true);
+    return;
+  }
+  if (this->parser->need_eof()) {
+    this->Fail(beast::http::error::partial_message);
+    return;
+  }
+  this->ReadPart();
+}
+
+void Exchange::ReadPart() {
+  this->reading = true;
+  auto& body = this->parser->get().body();
+  body.data = this->part.data();
+  body.size = this->part.size();
+  body.more = true;
+  beast::http::async_read_some(
+      *this->connection, this->buffer, *this->parser,
+      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+        self->OnPart(error);
+      });
+}
+
+void Exchange::OnPart(boost::system::error_code error) {
+  this->reading = false;
+  if (error == beast::http::error::need_buffer) {
+    error = {};
+  }
+  if (error || this->ended) {
+    this->Fail(error);
+    return;
+  }
+  const std::size_t length = this->part.size() - this->parser->get().body().size;
+  const bool complete = this->parser->is_done();
+  if (length == 0 && !complete) {
+    this->ReadPart();
+    return;
+  }
+  this->Deliver(std::string{this->part.data(), length}, complete);
+}
+
+void Exchange::Deliver(std::string body, const bool complete) {
+  if (!this->abandoned && this->head_passed) {
+    this->owner.Answer(
+        AnswerContinued{this->order.call, {.body = std::move(body), .complete = complete}});
+  } else if (!this->abandoned) {
+    this->head_passed = true;
+    const auto& message = this->parser->get();
+    core::AnswerHead head{.status = static_cast<std::uint16_t>(message.result_int()),
+                          .fields = {},
+                          .length = std::nullopt,
+                          .body = std::move(body),
+                          .complete = complete};
+    if (const auto length = this->parser->content_length()) {
+      head.length = *length;
+    }
+    for (const auto& field : message) {
+      const std::string_view name{field.name_string().data(), field.name_string().size()};
+      if (!IsHopByHop(name)) {
+        head.fields.emplace_back(name, field.value());
+      }
+    }
+    this->owner.Answer(AnswerStarted{this->order.call, std::move(head)});
+  }
+  if (complete) {
+    this->Finish(ExchangeResult::kAnswered);
+  } else if (this->abandoned) {
+    this->ReadPart();
+  }
+}
+
+void Exchange::Continue() {
+  if (!this->ended && !this->reading) {
+    this->ReadPart();
+  }
+}
+
+void Exchange::Abandon() {
+  if (this->ended || this->abandoned) {
+    return;
+  }
+  this->abandoned = true;
+  if (!this->reading) {
+    this->ReadPart();
+  }
+}
+
+void Exchange::Cancel() { this->Finish(ExchangeResult::kCancelled); }
+
+void Exchange::Fail(const boost::system::error_code error) {
+  if (this->ended) {
+    return;
+  }
+  if (this->head_passed) {
+    if (!this->abandoned) {
+      this->owner.Answer(AnswerBroken{this->order.call});
+    }
+    this->Finish(ExchangeResult::kBrokenWithinAnswer);
+    return;
+  }
+  if (!this->sent) {
+    this->Finish(ExchangeResult::kNotSent);
+    return;
+  }
+  this->Finish(error == beast::error::timeout ? ExchangeResult::kTimedOut
+                                              : ExchangeResult::kBrokenBeforeAnswer);
+}
+
+void Exchange::Finish(const ExchangeResult result) {
+  if (this->ended) {
+    return;
+  }
+  this->ended = true;
+  const bool answered = result == ExchangeResult::kAnswered;
+  const auto status =
+      answered ? static_cast<std::uint16_t>(this->parser->get().result_int()) : std::uint16_t{0};
+  if (answered && this->parser->keep_alive() && this->buffer.size() == 0) {
+    this->owner.Pool().Keep(this->order.address, std::move(this->connection));
+  } else if (this->connection) {
+    this->connection->cancel();
+    this->connection->close();
+  }
+  this->owner.End({.call = this->order.call,
+                   .exchange = this->order.exchange,
+                   .target = this->order.target,
+                   .result = result,
+                   .status = status,
+                   .latency = answered ? this->latency : this->Elapsed(),
+                   .load = this->load});
+}
+
+core::Duration Exchange::Elapsed() const noexcept {
+  return std::chrono::steady_clock::now() - this->started;
+}
+
+}  // namespace trefoilbend::forwarding::internal
--- /dev/null
+++ b/packages/forwarding/src/internal/exchange.h
@@ -0,0 +1,99 @@
+#ifndef TREFOILBEND_FORWARDING_INTERNAL_EXCHANGE_H_
+#define TREFOILBEND_FORWARDING_INTERNAL_EXCHANGE_H_
+
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "internal/connection_pool.h"
+#include "trefoilbend/forwarding/messages.h"
+
+namespace trefoilbend::forwarding::internal {
+
+/** @brief What an exchange needs of the duty that carries it. */
+class ExchangeOwner {
+ public:
+  virtual ~ExchangeOwner() = default;
+
+  /** @return Connections to targets. */
+  [[nodiscard]] virtual ConnectionPool& Pool() noexcept = 0;
+
+  /** @return Event loop of the duty. */
+  [[nodiscard]] virtual boost::asio::io_context& Context() noexcept = 0;
+
+  /**
+   * @brief Passes a part of an answer on.
+   * @param message Part of the answer.
+   */
+  virtual void Answer(ToCallers message) = 0;
+
+  /**
+   * @brief Ends an exchange.
+   * @param ended Report of the exchange.
+   */
+  virtual void End(ExchangeEnded ended) = 0;
+};
+
+/** @brief One request to one target and its answer. */
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  /**
+   * @brief Makes an exchange.
+   * @param owner Duty that carries the exchange and outlives it.
+   * @param order What is sent where.
+   */
+  Exchange(ExchangeOwner& owner, StartExchange order);
+
+  /** @brief Connects and sends the request. */
+  void Start();
+
+  /** @brief Reads the next part of the answer. */
+  void Continue();
+
+  /** @brief Reads the rest of the answer without passing it on. */
+  void Abandon();
+
+  /** @brief Gives the exchange up and closes its connection. */
+  void Cancel();
+
+  /** @return Call that is sent. */
+  [[nodiscard]] core::CallId Call() const noexcept { return this->order.call; }
+
+ private:
+  static constexpr std::size_t kPartSize = 16U << 10U;
+
+  void Connect();
+  void Write();
+  void ReadHead();
+  void OnHead(boost::system::error_code error);
+  void ReadPart();
+  void OnPart(boost::system::error_code error);
+  void Deliver(std::string body, bool complete);
+  void Fail(boost::system::error_code error);
+  void Finish(ExchangeResult result);
+  [[nodiscard]] core::Duration Elapsed() const noexcept;
+
+  ExchangeOwner& owner;
+  StartExchange order;
+  core::TimePoint started;
+  core::Duration latency{};
+  Connection connection;
+  boost::beast::flat_buffer buffer;
+  boost::beast::http::request<boost::beast::http::string_body> out;
+  std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser;
+  std::array<char, kPartSize> part;
+  std::optional<LoadReport> load;
+  bool sent{};
+  bool head_passed{};
+  bool abandoned{};
+  bool reading{};
+  bool ended{};
+};
+
+}  // namespace trefoilbend::forwarding::internal
+
+#endif  // TREFOILBEND_FORWARDING_INTERNAL_EXCHANGE_H_
--- /dev/null
+++ b/packages/inventory/include/trefoilbend/inventory/fwd.h
@@ -0,0 +1,19 @@
+#ifndef TREFOILBEND_INVENTORY_FWD_H_
+#define TREFOILBEND_INVENTORY_FWD_H_
+
+namespace trefoilbend::inventory {
+
+struct DataCentre;
+struct Service;
+struct Instance;
+struct Route;
+struct Outage;
+struct ObjectKey;
+struct Change;
+struct Revised;
+
+class Configuration;
+
+}  // namespace trefoilbend::inventory
+
+#endif  // TREFOILBEND_INVENTORY_FWD_H_
--- /dev/null
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -0,0 +1,140 @@
+#ifndef TREFOILBEND_INVENTORY_OBJECTS_H_
+#define TREFOILBEND_INVENTORY_OBJECTS_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/http/address.h"
+
+namespace trefoilbend::inventory {
+
+/** @brief A data centre of the asset register. */
+struct DataCentre {
+  /** @brief Name of the data centre. */
+  core::DataCentreName name;
+  /** @brief Region in which it stands. */
+  core::RegionName region;
+
+  [[nodiscard]] bool operator==(const DataCentre&) const = default;
+};
+
+/** @brief A service of the asset register, with the rules that hold for all its
+ * routes. */
+struct Service {
+  /** @brief Name of the service, which callers put into the Host field. */
+  core::ServiceName name;
+  /** @brief Version that carries the traffic while no release is under way. */
+  core::VersionName version;
+  /** @brief Time that a call may take when its caller names none. */
+  std::chrono::microseconds timeout{};
+  /** @brief Calls in flight that a cold target bears, from all entries
+   * together. */
+  std::uint32_t cold_allowance{};
+  /** @brief Probes a second that one target bears, from all entries together.
+   */
+  std::uint32_t probe_budget{};
+  /** @brief Whether a target's status 503 proves that the request was not run.
+   */
+  bool trusts_refusals{};
+
+  [[nodiscard]] bool operator==(const Service&) const = default;
+};
+
+/** @brief What an instance does. */
+enum class Role : std::uint8_t { kTarget, kEntry };
+
+/** @brief An instance of the asset register. */
+struct Instance {
+  /** @brief Name of the instance. */
+  core::InstanceName name;
+  /** @brief What the instance does. */
+  Role role = Role::kTarget;
+  /** @brief Data centre in which it stands. */
+  core::DataCentreName data_centre;
+  /** @brief Address that serves calls. */
+  http::Address address;
+  /** @brief Service of a target. */
+  core::ServiceName service;
+  /** @brief Version that a target runs. */
+  core::VersionName version;
+  /** @brief Requests that a target works on at the same time. */
+  std::uint32_t slots{};
+  /** @brief Connections that a target bears, from all entries together. */
+  std::uint32_t connections{};
+  /** @brief Time that a target needs to take a new connection. */
+  std::chrono::microseconds connection_cost{};
+  /** @brief Address on which an entry talks to its peers. */
+  std::optional<http::Address> peers;
+  /** @brief Address on which an entry talks to operators. */
+  std::optional<http::Address> operations;
+
+  [[nodiscard]] bool operator==(const Instance&) const = default;
+};
+
+/** @brief A rule for some requests of a service. */
+struct Route {
+  /** @brief Name of the route, unique among all routes. */
+  core::RouteName name;
+  /** @brief Service of the requests. */
+  core::ServiceName service;
+  /** @brief Beginning of the requests' paths. */
+  std::string path;
+  /** @brief Method of the requests; empty for any. */
+  std::string method;
+  /** @brief Whether running such a request twice does the same as running it
+   * once. */
+  bool idempotent{};
+  /** @brief Whether callers may ask for urgent treatment. */
+  bool urgent_allowed{};
+  /** @brief Time that a call may take; nothing to use the service's. */
+  std::optional<std::chrono::microseconds> timeout;
+
+  [[nodiscard]] bool operator==(const Route&) const = default;
+};
+
+/** @brief An operator's order to keep a data centre out of service. */
+struct Outage {
+  /** @brief Data centre that is out. */
+  core::DataCentreName name;
+
+  [[nodiscard]] bool operator==(const Outage&) const = default;
+};
+
+/** @brief Any object of the configuration. */
+using Object = std::variant<DataCentre, Service, Instance, Route, Outage>;
+
+/** @brief Kinds of objects, in the order of Object's alternatives. */
+enum class Kind : std::uint8_t { kDataCentre, kService, kInstance, kRoute, kOutage };
+
+/** @brief Identity of an object. */
+struct ObjectKey {
+  /** @brief Kind of the object. */
+  Kind kind = Kind::kDataCentre;
+  /** @brief Name among the objects of that kind. */
+  std::string name;
+
+  [[nodiscard]] auto operator<=>(const ObjectKey&) const = default;
+};
+
+/**
+ * @brief Returns the identity of an object.
+ * @param object Object to identify.
+ * @return Its kind and name.
+ */
+[[nodiscard]] ObjectKey KeyOf(const Object& object);
+
+/**
+ * @brief Writes an identity as kind/name.
+ * @param key Identity to write.
+ * @return The text.
+ */
+[[nodiscard]] std::string ToString(const ObjectKey& key);
+
+}  // namespace trefoilbend::inventory
+
+#endif  // TREFOILBEND_INVENTORY_OBJECTS_H_
--- /dev/null
+++ b/packages/inventory/src/codec.cc
@@ -0,0 +1,210 @@
+#include "trefoilbend/inventory/codec.h"
+
+#include <array>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace trefoilbend::inventory {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kFormat = 1;
+constexpr int kRevisionDigits = 20;
+
+std::string TextOf(const json& object, const char* key) {
+  return object.at(key).get<std::string>();
+}
+
+std::chrono::microseconds TimeOf(const json& object, const char* key) {
+  return std::chrono::microseconds{object.at(key).get<std::int64_t>()};
+}
+
+http::Address AddressOf(const json& text) {
+  return http::ParseAddress(text.get<std::string>()).value_or(http::Address{});
+}
+
+json ToJson(const DataCentre& data_centre) {
+  return {{"name", data_centre.name.Text()}, {"region", data_centre.region.Text()}};
+}
+
+json ToJson(const Outage& outage) { return {{"name", outage.name.Text()}}; }
+
+json ToJson(const Service& service) {
+  return {{"name", service.name.Text()},           {"version", service.version.Text()},
+          {"timeout_us", service.timeout.count()}, {"cold_allowance", service.cold_allowance},
+          {"probe_budget", service.probe_budget},  {"trusts_refusals", service.trusts_refusals}};
+}
+
+json ToJson(const Instance& instance) {
+  json object{{"name", instance.name.Text()},
+              {"role", instance.role == Role::kEntry ? "entry" : "target"},
+              {"data_centre", instance.data_centre.Text()},
+              {"address", http::ToString(instance.address)}};
+  if (instance.role == Role::kTarget) {
+    object["service"] = instance.service.Text();
+    object["version"] = instance.version.Text();
+    object["slots"] = instance.slots;
+    object["connections"] = instance.connections;
+    object["connection_cost_us"] = instance.connection_cost.count();
+  }
+  if (instance.peers) {
+    object["peers"] = http::ToString(*instance.peers);
+  }
+  if (instance.operations) {
+    object["operations"] = http::ToString(*instance.operations);
+  }
+  return object;
+}
+
+json ToJson(const Route& route) {
+  json object{{"name", route.name.Text()},
+              {"service", route.service.Text()},
+              {"path", route.path},
+              {"method", route.method},
+              {"idempotent", route.idempotent},
+              {"urgent_allowed", route.urgent_allowed}};
+  if (route.timeout) {
+    object["timeout_us"] = route.timeout->count();
+  }
+  return object;
+}
+
+Object DataCentreFrom(const json& object) {
+  return DataCentre{.name = core::DataCentreName{TextOf(object, "name")},
+                    .region = core::RegionName{TextOf(object, "region")}};
+}
+
+Object OutageFrom(const json& object) {
+  return Outage{core::DataCentreName{TextOf(object, "name")}};
+}
+
+Object ServiceFrom(const json& object) {
+  return Service{.name = core::ServiceName{TextOf(object, "name")},
+                 .version = core::VersionName{TextOf(object, "version")},
+                 .timeout = TimeOf(object, "timeout_us"),
+                 .cold_allowance = object.at("cold_allowance").get<std::uint32_t>(),
+                 .probe_budget = object.at("probe_budget").get<std::uint32_t>(),
+                 .trusts_refusals = object.at("trusts_refusals").get<bool>()};
+}
+
+Object InstanceFrom(const json& object) {
+  Instance instance;
+  instance.name = core::InstanceName{TextOf(object, "name")};
+  instance.role = TextOf(object, "role") == "entry" ? Role::kEntry : Role::kTarget;
+  instance.data_centre = core::DataCentreName{TextOf(object, "data_centre")};
+  instance.address = AddressOf(object.at("address"));
+  if (instance.role == Role::kTarget) {
+    instance.service = core::ServiceName{TextOf(object, "service")};
+    instance.version = core::VersionName{TextOf(object, "version")};
+    instance.slots = object.at("slots").get<std::uint32_t>();
+    instance.connections = object.at("connections").get<std::uint32_t>();
+    instance.connection_cost = TimeOf(object, "connection_cost_us");
+  }
+  if (object.contains("peers")) {
+    instance.peers = AddressOf(object.at("peers"));
+  }
+  if (object.contains("operations")) {
+    instance.operations = AddressOf(object.at("operations"));
+  }
+  return instance;
+}
+
+Object RouteFrom(const json& object) {
+  Route route;
+  route.name = core::RouteName{TextOf(object, "name")};
+  route.service = core::ServiceName{TextOf(object, "service")};
+  route.path = TextOf(object, "path");
+  route.method = TextOf(object, "method");
+  route.idempotent = object.at("idempotent").get<bool>();
+  route.urgent_allowed = object.at("urgent_allowed").get<bool>();
+  if (object.contains("timeout_us")) {
+    route.timeout = TimeOf(object, "timeout_us");
+  }
+  return route;
+}
+
+struct KindCodec {
+  const char* name;
+  Object (*decode)(const json&);
+};
+
+constexpr std::array<KindCodec, std::variant_size_v<Object>> kCodecs{
+    {{"data-centre", DataCentreFrom},
+     {"service", ServiceFrom},
+     {"instance", InstanceFrom},
+     {"route", RouteFrom},
+     {"outage", OutageFrom}}};
+
+json ToJson(const Object& object) {
+  json encoded = std::visit([](const auto& concrete) { return ToJson(concrete); }, object);
+  encoded["kind"] = kCodecs.at(object.index()).name;
+  return encoded;
+}
+
+std::optional<Object> ObjectFrom(const json& object) {
+  if (object.is_null()) {
+    return std::nullopt;
+  }
+  const std::string kind = TextOf(object, "kind");
+  for (const KindCodec& codec : kCodecs) {
+    if (kind == codec.name) {
+      return codec.decode(object);
+    }
+  }
+  throw json::other_error::create(0, "unknown kind", &object);
+}
+
+json ToJson(const std::optional<Object>& object) {
+  return object ? ToJson(*object) : json(nullptr);
+}
+
+}  // namespace
+
+std::string ChangeKey(const core::Revision revision) {
+  std::ostringstream key;
+  key << kChangePrefix << std::setw(kRevisionDigits) << std::setfill('0') << revision.Value();
+  return key.str();
+}
+
+std::string Encode(const Revised& revised) {
+  json encoded{{"format", kFormat},       {"revision", revised.revision.Value()},
+               {"id", revised.change_id}, {"who", revised.who},
+               {"why", revised.why},      {"at", revised.at},
+               {"by", revised.by.Text()}, {"changes", json::array()}};
+  for (const Change& change : revised.changes) {
+    encoded["changes"].push_back(
+        {{"before", ToJson(change.before)}, {"after", ToJson(change.after)}});
+  }
+  return encoded.dump();
+}
+
+std::optional<Revised> DecodeRevised(const std::string_view text) {
+  try {
+    const json encoded = json::parse(text);
+    if (encoded.at("format").get<int>() != kFormat) {
+      return std::nullopt;
+    }
+    Revised revised{.revision = core::Revision{encoded.at("revision").get<std::uint64_t>()},
+                    .change_id = TextOf(encoded, "id"),
+                    .who = TextOf(encoded, "who"),
+                    .why = TextOf(encoded, "why"),
+                    .at = TextOf(encoded, "at"),
+                    .by = core::InstanceName{TextOf(encoded, "by")},
+                    .changes = {}};
+    for (const json& change : encoded.at("changes")) {
+      revised.changes.push_back(
+          {.before = ObjectFrom(change.at("before")), .after = ObjectFrom(change.at("after"))});
+    }
+    return revised;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string Encode(const Object& object) { return ToJson(object).dump(); }
+
+}  // namespace trefoilbend::inventory
--- /dev/null
+++ b/packages/operations/include/trefoilbend/operations/fwd.h
@@ -0,0 +1,12 @@
+#ifndef TREFOILBEND_OPERATIONS_FWD_H_
+#define TREFOILBEND_OPERATIONS_FWD_H_
+
+namespace trefoilbend::operations {
+
+struct Options;
+
+class OperationsDuty;
+
+}  // namespace trefoilbend::operations
+
+#endif  // TREFOILBEND_OPERATIONS_FWD_H_
--- /dev/null
+++ b/packages/platform/include/trefoilbend/platform/client.h
@@ -0,0 +1,66 @@
+#ifndef TREFOILBEND_PLATFORM_CLIENT_H_
+#define TREFOILBEND_PLATFORM_CLIENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "trefoilbend/http/client.h"
+#include "trefoilbend/platform/messages.h"
+
+namespace trefoilbend::platform {
+
+/** @brief Client of the platform's table, object store and list of instances.
+ */
+class Client {
+ public:
+  /**
+   * @brief Makes a client.
+   * @param http Client that carries the requests.
+   * @param address Address of the platform.
+   * @param timeout Longest wait for one answer.
+   */
+  Client(std::shared_ptr<http::Client> http, http::Address address,
+         std::chrono::milliseconds timeout);
+
+  /**
+   * @brief Commits a transaction.
+   * @param transaction Transaction to commit.
+   * @param done Takes the result.
+   */
+  void Transact(const Transaction& transaction, std::function<void(TransactOutcome)> done);
+
+  /**
+   * @brief Reads a row.
+   * @param key Key of the row.
+   * @param done Takes the result.
+   */
+  void Read(const std::string& key, std::function<void(ReadOutcome)> done);
+
+  /**
+   * @brief Reads rows whose keys begin with a prefix, in the order of their
+   * keys.
+   * @param prefix Beginning of the keys.
+   * @param after Key after which to begin; empty for the first.
+   * @param limit Greatest number of rows.
+   * @param done Takes the result.
+   */
+  void ReadRange(const std::string& prefix, const std::string& after, std::size_t limit,
+                 std::function<void(RangeOutcome)> done);
+
+  /**
+   * @brief Reads the list of instances, which may lag.
+   * @param done Takes the result.
+   */
+  void ListInstances(std::function<void(ListOutcome)> done);
+
+ private:
+  std::shared_ptr<http::Client> http;
+  http::Address address;
+  std::chrono::milliseconds timeout;
+};
+
+}  // namespace trefoilbend::platform
+
+#endif  // TREFOILBEND_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/packages/platform/include/trefoilbend/platform/fwd.h
@@ -0,0 +1,19 @@
+#ifndef TREFOILBEND_PLATFORM_FWD_H_
+#define TREFOILBEND_PLATFORM_FWD_H_
+
+namespace trefoilbend::platform {
+
+struct Row;
+struct Condition;
+struct Write;
+struct Transaction;
+struct Committed;
+struct Conflict;
+struct Unavailable;
+struct ListedInstance;
+
+class Client;
+
+}  // namespace trefoilbend::platform
+
+#endif  // TREFOILBEND_PLATFORM_FWD_H_
--- /dev/null
+++ b/packages/platform/include/trefoilbend/platform/messages.h
@@ -0,0 +1,101 @@
+#ifndef TREFOILBEND_PLATFORM_MESSAGES_H_
+#define TREFOILBEND_PLATFORM_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/core/number.h"
+
+namespace trefoilbend::platform {
+
+/** @brief Version of a row; the table raises it with each write of the row. */
+using RowVersion = core::Number<struct RowVersionTag>;
+
+/** @brief Version of a row that does not exist. */
+inline constexpr RowVersion kAbsent{0};
+
+/** @brief A row of the platform's table. */
+struct Row {
+  /** @brief Key of the row. */
+  std::string key;
+  /** @brief Value of the row. */
+  std::string value;
+  /** @brief Version of the row. */
+  RowVersion version;
+};
+
+/** @brief Requirement that a row has a version when a transaction commits. */
+struct Condition {
+  /** @brief Key of the row. */
+  std::string key;
+  /** @brief Version that the row must have; kAbsent for none. */
+  RowVersion version;
+};
+
+/** @brief Change of one row. */
+struct Write {
+  /** @brief Key of the row. */
+  std::string key;
+  /** @brief New value, or nothing to delete the row. */
+  std::optional<std::string> value;
+};
+
+/** @brief Changes that take effect together or not at all. */
+struct Transaction {
+  /** @brief Requirements, all checked before the first write. */
+  std::vector<Condition> conditions;
+  /** @brief Changes. */
+  std::vector<Write> writes;
+};
+
+/** @brief The transaction has taken effect. */
+struct Committed {};
+
+/** @brief The transaction has had no effect because a condition did not hold.
+ */
+struct Conflict {
+  /** @brief Rows whose conditions did not hold, as they are; absent ones with
+   * an empty value. */
+  std::vector<Row> rows;
+};
+
+/** @brief The platform gave no usable answer. */
+struct Unavailable {
+  /** @brief Whether a write may have taken effect all the same. */
+  bool effect_unknown{};
+  /** @brief Cause in words. */
+  std::string message;
+};
+
+/** @brief State of an instance in the platform's list. */
+enum class InstanceState : std::uint8_t { kLive, kLeaving };
+
+/** @brief An instance in the platform's list. */
+struct ListedInstance {
+  /** @brief Name of the instance. */
+  core::InstanceName name;
+  /** @brief State of the instance. */
+  InstanceState state = InstanceState::kLive;
+
+  [[nodiscard]] bool operator==(const ListedInstance&) const = default;
+};
+
+/** @brief Result of a transaction. */
+using TransactOutcome = std::variant<Committed, Conflict, Unavailable>;
+
+/** @brief Result of reading a row that may be absent. */
+using ReadOutcome = std::variant<std::optional<Row>, Unavailable>;
+
+/** @brief Result of reading the rows of a range. */
+using RangeOutcome = std::variant<std::vector<Row>, Unavailable>;
+
+/** @brief Result of reading the list of instances. */
+using ListOutcome = std::variant<std::vector<ListedInstance>, Unavailable>;
+
+}  // namespace trefoilbend::platform
+
+#endif  // TREFOILBEND_PLATFORM_MESSAGES_H_
--- /dev/null
+++ b/packages/platform/src/client.cc
@@ -0,0 +1,156 @@
+#include "trefoilbend/platform/client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace trefoilbend::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kConflict = 409;
+
+Unavailable NoAnswer(const http::RequestError& error) {
+  return {.effect_unknown = error.stage == http::RequestStage::kSent, .message = error.message};
+}
+
+Unavailable BadAnswer(const http::Response& response) {
+  return {.effect_unknown = true,
+          .message = "the platform answered with status " + std::to_string(response.status)};
+}
+
+Row DecodeRow(const json& row) {
+  return {.key = row.at("key").get<std::string>(),
+          .value = row.value("value", std::string{}),
+          .version = RowVersion{row.at("version").get<std::uint64_t>()}};
+}
+
+std::vector<Row> DecodeRows(const json& rows) {
+  std::vector<Row> decoded;
+  for (const json& row : rows) {
+    decoded.push_back(DecodeRow(row));
+  }
+  return decoded;
+}
+
+json Encode(const Transaction& transaction) {
+  json body{{"conditions", json::array()}, {"writes", json::array()}};
+  for (const Condition& condition : transaction.conditions) {
+    body["conditions"].push_back({{"key", condition.key}, {"version", condition.version.Value()}});
+  }
+  for (const Write& write : transaction.writes) {
+    json encoded{{"key", write.key}};
+    if (write.value) {
+      encoded["value"] = *write.value;
+    }
+    body["writes"].push_back(std::move(encoded));
+  }
+  return body;
+}
+
+template <typename Result, typename Decode>
+Result DecodeOr(const http::Response& response, Decode decode) {
+  try {
+    return decode(json::parse(response.body));
+  } catch (const json::exception&) {
+    return Unavailable{.effect_unknown = true, .message = "the platform's answer is malformed"};
+  }
+}
+
+template <typename Result, typename Decode>
+http::OnResponse Expect(std::function<void(Result)> done, Decode decode) {
+  return [done = std::move(done), decode](const http::ResponseOutcome& outcome) {
+    if (!core::Succeeded(outcome)) {
+      done(NoAnswer(core::ProblemOf(outcome)));
+      return;
+    }
+    done(decode(core::ValueOf(outcome)));
+  };
+}
+
+TransactOutcome DecodeTransact(const http::Response& response) {
+  if (response.status == kOk) {
+    return Committed{};
+  }
+  if (response.status != kConflict) {
+    return BadAnswer(response);
+  }
+  return DecodeOr<TransactOutcome>(
+      response, [](const json& body) { return Conflict{DecodeRows(body.at("conflicts"))}; });
+}
+
+ReadOutcome DecodeRead(const http::Response& response) {
+  if (response.status == kNotFound) {
+    return std::optional<Row>{};
+  }
+  if (response.status != kOk) {
+    return BadAnswer(response);
+  }
+  return DecodeOr<ReadOutcome>(
+      response, [](const json& body) { return std::optional<Row>{DecodeRow(body)}; });
+}
+
+RangeOutcome DecodeRange(const http::Response& response) {
+  if (response.status != kOk) {
+    return BadAnswer(response);
+  }
+  return DecodeOr<RangeOutcome>(response,
+                                [](const json& body) { return DecodeRows(body.at("rows")); });
+}
+
+ListOutcome DecodeList(const http::Response& response) {
+  if (response.status != kOk) {
+    return BadAnswer(response);
+  }
+  return DecodeOr<ListOutcome>(response, [](const json& body) {
+    std::vector<ListedInstance> instances;
+    for (const json& instance : body.at("instances")) {
+      const bool leaving = instance.at("state") == "leaving";
+      instances.push_back({.name = core::InstanceName{instance.at("name").get<std::string>()},
+                           .state = leaving ? InstanceState::kLeaving : InstanceState::kLive});
+    }
+    return instances;
+  });
+}
+
+http::Request Get(std::string target) {
+  return {.method = "GET", .target = std::move(target), .fields = {}, .body = {}};
+}
+
+}  // namespace
+
+Client::Client(std::shared_ptr<http::Client> http, http::Address address,
+               const std::chrono::milliseconds timeout)
+    : http(std::move(http)), address(std::move(address)), timeout(timeout) {}
+
+void Client::Transact(const Transaction& transaction, std::function<void(TransactOutcome)> done) {
+  http::Request request{.method = "POST",
+                        .target = "/table/transactions",
+                        .fields = {{"Content-Type", "application/json"}},
+                        .body = Encode(transaction).dump()};
+  this->http->Send(this->address, std::move(request), this->timeout,
+                   Expect(std::move(done), DecodeTransact));
+}
+
+void Client::Read(const std::string& key, std::function<void(ReadOutcome)> done) {
+  this->http->Send(this->address, Get("/table/row?key=" + http::Escape(key)), this->timeout,
+                   Expect(std::move(done), DecodeRead));
+}
+
+void Client::ReadRange(const std::string& prefix, const std::string& after, const std::size_t limit,
+                       std::function<void(RangeOutcome)> done) {
+  this->http->Send(this->address,
+                   Get("/table/rows?prefix=" + http::Escape(prefix) +
+                       "&after=" + http::Escape(after) + "&limit=" + std::to_string(limit)),
+                   this->timeout, Expect(std::move(done), DecodeRange));
+}
+
+void Client::ListInstances(std::function<void(ListOutcome)> done) {
+  this->http->Send(this->address, Get("/instances"), this->timeout,
+                   Expect(std::move(done), DecodeList));
+}
+
+}  // namespace trefoilbend::platform
