--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Installs, builds and passes every test and check. Usage: test.sh [STEP...]; all steps by default.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+passed=0
+failed=0
+
+# check NAME COMMAND... runs a check and counts it.
+check() {
+  local name=$1
+  shift
+  if "$@"; then
+    echo "passed: $name"
+    passed=$((passed + 1))
+  else
+    echo "FAILED: $name"
+    failed=$((failed + 1))
+  fi
+}
+
+# run_tests PRESET [ARGUMENTS...] builds a preset, runs its tests and counts each.
+run_tests() {
+  local preset=$1
+  shift
+  local log="build/$preset-tests.log"
+  if ! (cmake --preset "$preset" >/dev/null && cmake --build --preset "$preset"); then
+    echo "FAILED: build of $preset"
+    failed=$((failed + 1))
+    return
+  fi
+  ctest --preset "$preset" "$@" | tee "$log"
+  passed=$((passed + $(grep -cE ' +Passed +[0-9.]+ sec' "$log")))
+  failed=$((failed + $(grep -cE '\*\*\*(Failed|Timeout|Exception|Not Run)' "$log")))
+}
+
+check_format() {
+  git ls-files '*.h' '*.cc' | grep -v '\.capnp\.' | xargs clang-format --dry-run --Werror
+}
+
+check_lint() {
+  git ls-files '*.cc' | grep -v '\.capnp\.' |
+    xargs run-clang-tidy -quiet -p build/release -j "$(nproc)" >build/lint.log 2>&1 ||
+    { grep -E 'error:|warning:' build/lint.log | sort -u | head -40; return 1; }
+}
+
+step_format() { check "format" check_format; }
+step_release() { run_tests release; }
+step_lint() { check "lint" check_lint; }
+step_address() { run_tests address; }
+step_thread() { run_tests thread -R '^(core|forwarding|path)$'; }
+
+scripts/install_dependencies.sh || exit 1
+steps=("$@")
+((${#steps[@]})) || steps=(format release lint address thread)
+for step in "${steps[@]}"; do
+  echo "== $step"
+  "step_$step"
+done
+echo "$passed passed, $failed failed"
+((failed == 0))
