--- a/apps/trefoilbend/main.cc
+++ b/apps/trefoilbend/main.cc
@@ -13,14 +13,17 @@
 
 namespace {
 
-using namespace trefoilbend;
+namespace core = trefoilbend::core;
+namespace entry = trefoilbend::entry;
+namespace settings = trefoilbend::settings;
 
 constexpr int kBadSettings = 2;
 constexpr int kCannotStart = 1;
 
 int Refuse(const settings::Mistakes& mistakes) {
   for (const settings::Mistake& mistake : mistakes) {
-    std::fprintf(stderr, "trefoilbend: %s\n", settings::ToString(mistake).c_str());
+    std::fprintf(stderr, "trefoilbend: %s\n",
+                 settings::ToString(mistake).c_str());
   }
   return kBadSettings;
 }
@@ -41,7 +44,8 @@
   const core::Log log{"entry"};
   boost::asio::io_context context{1};
   boost::asio::signal_set signals{context, SIGTERM, SIGINT};
-  const auto entry = entry::Entry::Builder{}.WithSettings(std::move(settings)).Build();
+  const auto entry =
+      entry::Entry::Builder{}.WithSettings(std::move(settings)).Build();
   const auto started = entry->Start();
   if (!core::Succeeded(started)) {
     std::fprintf(stderr, "trefoilbend: %s\n", core::ProblemOf(started).c_str());
@@ -71,7 +75,8 @@
   bool check_only = false;
   app.set_version_flag("--version", "trefoilbend " TREFOILBEND_VERSION);
   app.add_option("--settings", path, "INI file with the settings")->required();
-  app.add_option("--set", flags, "Replaces one setting: SECTION.KEY=VALUE; may be repeated");
+  app.add_option("--set", flags,
+                 "Replaces one setting: SECTION.KEY=VALUE; may be repeated");
   app.add_flag("--check-settings", check_only, "Checks the settings and ends");
   try {
     app.parse(argc, argv);
@@ -84,7 +89,8 @@
   }
   for (const std::string& flag : flags) {
     if (!ApplyFlag(std::get<0>(document), flag)) {
-      return Refuse({{"command line", "--set " + flag, "", "SECTION.KEY=VALUE"}});
+      return Refuse(
+          {{"command line", "--set " + flag, "", "SECTION.KEY=VALUE"}});
     }
   }
   auto settings = entry::ReadSettings(core::ValueOf(document));
--- a/apps/trefoilctl/commands.h
+++ b/apps/trefoilctl/commands.h
@@ -53,7 +53,8 @@
  * @param rules Path of the rules.
  * @return Exit code.
  */
-[[nodiscard]] ExitCode Check(const std::string& inventory, const std::string& rules);
+[[nodiscard]] ExitCode Check(const std::string& inventory,
+                             const std::string& rules);
 
 /**
  * @brief Puts an asset register and rules into force and waits for every entry.
--- a/apps/trefoilctl/main.cc
+++ b/apps/trefoilctl/main.cc
@@ -6,10 +6,13 @@
 
 namespace {
 
-using namespace trefoilbend;
+namespace ctl = trefoilbend::ctl;
+namespace http = trefoilbend::http;
 
 std::string CheckAddress(const std::string& text) {
-  return http::ParseAddress(text) ? "" : "expected an IP number and a port, such as 10.0.0.1:8080";
+  return http::ParseAddress(text)
+             ? ""
+             : "expected an IP number and a port, such as 10.0.0.1:8080";
 }
 
 }  // namespace
@@ -27,24 +30,33 @@
         ->required()
         ->check(address)
         ->envname("TREFOILCTL_ENTRY");
-    command->add_option("--output", output, "text or json")->check(CLI::IsMember({"text", "json"}));
+    command->add_option("--output", output, "text or json")
+        ->check(CLI::IsMember({"text", "json"}));
   };
 
   ctl::ApplyOptions files;
   std::size_t wait_seconds = 9;
-  CLI::App* check = app.add_subcommand("check", "Checks an asset register and rules");
-  CLI::App* apply = app.add_subcommand("apply", "Puts an asset register and rules into force");
+  CLI::App* check =
+      app.add_subcommand("check", "Checks an asset register and rules");
+  CLI::App* apply = app.add_subcommand(
+      "apply", "Puts an asset register and rules into force");
   for (CLI::App* command : {check, apply}) {
-    command->add_option("--inventory", files.inventory, "INI file of the asset register")
+    command
+        ->add_option("--inventory", files.inventory,
+                     "INI file of the asset register")
+        ->required();
+    command->add_option("--rules", files.rules, "INI file of the rules")
         ->required();
-    command->add_option("--rules", files.rules, "INI file of the rules")->required();
   }
   add_common(apply);
-  apply->add_option("--who", files.who, "Name for the audit trail")->required()->envname("USER");
+  apply->add_option("--who", files.who, "Name for the audit trail")
+      ->required()
+      ->envname("USER");
   apply->add_option("--why", files.why, "Reason for the audit trail");
   apply->add_option("--id", files.change_id, "Change id of an earlier attempt");
   apply->add_option("--wait", wait_seconds, "Seconds to wait for all entries");
-  CLI::App* show = app.add_subcommand("show", "Shows the configuration in force");
+  CLI::App* show =
+      app.add_subcommand("show", "Shows the configuration in force");
   add_common(show);
   CLI::App* status = app.add_subcommand("status", "Shows an entry's revision");
   add_common(status);
--- a/packages/admission/src/queue.cc
+++ b/packages/admission/src/queue.cc
@@ -14,15 +14,18 @@
 }
 
 std::optional<core::CallId> Queue::Next() const noexcept {
-  const auto& urgent = this->classes[static_cast<std::size_t>(core::Urgency::kUrgent)];
-  const auto& ordinary = this->classes[static_cast<std::size_t>(core::Urgency::kOrdinary)];
+  const auto& urgent =
+      this->classes[static_cast<std::size_t>(core::Urgency::kUrgent)];
+  const auto& ordinary =
+      this->classes[static_cast<std::size_t>(core::Urgency::kOrdinary)];
   const auto& first = urgent.empty() ? ordinary : urgent;
   return first.empty() ? std::nullopt : std::optional{first.front().id};
 }
 
 void Queue::Remove(const core::CallId id) {
   for (auto& waiting : this->classes) {
-    std::erase_if(waiting, [id](const QueuedCall& call) { return call.id == id; });
+    std::erase_if(waiting,
+                  [id](const QueuedCall& call) { return call.id == id; });
   }
 }
 
--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -49,7 +49,8 @@
    * @param now Current time.
    * @return Decisions for waiting calls.
    */
-  [[nodiscard]] Decisions Configure(const configuration::Update& update, core::TimePoint now);
+  [[nodiscard]] Decisions Configure(const configuration::Update& update,
+                                    core::TimePoint now);
 
   /**
    * @brief Takes a call.
@@ -75,7 +76,8 @@
    * @return Decisions that follow: another attempt, a refusal, or the next
    * waiting call.
    */
-  [[nodiscard]] Decisions Ended(const forwarding::ExchangeEnded& ended, core::TimePoint now);
+  [[nodiscard]] Decisions Ended(const forwarding::ExchangeEnded& ended,
+                                core::TimePoint now);
 
   /**
    * @brief Refuses waiting calls whose deadline has passed and serves those
@@ -86,7 +88,9 @@
   [[nodiscard]] Decisions Tick(core::TimePoint now);
 
   /** @return Number of calls that wait or are in flight. */
-  [[nodiscard]] std::size_t Calls() const noexcept { return this->calls.size(); }
+  [[nodiscard]] std::size_t Calls() const noexcept {
+    return this->calls.size();
+  }
 
  private:
   struct ServiceState {
@@ -103,11 +107,13 @@
   };
 
   void Serve(ServiceState& service, core::TimePoint now, Decisions& decisions);
-  [[nodiscard]] bool TryStart(ServiceState& service, core::CallId id, core::TimePoint now,
-                              Decisions& decisions);
-  void RetryOrRefuse(ServiceState& service, const forwarding::ExchangeEnded& ended,
+  [[nodiscard]] bool TryStart(ServiceState& service, core::CallId id,
+                              core::TimePoint now, Decisions& decisions);
+  void RetryOrRefuse(ServiceState& service,
+                     const forwarding::ExchangeEnded& ended,
                      core::TimePoint now, Decisions& decisions);
-  void Refuse(core::CallId id, core::RefusalReason reason, Decisions& decisions);
+  void Refuse(core::CallId id, core::RefusalReason reason,
+              Decisions& decisions);
 
   DispatcherOptions options;
   std::map<core::ServiceName, ServiceState> services;
--- a/packages/balancing/include/trefoilbend/balancing/duty.h
+++ b/packages/balancing/include/trefoilbend/balancing/duty.h
@@ -39,7 +39,8 @@
   [[nodiscard]] core::Ring<forwarding::ToBalancing>& ForwardingInlet() noexcept;
 
   /** @return Ring for configurations. */
-  [[nodiscard]] core::Ring<configuration::Update>& ConfigurationInlet() noexcept;
+  [[nodiscard]] core::Ring<configuration::Update>&
+  ConfigurationInlet() noexcept;
 
   /**
    * @brief Starts the duty.
--- a/packages/balancing/include/trefoilbend/balancing/messages.h
+++ b/packages/balancing/include/trefoilbend/balancing/messages.h
@@ -41,7 +41,8 @@
 using ToCallers = std::variant<std::monostate, CallRefused>;
 
 /** @brief What the dispatcher wants done. */
-using Decision = std::variant<forwarding::StartExchange, forwarding::CancelExchange, CallRefused>;
+using Decision = std::variant<forwarding::StartExchange,
+                              forwarding::CancelExchange, CallRefused>;
 
 /** @brief Decisions in the order in which they take effect. */
 using Decisions = std::vector<Decision>;
--- a/packages/balancing/include/trefoilbend/balancing/strategy.h
+++ b/packages/balancing/include/trefoilbend/balancing/strategy.h
@@ -40,8 +40,8 @@
    * @param now Current time.
    * @return Position of the chosen one among the candidates.
    */
-  [[nodiscard]] virtual std::size_t Choose(std::span<const Candidate> candidates,
-                                           core::TimePoint now) = 0;
+  [[nodiscard]] virtual std::size_t Choose(
+      std::span<const Candidate> candidates, core::TimePoint now) = 0;
 };
 
 /** @return Names of the strategies that MakeStrategy knows. */
@@ -53,7 +53,8 @@
  * @param seed Seed of the strategy's random numbers.
  * @return The strategy, or null for an unknown name.
  */
-[[nodiscard]] std::unique_ptr<Strategy> MakeStrategy(std::string_view name, std::uint64_t seed);
+[[nodiscard]] std::unique_ptr<Strategy> MakeStrategy(std::string_view name,
+                                                     std::uint64_t seed);
 
 }  // namespace trefoilbend::balancing
 
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -42,7 +42,8 @@
    * @brief Makes an empty table.
    * @param strategy Way of choosing.
    */
-  explicit TargetTable(std::unique_ptr<Strategy> strategy) : strategy(std::move(strategy)) {}
+  explicit TargetTable(std::unique_ptr<Strategy> strategy)
+      : strategy(std::move(strategy)) {}
 
   /** @brief A target that the register has, and whether it may take new calls.
    */
@@ -67,8 +68,8 @@
    * @param now Current time.
    * @return The target, or null if none may take a call.
    */
-  [[nodiscard]] const inventory::Instance* Choose(const std::vector<core::InstanceName>& excluded,
-                                                  core::TimePoint now);
+  [[nodiscard]] const inventory::Instance* Choose(
+      const std::vector<core::InstanceName>& excluded, core::TimePoint now);
 
   /**
    * @brief Takes note of an exchange that ended.
@@ -82,7 +83,9 @@
   [[nodiscard]] bool HasUsable() const noexcept;
 
   /** @return All targets. */
-  [[nodiscard]] const std::vector<TargetState>& Targets() const noexcept { return this->targets; }
+  [[nodiscard]] const std::vector<TargetState>& Targets() const noexcept {
+    return this->targets;
+  }
 
  private:
   std::unique_ptr<Strategy> strategy;
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -12,16 +12,19 @@
 
 constexpr std::chrono::milliseconds kRetryAfter{1'000};
 
-std::uint32_t ShareOf(const std::uint32_t whole, const std::size_t entries) noexcept {
+std::uint32_t ShareOf(const std::uint32_t whole,
+                      const std::size_t entries) noexcept {
   return std::max<std::uint32_t>(
       1, whole / static_cast<std::uint32_t>(std::max<std::size_t>(1, entries)));
 }
 
 }  // namespace
 
-Dispatcher::Dispatcher(DispatcherOptions options) : options(std::move(options)) {}
+Dispatcher::Dispatcher(DispatcherOptions options)
+    : options(std::move(options)) {}
 
-Decisions Dispatcher::Configure(const configuration::Update& update, const core::TimePoint now) {
+Decisions Dispatcher::Configure(const configuration::Update& update,
+                                const core::TimePoint now) {
   std::map<core::InstanceName, platform::InstanceState> listed;
   for (const platform::ListedInstance& instance : *update.listed) {
     listed.emplace(instance.name, instance.state);
@@ -29,22 +32,25 @@
   const inventory::Configuration& configuration = *update.configuration;
   const auto is_usable = [&](const inventory::Instance& target) {
     const auto state = listed.find(target.name);
-    return state != listed.end() && state->second == platform::InstanceState::kLive &&
+    return state != listed.end() &&
+           state->second == platform::InstanceState::kLive &&
            !configuration.IsOut(target.data_centre);
   };
   Decisions decisions;
   for (const auto& [name, view] : configuration.Services()) {
     auto known = this->services.find(name);
     if (known == this->services.end()) {
-      ServiceState state{TargetTable{MakeStrategy(this->options.strategy, this->options.seed)},
-                         admission::Queue{this->options.queue}};
+      ServiceState state{
+          TargetTable{MakeStrategy(this->options.strategy, this->options.seed)},
+          admission::Queue{this->options.queue}};
       known = this->services.emplace(name, std::move(state)).first;
     }
     std::vector<TargetTable::Member> members;
     for (const inventory::Instance* target : view.targets) {
       members.push_back({.instance = *target,
                          .usable = is_usable(*target),
-                         .limit = ShareOf(target->connections, configuration.Entries().size())});
+                         .limit = ShareOf(target->connections,
+                                          configuration.Entries().size())});
     }
     known->second.targets.SetMembers(std::move(members));
     this->Serve(known->second, now, decisions);
@@ -57,12 +63,14 @@
   return decisions;
 }
 
-Decisions Dispatcher::Submit(const SubmitCall& call, const core::TimePoint now) {
+Decisions Dispatcher::Submit(const SubmitCall& call,
+                             const core::TimePoint now) {
   Decisions decisions;
   const bool fresh =
       this->calls
-          .emplace(call.call,
-                   CallState{.request = call.request, .tried = {}, .exchange = std::nullopt})
+          .emplace(call.call, CallState{.request = call.request,
+                                        .tried = {},
+                                        .exchange = std::nullopt})
           .second;
   core::CheckInvariant(fresh, "a call is submitted once");
   const auto service = this->services.find(call.request->service);
@@ -85,7 +93,8 @@
   return decisions;
 }
 
-Decisions Dispatcher::Cancel(const CancelCall& call, const core::TimePoint /*now*/) {
+Decisions Dispatcher::Cancel(const CancelCall& call,
+                             const core::TimePoint /*now*/) {
   const auto found = this->calls.find(call.call);
   if (found == this->calls.end()) {
     return {};
@@ -103,11 +112,13 @@
   return {forwarding::CancelExchange{*state.exchange}};
 }
 
-Decisions Dispatcher::Ended(const forwarding::ExchangeEnded& ended, const core::TimePoint now) {
+Decisions Dispatcher::Ended(const forwarding::ExchangeEnded& ended,
+                            const core::TimePoint now) {
   Decisions decisions;
   const auto found = this->calls.find(ended.call);
-  core::CheckInvariant(found != this->calls.end() && found->second.exchange == ended.exchange,
-                       "an exchange that ended belongs to a call in flight");
+  core::CheckInvariant(
+      found != this->calls.end() && found->second.exchange == ended.exchange,
+      "an exchange that ended belongs to a call in flight");
   ServiceState& service = this->services.at(found->second.request->service);
   service.targets.Ended(ended, now);
   found->second.exchange.reset();
@@ -133,7 +144,8 @@
   return decisions;
 }
 
-void Dispatcher::Serve(ServiceState& service, const core::TimePoint now, Decisions& decisions) {
+void Dispatcher::Serve(ServiceState& service, const core::TimePoint now,
+                       Decisions& decisions) {
   for (auto next = service.queue.Next(); next; next = service.queue.Next()) {
     if (!this->TryStart(service, *next, now, decisions)) {
       return;
@@ -142,8 +154,8 @@
   }
 }
 
-bool Dispatcher::TryStart(ServiceState& service, const core::CallId id, const core::TimePoint now,
-                          Decisions& decisions) {
+bool Dispatcher::TryStart(ServiceState& service, const core::CallId id,
+                          const core::TimePoint now, Decisions& decisions) {
   CallState& call = this->calls.at(id);
   const inventory::Instance* target = service.targets.Choose(call.tried, now);
   if (target == nullptr) {
@@ -160,17 +172,20 @@
   return true;
 }
 
-void Dispatcher::RetryOrRefuse(ServiceState& service, const forwarding::ExchangeEnded& ended,
-                               const core::TimePoint now, Decisions& decisions) {
+void Dispatcher::RetryOrRefuse(ServiceState& service,
+                               const forwarding::ExchangeEnded& ended,
+                               const core::TimePoint now,
+                               Decisions& decisions) {
   CallState& call = this->calls.at(ended.call);
   const bool not_run = ended.result == ExchangeResult::kNotSent;
   call.perhaps_run = call.perhaps_run || !not_run;
-  if (ended.result == ExchangeResult::kTimedOut || now >= call.request->deadline) {
+  if (ended.result == ExchangeResult::kTimedOut ||
+      now >= call.request->deadline) {
     this->Refuse(ended.call, core::RefusalReason::kDeadline, decisions);
     return;
   }
-  const bool may_retry =
-      (not_run || call.request->idempotent) && call.tried.size() < this->options.attempts;
+  const bool may_retry = (not_run || call.request->idempotent) &&
+                         call.tried.size() < this->options.attempts;
   if (!may_retry || !this->TryStart(service, ended.call, now, decisions)) {
     this->Refuse(ended.call, core::RefusalReason::kTargetFailed, decisions);
   }
@@ -181,11 +196,12 @@
   const auto found = this->calls.find(id);
   const bool perhaps_run = found->second.perhaps_run;
   this->calls.erase(found);
-  decisions.push_back(CallRefused{
-      .call = id,
-      .refusal = {.run = perhaps_run ? core::RunState::kUnknown : core::RunState::kNotRun,
-                  .reason = reason,
-                  .retry_after = kRetryAfter}});
+  decisions.push_back(
+      CallRefused{.call = id,
+                  .refusal = {.run = perhaps_run ? core::RunState::kUnknown
+                                                 : core::RunState::kNotRun,
+                              .reason = reason,
+                              .retry_after = kRetryAfter}});
 }
 
 }  // namespace trefoilbend::balancing
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -27,23 +27,27 @@
         dispatcher(std::move(options)),
         timer(this->duty.Context()) {
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
-      std::visit(core::Visitor{[](std::monostate) {},
-                               [this](const SubmitCall& call) {
-                                 this->Carry(this->dispatcher.Submit(call, Now()));
-                               },
-                               [this](const CancelCall& call) {
-                                 this->Carry(this->dispatcher.Cancel(call, Now()));
-                               }},
-                 message);
-    });
-    this->duty.Read(this->from_forwarding, [this](forwarding::ToBalancing&& message) {
-      if (const auto* ended = std::get_if<forwarding::ExchangeEnded>(&message)) {
-        this->Carry(this->dispatcher.Ended(*ended, Now()));
-      }
-    });
-    this->duty.Read(this->from_configuration, [this](const configuration::Update& update) {
-      this->Carry(this->dispatcher.Configure(update, Now()));
+      std::visit(
+          core::Visitor{[](std::monostate) {},
+                        [this](const SubmitCall& call) {
+                          this->Carry(this->dispatcher.Submit(call, Now()));
+                        },
+                        [this](const CancelCall& call) {
+                          this->Carry(this->dispatcher.Cancel(call, Now()));
+                        }},
+          message);
     });
+    this->duty.Read(
+        this->from_forwarding, [this](forwarding::ToBalancing&& message) {
+          if (const auto* ended =
+                  std::get_if<forwarding::ExchangeEnded>(&message)) {
+            this->Carry(this->dispatcher.Ended(*ended, Now()));
+          }
+        });
+    this->duty.Read(this->from_configuration,
+                    [this](const configuration::Update& update) {
+                      this->Carry(this->dispatcher.Configure(update, Now()));
+                    });
   }
 
   void Start(const Outlets writes) {
@@ -58,7 +62,9 @@
   core::Duty duty{"balancing"};
 
  private:
-  static core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
+  static core::TimePoint Now() noexcept {
+    return std::chrono::steady_clock::now();
+  }
 
   void Wait() {
     this->timer.expires_after(kTick);
@@ -78,9 +84,12 @@
               [this](CallRefused& refused) {
                 return this->outlets.callers->TryPush(ToCallers{refused});
               },
-              [this](auto& order) { return this->outlets.forwarding->TryPush(std::move(order)); }},
+              [this](auto& order) {
+                return this->outlets.forwarding->TryPush(std::move(order));
+              }},
           decision);
-      core::CheckInvariant(pushed, "the rings behind balancing have room for every call");
+      core::CheckInvariant(
+          pushed, "the rings behind balancing have room for every call");
     }
   }
 
@@ -89,18 +98,22 @@
   boost::asio::steady_timer timer;
 };
 
-BalancingDuty::BalancingDuty(DispatcherOptions options, const std::size_t max_calls)
+BalancingDuty::BalancingDuty(DispatcherOptions options,
+                             const std::size_t max_calls)
     : loop(std::make_unique<Loop>(std::move(options), max_calls)) {}
 
 BalancingDuty::~BalancingDuty() { this->Stop(); }
 
-core::Ring<FromCallers>& BalancingDuty::CallersInlet() noexcept { return this->loop->from_callers; }
+core::Ring<FromCallers>& BalancingDuty::CallersInlet() noexcept {
+  return this->loop->from_callers;
+}
 
 core::Ring<forwarding::ToBalancing>& BalancingDuty::ForwardingInlet() noexcept {
   return this->loop->from_forwarding;
 }
 
-core::Ring<configuration::Update>& BalancingDuty::ConfigurationInlet() noexcept {
+core::Ring<configuration::Update>&
+BalancingDuty::ConfigurationInlet() noexcept {
   return this->loop->from_configuration;
 }
 
--- a/packages/balancing/src/strategy.cc
+++ b/packages/balancing/src/strategy.cc
@@ -70,7 +70,8 @@
                                    core::TimePoint /*now*/) override {
     const std::size_t first = Draw(this->random, candidates.size());
     const std::size_t second = Draw(this->random, candidates.size());
-    return candidates[second].reported < candidates[first].reported ? second : first;
+    return candidates[second].reported < candidates[first].reported ? second
+                                                                    : first;
   }
 
  private:
@@ -87,25 +88,28 @@
   std::unique_ptr<Strategy> (*make)(std::uint64_t);
 };
 
-constexpr std::array<NamedStrategy, 4> kStrategies{{{"round-robin", Make<RoundRobin>},
-                                                    {"random", Make<Uniform>},
-                                                    {"least-in-flight", Make<LeastInFlight>},
-                                                    {"two-choices", Make<TwoChoices>}}};
+constexpr std::array<NamedStrategy, 4> kStrategies{
+    {{"round-robin", Make<RoundRobin>},
+     {"random", Make<Uniform>},
+     {"least-in-flight", Make<LeastInFlight>},
+     {"two-choices", Make<TwoChoices>}}};
 
 }  // namespace
 
 std::vector<std::string> StrategyNames() {
   std::vector<std::string> names;
+  names.reserve(kStrategies.size());
   for (const NamedStrategy& strategy : kStrategies) {
     names.emplace_back(strategy.name);
   }
   return names;
 }
 
-std::unique_ptr<Strategy> MakeStrategy(const std::string_view name, const std::uint64_t seed) {
-  const auto* const found =
-      std::find_if(kStrategies.begin(), kStrategies.end(),
-                   [&](const NamedStrategy& strategy) { return strategy.name == name; });
+std::unique_ptr<Strategy> MakeStrategy(const std::string_view name,
+                                       const std::uint64_t seed) {
+  const auto* const found = std::find_if(
+      kStrategies.begin(), kStrategies.end(),
+      [&](const NamedStrategy& strategy) { return strategy.name == name; });
   return found == kStrategies.end() ? nullptr : found->make(seed);
 }
 
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -19,8 +19,9 @@
   next.reserve(members.size());
   for (Member& member : members) {
     const auto known = this->positions.find(member.instance.name);
-    TargetState state =
-        known == this->positions.end() ? TargetState{} : std::move(this->targets[known->second]);
+    TargetState state = known == this->positions.end()
+                            ? TargetState{}
+                            : std::move(this->targets[known->second]);
     state.instance = std::move(member.instance);
     state.usable = member.usable;
     state.limit = member.limit;
@@ -33,18 +34,21 @@
   }
 }
 
-const inventory::Instance* TargetTable::Choose(const std::vector<core::InstanceName>& excluded,
-                                               const core::TimePoint now) {
+const inventory::Instance* TargetTable::Choose(
+    const std::vector<core::InstanceName>& excluded,
+    const core::TimePoint now) {
   this->candidates.clear();
   for (std::size_t at = 0; at < this->targets.size(); ++at) {
     const TargetState& target = this->targets[at];
-    const bool tried =
-        std::find(excluded.begin(), excluded.end(), target.instance.name) != excluded.end();
-    if (target.usable && !tried && target.in_flight < target.limit && target.avoided_until <= now) {
-      this->candidates.push_back({.target = at,
-                                  .in_flight = target.in_flight,
-                                  .slots = target.instance.slots,
-                                  .reported = target.report.in_flight + target.report.queued});
+    const bool tried = std::find(excluded.begin(), excluded.end(),
+                                 target.instance.name) != excluded.end();
+    if (target.usable && !tried && target.in_flight < target.limit &&
+        target.avoided_until <= now) {
+      this->candidates.push_back(
+          {.target = at,
+           .in_flight = target.in_flight,
+           .slots = target.instance.slots,
+           .reported = target.report.in_flight + target.report.queued});
     }
   }
   if (this->candidates.empty()) {
@@ -56,7 +60,8 @@
   return &target.instance;
 }
 
-void TargetTable::Ended(const forwarding::ExchangeEnded& ended, const core::TimePoint now) {
+void TargetTable::Ended(const forwarding::ExchangeEnded& ended,
+                        const core::TimePoint now) {
   const auto position = this->positions.find(ended.target);
   if (position == this->positions.end()) {
     return;
--- a/packages/balancing/test/dispatcher_test.cc
+++ b/packages/balancing/test/dispatcher_test.cc
@@ -21,7 +21,8 @@
  public:
   Fixture() { this->Configure({"a", "b"}, {}); }
 
-  void Configure(const std::vector<std::string>& live, const std::vector<std::string>& leaving) {
+  void Configure(const std::vector<std::string>& live,
+                 const std::vector<std::string>& leaving) {
     inventory::Configuration::Builder builder;
     builder.Put(inventory::Service{.name = core::ServiceName{"stock"}});
     builder.Put(inventory::DataCentre{.name = core::DataCentreName{"xela"}});
@@ -39,9 +40,11 @@
       listed->push_back({InstanceName{name}, platform::InstanceState::kLive});
     }
     for (const std::string& name : leaving) {
-      listed->push_back({InstanceName{name}, platform::InstanceState::kLeaving});
+      listed->push_back(
+          {InstanceName{name}, platform::InstanceState::kLeaving});
     }
-    this->last = this->dispatcher.Configure({builder.Build(), listed}, this->now);
+    this->last =
+        this->dispatcher.Configure({builder.Build(), listed}, this->now);
   }
 
   void Submit(const std::uint64_t id, const bool idempotent = true) {
@@ -141,7 +144,8 @@
   BOOST_TEST((Only<CallRefused>().refusal.run == core::RunState::kUnknown));
 }
 
-BOOST_AUTO_TEST_CASE(tries_a_non_idempotent_call_elsewhere_if_nothing_was_sent) {
+BOOST_AUTO_TEST_CASE(
+    tries_a_non_idempotent_call_elsewhere_if_nothing_was_sent) {
   Submit(1, false);
   End(Only<StartExchange>(), ExchangeResult::kNotSent);
   End(Only<StartExchange>(), ExchangeResult::kNotSent);
--- a/packages/callers/include/trefoilbend/callers/classify.h
+++ b/packages/callers/include/trefoilbend/callers/classify.h
@@ -27,8 +27,8 @@
  * @param request Request, whose route, idempotence, urgency and deadline are
  * set.
  */
-void ApplyRules(const inventory::ServiceView& view, const Wishes& wishes, core::TimePoint now,
-                core::CallRequest& request);
+void ApplyRules(const inventory::ServiceView& view, const Wishes& wishes,
+                core::TimePoint now, core::CallRequest& request);
 
 }  // namespace trefoilbend::callers
 
--- a/packages/callers/include/trefoilbend/callers/duty.h
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -85,14 +85,16 @@
   [[nodiscard]] core::Ring<forwarding::ToCallers>& ForwardingInlet() noexcept;
 
   /** @return Ring for configurations. */
-  [[nodiscard]] core::Ring<configuration::Update>& ConfigurationInlet() noexcept;
+  [[nodiscard]] core::Ring<configuration::Update>&
+  ConfigurationInlet() noexcept;
 
   /**
    * @brief Starts the duty.
    * @param outlets Rings to write to.
    * @return Nothing, or the reason why the address cannot be used.
    */
-  [[nodiscard]] core::Outcome<std::monostate, std::string> Start(Outlets outlets);
+  [[nodiscard]] core::Outcome<std::monostate, std::string> Start(
+      Outlets outlets);
 
   /**
    * @brief Begins a graceful stop: serves until answers that name this entry
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -52,66 +52,81 @@
                         .Help("Calls that wait or are in flight.")
                         .Register(registry)
                         .Add({})) {
-    this->duty.Read(this->from_balancing, [this](const balancing::ToCallers& message) {
-      if (const auto* call = std::get_if<balancing::CallRefused>(&message)) {
-        this->OnRefused(*call);
-      }
-    });
-    this->duty.Read(this->from_forwarding, [this](forwarding::ToCallers&& message) {
-      std::visit([this](auto& answer) { this->OnAnswer(answer); }, message);
-    });
-    this->duty.Read(this->from_configuration, [this](const configuration::Update& update) {
-      this->configuration = update.configuration;
-      this->directory.Configure(update);
-    });
+    this->duty.Read(this->from_balancing,
+                    [this](const balancing::ToCallers& message) {
+                      if (const auto* call =
+                              std::get_if<balancing::CallRefused>(&message)) {
+                        this->OnRefused(*call);
+                      }
+                    });
+    this->duty.Read(
+        this->from_forwarding, [this](forwarding::ToCallers&& message) {
+          std::visit([this](auto& answer) { this->OnAnswer(answer); }, message);
+        });
+    this->duty.Read(this->from_configuration,
+                    [this](const configuration::Update& update) {
+                      this->configuration = update.configuration;
+                      this->directory.Configure(update);
+                    });
   }
 
   core::Outcome<std::monostate, std::string> Start(const Outlets writes) {
     this->outlets = writes;
     boost::system::error_code error;
-    const tcp::endpoint endpoint{boost::asio::ip::make_address(this->options.address.host, error),
-                                 this->options.address.port};
+    const tcp::endpoint endpoint{
+        boost::asio::ip::make_address(this->options.address.host, error),
+        this->options.address.port};
     this->acceptor.open(endpoint.protocol(), error);
     this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     this->acceptor.bind(endpoint, error);
     if (!error) {
-      this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+      this->acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                            error);
     }
     if (error) {
-      return "cannot listen on " + http::ToString(this->options.address) + ": " + error.message();
+      return "cannot listen on " + http::ToString(this->options.address) +
+             ": " + error.message();
     }
-    this->log.Info("Serves callers on {}.", http::ToString(this->options.address));
+    this->log.Info("Serves callers on {}.",
+                   http::ToString(this->options.address));
     this->Accept();
     this->duty.Start();
     return std::monostate{};
   }
 
   void Drain(std::function<void()> done) {
-    boost::asio::post(this->duty.Context(), [this, done = std::move(done)]() mutable {
+    boost::asio::post(this->duty.Context(), [this,
+                                             done = std::move(done)]() mutable {
       this->log.Info("Stops: serves for {} ms more, then finishes {} calls.",
                      this->options.keep.count(), this->calls.size());
       this->draining = true;
       this->directory.Exclude(this->options.self);
       this->drain_timer.expires_after(this->options.keep);
-      this->drain_timer.async_wait([this, done = std::move(done)](auto) mutable {
-        boost::system::error_code ignored;
-        this->acceptor.close(ignored);
-        this->AwaitLastCall(std::move(done));
-      });
+      this->drain_timer.async_wait(
+          [this, done = std::move(done)](auto) mutable {
+            boost::system::error_code ignored;
+            this->acceptor.close(ignored);
+            this->AwaitLastCall(std::move(done));
+          });
     });
   }
 
-  [[nodiscard]] const Limits& GetLimits() const noexcept override { return this->options.limits; }
+  [[nodiscard]] const Limits& GetLimits() const noexcept override {
+    return this->options.limits;
+  }
 
-  [[nodiscard]] bool IsDraining() const noexcept override { return this->draining; }
+  [[nodiscard]] bool IsDraining() const noexcept override {
+    return this->draining;
+  }
 
-  [[nodiscard]] discovery::Answer Ask(const discovery::Question& question) override {
+  [[nodiscard]] discovery::Answer Ask(
+      const discovery::Question& question) override {
     return this->directory.Ask(question);
   }
 
   [[nodiscard]] core::Outcome<core::CallId, core::Refusal> Submit(
-      const std::shared_ptr<internal::Session>& session, core::CallRequest request,
-      const Wishes& wishes) override {
+      const std::shared_ptr<internal::Session>& session,
+      core::CallRequest request, const Wishes& wishes) override {
     if (this->configuration == nullptr) {
       return this->CountRefusal({.run = core::RunState::kNotRun,
                                  .reason = core::RefusalReason::kNotReady,
@@ -120,13 +135,15 @@
     const auto view = this->configuration->Services().find(request.service);
     if (view == this->configuration->Services().end()) {
       return this->CountRefusal(
-          {.run = core::RunState::kNotRun, .reason = core::RefusalReason::kUnknownService});
+          {.run = core::RunState::kNotRun,
+           .reason = core::RefusalReason::kUnknownService});
     }
     ApplyRules(view->second, wishes, std::chrono::steady_clock::now(), request);
     const core::CallId id = this->last_call.Next();
     if (this->calls.size() >= this->options.limits.calls ||
         !this->outlets.balancing->TryPush(balancing::SubmitCall{
-            id, std::make_shared<const core::CallRequest>(std::move(request))})) {
+            id,
+            std::make_shared<const core::CallRequest>(std::move(request))})) {
       return this->CountRefusal({.run = core::RunState::kNotRun,
                                  .reason = core::RefusalReason::kBusy,
                                  .retry_after = kRetryAfter});
@@ -148,8 +165,9 @@
 
   void Abandon(const core::CallId call) override {
     this->Close(call);
-    core::CheckInvariant(this->outlets.balancing->TryPush(balancing::CancelCall{call}),
-                         "the ring to balancing has room for every call's end");
+    core::CheckInvariant(
+        this->outlets.balancing->TryPush(balancing::CancelCall{call}),
+        "the ring to balancing has room for every call's end");
     this->Forward(forwarding::AbandonAnswer{call});
   }
 
@@ -162,16 +180,20 @@
   static constexpr std::chrono::milliseconds kRetryAfter{1'000};
 
   void Accept() {
-    this->acceptor.async_accept([this](const boost::system::error_code error, tcp::socket socket) {
-      if (!this->acceptor.is_open()) {
-        return;
-      }
-      const auto open = static_cast<std::size_t>(this->session_token.use_count());
-      if (!error && open <= this->options.limits.connections) {
-        std::make_shared<internal::Session>(*this, std::move(socket), this->session_token)->Read();
-      }
-      this->Accept();
-    });
+    this->acceptor.async_accept(
+        [this](const boost::system::error_code error, tcp::socket socket) {
+          if (!this->acceptor.is_open()) {
+            return;
+          }
+          const auto open =
+              static_cast<std::size_t>(this->session_token.use_count());
+          if (!error && open <= this->options.limits.connections) {
+            std::make_shared<internal::Session>(*this, std::move(socket),
+                                                this->session_token)
+                ->Read();
+          }
+          this->Accept();
+        });
   }
 
   void AwaitLastCall(std::function<void()> done) {
@@ -181,13 +203,17 @@
       return;
     }
     this->drain_timer.expires_after(kDrainPoll);
-    this->drain_timer.async_wait(
-        [this, done = std::move(done)](auto) mutable { this->AwaitLastCall(std::move(done)); });
+    this->drain_timer.async_wait([this, done = std::move(done)](auto) mutable {
+      this->AwaitLastCall(std::move(done));
+    });
   }
 
   core::Refusal CountRefusal(const core::Refusal refusal) {
-    const std::string run = refusal.run == core::RunState::kNotRun ? "not-run" : "unknown";
-    this->refused.Add({{"reason", std::string{ToString(refusal.reason)}}, {"outcome", run}})
+    const std::string run =
+        refusal.run == core::RunState::kNotRun ? "not-run" : "unknown";
+    this->refused
+        .Add({{"reason", std::string{ToString(refusal.reason)}},
+              {"outcome", run}})
         .Increment();
     return refusal;
   }
@@ -228,14 +254,16 @@
     }
   }
 
-  [[nodiscard]] std::shared_ptr<internal::Session> Find(const core::CallId call) const {
+  [[nodiscard]] std::shared_ptr<internal::Session> Find(
+      const core::CallId call) const {
     const auto found = this->calls.find(call);
     return found == this->calls.end() ? nullptr : found->second.lock();
   }
 
-  void Forward(forwarding::FromCallers message) {
-    core::CheckInvariant(this->outlets.forwarding->TryPush(std::move(message)),
-                         "the ring to forwarding has room for every call's messages");
+  void Forward(const forwarding::FromCallers& message) {
+    core::CheckInvariant(
+        this->outlets.forwarding->TryPush(forwarding::FromCallers{message}),
+        "the ring to forwarding has room for every call's messages");
   }
 
   Options options;
@@ -271,11 +299,14 @@
   return this->loop->from_configuration;
 }
 
-core::Outcome<std::monostate, std::string> CallersDuty::Start(const Outlets outlets) {
+core::Outcome<std::monostate, std::string> CallersDuty::Start(
+    const Outlets outlets) {
   return this->loop->Start(outlets);
 }
 
-void CallersDuty::Drain(std::function<void()> done) { this->loop->Drain(std::move(done)); }
+void CallersDuty::Drain(std::function<void()> done) {
+  this->loop->Drain(std::move(done));
+}
 
 void CallersDuty::Stop() { this->loop->duty.Stop(); }
 
--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -37,7 +37,8 @@
    * @param question Question of the caller.
    * @return The answer.
    */
-  [[nodiscard]] virtual discovery::Answer Ask(const discovery::Question& question) = 0;
+  [[nodiscard]] virtual discovery::Answer Ask(
+      const discovery::Question& question) = 0;
 
   /**
    * @brief Takes a call.
@@ -47,7 +48,8 @@
    * @return The call, or a refusal.
    */
   [[nodiscard]] virtual core::Outcome<core::CallId, core::Refusal> Submit(
-      const std::shared_ptr<Session>& session, core::CallRequest request, const Wishes& wishes) = 0;
+      const std::shared_ptr<Session>& session, core::CallRequest request,
+      const Wishes& wishes) = 0;
 
   /**
    * @brief Asks for the next part of an answer.
@@ -115,7 +117,8 @@
   using Response = boost::beast::http::response<Body>;
   using StringResponse = Response<boost::beast::http::string_body>;
   using StreamResponse = Response<boost::beast::http::buffer_body>;
-  using StreamSerializer = boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
+  using StreamSerializer =
+      boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
 
   void OnRead(boost::system::error_code error);
   void RefuseRequest(boost::system::error_code error);
@@ -136,7 +139,9 @@
   std::shared_ptr<const void> token;
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      parser;
   StringResponse whole;
   StreamResponse streamed;
   std::optional<StreamSerializer> serializer;
--- a/packages/callers/src/refusal_text.cc
+++ b/packages/callers/src/refusal_text.cc
@@ -28,21 +28,28 @@
 
 }  // namespace
 
-std::string_view ToString(const core::RefusalReason reason) noexcept { return TextOf(reason).word; }
+std::string_view ToString(const core::RefusalReason reason) noexcept {
+  return TextOf(reason).word;
+}
 
 http::Response ToResponse(const core::Refusal& refusal) {
   const ReasonText& text = TextOf(refusal.reason);
-  const std::string outcome = refusal.run == core::RunState::kNotRun ? "not-run" : "unknown";
+  const std::string outcome =
+      refusal.run == core::RunState::kNotRun ? "not-run" : "unknown";
   http::Response response{
       .status = text.status,
       .content_type = "application/problem+json",
       .fields = {{std::string{kOutcomeField}, outcome},
                  {std::string{kReasonField}, std::string{text.word}}},
-      .body = nlohmann::json{{"title", text.title}, {"outcome", outcome}, {"reason", text.word}}
+      .body = nlohmann::json{{"title", text.title},
+                             {"outcome", outcome},
+                             {"reason", text.word}}
                   .dump()};
   if (refusal.retry_after.count() > 0) {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
-    response.fields.emplace_back("Retry-After", std::to_string(seconds.count()));
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
+    response.fields.emplace_back("Retry-After",
+                                 std::to_string(seconds.count()));
   }
   return response;
 }
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -18,7 +18,9 @@
 constexpr std::string_view kTimeoutField = "Trefoilbend-Timeout";
 constexpr unsigned kHttp11 = 11;
 
-std::string_view View(const beast::string_view text) { return {text.data(), text.size()}; }
+std::string_view View(const beast::string_view text) {
+  return {text.data(), text.size()};
+}
 
 std::string_view FieldOf(const auto& message, const std::string_view name) {
   return View(message[beast::string_view{name.data(), name.size()}]);
@@ -30,11 +32,15 @@
          priority.find("u=1") != std::string_view::npos;
 }
 
-std::optional<std::chrono::milliseconds> TimeoutOf(const std::string_view text) {
+std::optional<std::chrono::milliseconds> TimeoutOf(
+    const std::string_view text) {
   std::int64_t count{};
-  const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), count);
-  constexpr std::int64_t kMost = std::chrono::milliseconds{std::chrono::hours{24}}.count();
-  if (problem != std::errc{} || end != text.data() + text.size() || count < 1 || count > kMost) {
+  const auto [end, problem] =
+      std::from_chars(text.data(), text.data() + text.size(), count);
+  constexpr std::int64_t kMost =
+      std::chrono::milliseconds{std::chrono::hours{24}}.count();
+  if (problem != std::errc{} || end != text.data() + text.size() || count < 1 ||
+      count > kMost) {
     return std::nullopt;
   }
   return std::chrono::milliseconds{count};
@@ -42,7 +48,8 @@
 
 }  // namespace
 
-Session::Session(SessionOwner& owner, tcp::socket socket, std::shared_ptr<const void> token)
+Session::Session(SessionOwner& owner, tcp::socket socket,
+                 std::shared_ptr<const void> token)
     : owner(owner), token(std::move(token)), stream(std::move(socket)) {
   boost::system::error_code ignored;
   this->stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -56,7 +63,8 @@
   this->stream.expires_after(this->owner.GetLimits().idle);
   beast::http::async_read_header(
       this->stream, this->buffer, *this->parser,
-      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) {
         self->waiting_for_request = false;
         if (error) {
           self->RefuseRequest(error);
@@ -64,9 +72,8 @@
         }
         self->stream.expires_after(self->owner.GetLimits().receive);
         beast::http::async_read(self->stream, self->buffer, *self->parser,
-                                [self](const boost::system::error_code failure, std::size_t) {
-                                  self->OnRead(failure);
-                                });
+                                [self](const boost::system::error_code failure,
+                                       std::size_t) { self->OnRead(failure); });
       });
 }
 
@@ -86,9 +93,10 @@
     boost::system::error_code error;
     std::uint16_t status;
   };
-  static const std::array<Status, 3> kStatuses{{{beast::http::error::body_limit, 413},
-                                                {beast::http::error::header_limit, 431},
-                                                {beast::error::timeout, 408}}};
+  static const std::array<Status, 3> kStatuses{
+      {{beast::http::error::body_limit, 413},
+       {beast::http::error::header_limit, 431},
+       {beast::error::timeout, 408}}};
   const bool partly_read = this->parser->got_some();
   this->keep_alive = false;
   for (const Status& known : kStatuses) {
@@ -100,7 +108,8 @@
       return;
     }
   }
-  static const boost::system::error_code kEndOfStream = beast::http::error::end_of_stream;
+  static const boost::system::error_code kEndOfStream =
+      beast::http::error::end_of_stream;
   if (error.category() == kEndOfStream.category() && error != kEndOfStream &&
       error != beast::http::error::partial_message) {
     this->Send({.status = 400,
@@ -121,10 +130,11 @@
 void Session::ServeEntries() {
   const auto query = http::QueryOf(View(this->parser->get().target()));
   const auto near = query.find("data-centre");
-  const discovery::Answer answer =
-      this->owner.Ask({.caller = this->CallerAddress(),
-                       .near = core::DataCentreName{near == query.end() ? "" : near->second}});
-  nlohmann::json body{{"entries", nlohmann::json::array()}, {"keep_ms", answer.keep.count()}};
+  const discovery::Answer answer = this->owner.Ask(
+      {.caller = this->CallerAddress(),
+       .near = core::DataCentreName{near == query.end() ? "" : near->second}});
+  nlohmann::json body{{"entries", nlohmann::json::array()},
+                      {"keep_ms", answer.keep.count()}};
   for (const http::Address& entry : answer.entries) {
     body["entries"].push_back(http::ToString(entry));
   }
@@ -140,12 +150,14 @@
 void Session::ServeCall() {
   auto& message = this->parser->get();
   core::CallRequest request;
-  request.service = core::ServiceName{std::string{View(message[beast::http::field::host])}};
+  request.service =
+      core::ServiceName{std::string{View(message[beast::http::field::host])}};
   request.method = std::string{View(message.method_string())};
   request.path = std::string{View(message.target())};
   for (const auto& field : message) {
     const std::string_view name = View(field.name_string());
-    if (!forwarding::IsHopByHop(name) && field.name() != beast::http::field::host &&
+    if (!forwarding::IsHopByHop(name) &&
+        field.name() != beast::http::field::host &&
         field.name() != beast::http::field::expect) {
       request.fields.emplace_back(name, field.value());
     }
@@ -153,7 +165,8 @@
   request.body = std::move(message.body());
   const Wishes wishes{.timeout = TimeoutOf(FieldOf(message, kTimeoutField)),
                       .urgent = AsksForUrgency(FieldOf(message, "Priority"))};
-  auto submitted = this->owner.Submit(this->shared_from_this(), std::move(request), wishes);
+  auto submitted =
+      this->owner.Submit(this->shared_from_this(), std::move(request), wishes);
   if (!core::Succeeded(submitted)) {
     this->Refuse(core::ProblemOf(submitted));
     return;
@@ -164,16 +177,17 @@
 
 void Session::WatchCaller() {
   this->stream.socket().async_wait(
-      tcp::socket::wait_read, [self = this->shared_from_this(),
-                               watched = *this->call](const boost::system::error_code error) {
+      tcp::socket::wait_read,
+      [self = this->shared_from_this(),
+       watched = *this->call](const boost::system::error_code error) {
         if (error || self->call != watched) {
           return;
         }
         boost::system::error_code failure;
         char byte{};
         self->stream.socket().non_blocking(true, failure);
-        self->stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek,
-                                      failure);
+        self->stream.socket().receive(boost::asio::buffer(&byte, 1),
+                                      tcp::socket::message_peek, failure);
         if (failure && failure != boost::asio::error::would_block) {
           self->Break();
         }
@@ -228,7 +242,8 @@
   this->stream.expires_after(this->owner.GetLimits().send);
   beast::http::async_write(
       this->stream, message,
-      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) {
         if (error) {
           self->AbandonCall();
           return;
@@ -264,11 +279,10 @@
   out.size = this->part.size();
   out.more = !complete;
   this->stream.expires_after(this->owner.GetLimits().send);
-  beast::http::async_write(
-      this->stream, *this->serializer,
-      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
-        self->OnPartWritten(error);
-      });
+  beast::http::async_write(this->stream, *this->serializer,
+                           [self = this->shared_from_this()](
+                               const boost::system::error_code error,
+                               std::size_t) { self->OnPartWritten(error); });
 }
 
 void Session::OnPartWritten(const boost::system::error_code error) {
--- a/packages/callers/test/classify_test.cc
+++ b/packages/callers/test/classify_test.cc
@@ -19,7 +19,8 @@
     this->view.routes = {&this->lookup};
   }
 
-  [[nodiscard]] core::CallRequest Apply(const std::string& method, const std::string& path,
+  [[nodiscard]] core::CallRequest Apply(const std::string& method,
+                                        const std::string& path,
                                         const Wishes& wishes) const {
     core::CallRequest request;
     request.method = method;
@@ -47,15 +48,19 @@
 }
 
 BOOST_AUTO_TEST_CASE(allow_urgent_calls_on_their_routes_only) {
-  BOOST_TEST((Apply("GET", "/lookup", {.urgent = true}).urgency == core::Urgency::kUrgent));
-  BOOST_TEST((Apply("GET", "/other", {.urgent = true}).urgency == core::Urgency::kOrdinary));
+  BOOST_TEST((Apply("GET", "/lookup", {.urgent = true}).urgency ==
+              core::Urgency::kUrgent));
+  BOOST_TEST((Apply("GET", "/other", {.urgent = true}).urgency ==
+              core::Urgency::kOrdinary));
 }
 
 BOOST_AUTO_TEST_CASE(take_the_shortest_timeout) {
   BOOST_TEST((Apply("GET", "/other", {}).deadline == core::TimePoint{5s}));
   BOOST_TEST((Apply("GET", "/lookup", {}).deadline == core::TimePoint{1s}));
-  BOOST_TEST((Apply("GET", "/lookup", {.timeout = 20ms}).deadline == core::TimePoint{20ms}));
-  BOOST_TEST((Apply("GET", "/lookup", {.timeout = 1h}).deadline == core::TimePoint{1s}));
+  BOOST_TEST((Apply("GET", "/lookup", {.timeout = 20ms}).deadline ==
+              core::TimePoint{20ms}));
+  BOOST_TEST((Apply("GET", "/lookup", {.timeout = 1h}).deadline ==
+              core::TimePoint{1s}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/configuration/include/trefoilbend/configuration/follower.h
+++ b/packages/configuration/include/trefoilbend/configuration/follower.h
@@ -26,7 +26,8 @@
    * @param rows Rows after the key that After gave.
    * @return Nothing, or why the first row that could not be taken is unusable.
    */
-  [[nodiscard]] std::optional<std::string> Take(const std::vector<platform::Row>& rows);
+  [[nodiscard]] std::optional<std::string> Take(
+      const std::vector<platform::Row>& rows);
 
   /** @return The newest configuration. */
   [[nodiscard]] const inventory::ConfigurationPtr& Current() const noexcept {
@@ -43,7 +44,8 @@
    * @param change_id Identity of the change.
    * @return The revision, or null.
    */
-  [[nodiscard]] const inventory::Revised* FindChange(const std::string& change_id) const noexcept;
+  [[nodiscard]] const inventory::Revised* FindChange(
+      const std::string& change_id) const noexcept;
 
   /**
    * @brief Prepares the transaction of a change.
@@ -53,7 +55,8 @@
    * @return The transaction, or the clash with a change that came before.
    */
   [[nodiscard]] std::variant<platform::Transaction, ChangeClash> Prepare(
-      const ChangeRequest& request, const std::string& at, const core::InstanceName& by) const;
+      const ChangeRequest& request, const std::string& at,
+      const core::InstanceName& by) const;
 
  private:
   static constexpr std::size_t kRecent = 256;
--- a/packages/configuration/include/trefoilbend/configuration/messages.h
+++ b/packages/configuration/include/trefoilbend/configuration/messages.h
@@ -15,7 +15,8 @@
 namespace trefoilbend::configuration {
 
 /** @brief Instances of the platform's list, shared by the duties. */
-using InstanceList = std::shared_ptr<const std::vector<platform::ListedInstance>>;
+using InstanceList =
+    std::shared_ptr<const std::vector<platform::ListedInstance>>;
 
 /** @brief The configuration and the list of instances that are in force from
  * now on. */
--- a/packages/configuration/src/duty.cc
+++ b/packages/configuration/src/duty.cc
@@ -21,7 +21,8 @@
 constexpr std::size_t kRowsAtOnce = 256;
 
 std::string WallClock() {
-  const std::time_t now = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+  const std::time_t now =
+      std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
   std::tm utc{};
   gmtime_r(&now, &utc);
   char text[sizeof "2026-12-04T10:00:00Z"];
@@ -37,10 +38,11 @@
       : from_operations(kRequests),
         options(std::move(options)),
         timer(this->duty.Context()),
-        platform(http::Client::Create(this->duty.Context()), this->options.platform,
-                 this->options.timeout) {
-    this->duty.Read(this->from_operations,
-                    [this](ChangeRequest&& request) { this->Begin(std::move(request)); });
+        platform(http::Client::Create(this->duty.Context()),
+                 this->options.platform, this->options.timeout) {
+    this->duty.Read(this->from_operations, [this](ChangeRequest&& request) {
+      this->Begin(std::move(request));
+    });
   }
 
   void Start(Outlets writes) {
@@ -73,10 +75,12 @@
 
   void ReadRevisions(std::function<void()> then) {
     this->platform.ReadRange(
-        std::string{inventory::kChangePrefix}, this->follower.After(), kRowsAtOnce,
+        std::string{inventory::kChangePrefix}, this->follower.After(),
+        kRowsAtOnce,
         [this, then = std::move(then)](const platform::RangeOutcome& outcome) {
-          const bool whole = std::holds_alternative<std::vector<platform::Row>>(outcome) &&
-                             std::get<0>(outcome).size() == kRowsAtOnce;
+          const bool whole =
+              std::holds_alternative<std::vector<platform::Row>>(outcome) &&
+              std::get<0>(outcome).size() == kRowsAtOnce;
           this->TakeRevisions(outcome);
           if (whole) {
             this->ReadRevisions(then);
@@ -98,15 +102,18 @@
     }
     if (this->follower.Current()->Revision() != before) {
       this->changed = true;
-      this->log.Info("Revision {} is in force.", this->follower.Current()->Revision().Value());
+      this->log.Info("Revision {} is in force.",
+                     this->follower.Current()->Revision().Value());
     }
   }
 
   void TakeList(ListOutcome outcome) {
-    auto* const list = std::get_if<std::vector<platform::ListedInstance>>(&outcome);
+    auto* const list =
+        std::get_if<std::vector<platform::ListedInstance>>(&outcome);
     if (list != nullptr && *list != *this->listed) {
       this->listed =
-          std::make_shared<const std::vector<platform::ListedInstance>>(std::move(*list));
+          std::make_shared<const std::vector<platform::ListedInstance>>(
+              std::move(*list));
       this->changed = true;
     }
   }
@@ -117,8 +124,8 @@
     }
     for (std::size_t at = 0; at < this->delivered.size(); ++at) {
       if (!this->delivered[at]) {
-        this->delivered[at] = this->outlets.followers[at]->TryPush(
-            Update{.configuration = this->follower.Current(), .listed = this->listed});
+        this->delivered[at] = this->outlets.followers[at]->TryPush(Update{
+            .configuration = this->follower.Current(), .listed = this->listed});
       }
     }
   }
@@ -135,16 +142,19 @@
   }
 
   void Begin(ChangeRequest request) {
-    const auto shared = std::make_shared<const ChangeRequest>(std::move(request));
+    const auto shared =
+        std::make_shared<const ChangeRequest>(std::move(request));
     this->ReadRevisions([this, shared] { this->Commit(shared); });
   }
 
   void Commit(const std::shared_ptr<const ChangeRequest>& request) {
-    if (const inventory::Revised* done = this->follower.FindChange(request->change_id)) {
+    if (const inventory::Revised* done =
+            this->follower.FindChange(request->change_id)) {
       this->Finish(*request, ChangeAccepted{done->revision});
       return;
     }
-    auto prepared = this->follower.Prepare(*request, WallClock(), this->options.self);
+    auto prepared =
+        this->follower.Prepare(*request, WallClock(), this->options.self);
     if (auto* clash = std::get_if<ChangeClash>(&prepared)) {
       this->Finish(*request, std::move(*clash));
       return;
@@ -152,23 +162,30 @@
     this->platform.Transact(
         std::get<platform::Transaction>(prepared),
         [this, request](const platform::TransactOutcome& outcome) {
-          std::visit(
-              core::Visitor{
-                  [&](const platform::Committed&) {
-                    this->ReadRevisions([this, request] { this->Settle(request); });
-                  },
-                  [&](const platform::Conflict&) { this->Begin(*request); },
-                  [&](const platform::Unavailable& failure) { this->ReadBack(request, failure); }},
-              outcome);
+          std::visit(core::Visitor{[&](const platform::Committed&) {
+                                     this->ReadRevisions([this, request] {
+                                       this->Settle(request);
+                                     });
+                                   },
+                                   [&](const platform::Conflict&) {
+                                     this->Begin(*request);
+                                   },
+                                   [&](const platform::Unavailable& failure) {
+                                     this->ReadBack(request, failure);
+                                   }},
+                     outcome);
         });
   }
 
   void Settle(const std::shared_ptr<const ChangeRequest>& request) {
-    const inventory::Revised* done = this->follower.FindChange(request->change_id);
+    const inventory::Revised* done =
+        this->follower.FindChange(request->change_id);
     if (done == nullptr) {
-      this->Finish(*request, ChangeRefused{.effect_unknown = true,
-                                           .message = "The platform's answer was lost. Repeat the "
-                                                      "command with the same change id."});
+      this->Finish(
+          *request,
+          ChangeRefused{.effect_unknown = true,
+                        .message = "The platform's answer was lost. Repeat the "
+                                   "command with the same change id."});
       return;
     }
     this->Publish();
@@ -181,16 +198,20 @@
       this->ReadRevisions([this, request] { this->Settle(request); });
       return;
     }
-    this->Finish(*request,
-                 ChangeRefused{.effect_unknown = false,
-                               .message = "The platform cannot be reached (" + failure.message +
-                                          "). Nothing was changed; repeat the command later."});
+    this->Finish(
+        *request,
+        ChangeRefused{
+            .effect_unknown = false,
+            .message = "The platform cannot be reached (" + failure.message +
+                       "). Nothing was changed; repeat the command later."});
   }
 
-  void Finish(const ChangeRequest& request, decltype(ChangeResult::result) result) {
-    core::CheckInvariant(this->outlets.operations->TryPush(
-                             {.request = request.request, .result = std::move(result)}),
-                         "the ring to operations has room for every request's result");
+  void Finish(const ChangeRequest& request,
+              decltype(ChangeResult::result) result) {
+    core::CheckInvariant(
+        this->outlets.operations->TryPush(
+            {.request = request.request, .result = std::move(result)}),
+        "the ring to operations has room for every request's result");
   }
 
   Options options;
@@ -199,7 +220,8 @@
   boost::asio::steady_timer timer;
   platform::Client platform;
   Follower follower;
-  InstanceList listed = std::make_shared<const std::vector<platform::ListedInstance>>();
+  InstanceList listed =
+      std::make_shared<const std::vector<platform::ListedInstance>>();
   bool changed = false;
   bool reachable = true;
   core::Log log{"configuration"};
@@ -214,7 +236,9 @@
   return this->loop->from_operations;
 }
 
-void ConfigurationDuty::Start(Outlets outlets) { this->loop->Start(std::move(outlets)); }
+void ConfigurationDuty::Start(Outlets outlets) {
+  this->loop->Start(std::move(outlets));
+}
 
 void ConfigurationDuty::Stop() { this->loop->duty.Stop(); }
 
--- a/packages/configuration/src/follower.cc
+++ b/packages/configuration/src/follower.cc
@@ -10,26 +10,34 @@
 
 namespace {
 
-std::optional<inventory::Object> ObjectNow(const inventory::Configuration& configuration,
-                                           const inventory::ObjectKey& key) {
+std::optional<inventory::Object> ObjectNow(
+    const inventory::Configuration& configuration,
+    const inventory::ObjectKey& key) {
   const auto found = configuration.Objects().find(key);
-  return found == configuration.Objects().end() ? std::nullopt : std::optional{found->second};
+  return found == configuration.Objects().end() ? std::nullopt
+                                                : std::optional{found->second};
 }
 
-bool Touches(const inventory::Revised& revised, const inventory::ObjectKey& key) {
-  return std::any_of(
-      revised.changes.begin(), revised.changes.end(), [&](const inventory::Change& change) {
-        return inventory::KeyOf(change.after ? *change.after : *change.before) == key;
-      });
+bool Touches(const inventory::Revised& revised,
+             const inventory::ObjectKey& key) {
+  return std::any_of(revised.changes.begin(), revised.changes.end(),
+                     [&](const inventory::Change& change) {
+                       return inventory::KeyOf(change.after
+                                                   ? *change.after
+                                                   : *change.before) == key;
+                     });
 }
 
 }  // namespace
 
 Follower::Follower() : current(inventory::Configuration::Builder{}.Build()) {}
 
-std::string Follower::After() const { return inventory::ChangeKey(this->current->Revision()); }
+std::string Follower::After() const {
+  return inventory::ChangeKey(this->current->Revision());
+}
 
-std::optional<std::string> Follower::Take(const std::vector<platform::Row>& rows) {
+std::optional<std::string> Follower::Take(
+    const std::vector<platform::Row>& rows) {
   if (rows.empty()) {
     return std::nullopt;
   }
@@ -39,7 +47,8 @@
   for (const platform::Row& row : rows) {
     auto revised = inventory::DecodeRevised(row.value);
     if (!revised || revised->revision != newest.Next()) {
-      problem = "row " + row.key + " is malformed, of a newer format or out of order";
+      problem =
+          "row " + row.key + " is malformed, of a newer format or out of order";
       break;
     }
     newest = revised->revision;
@@ -47,33 +56,39 @@
     this->recent.push_back(std::move(*revised));
   }
   if (this->recent.size() > kRecent) {
-    this->recent.erase(this->recent.begin(),
-                       this->recent.end() - static_cast<std::ptrdiff_t>(kRecent));
+    this->recent.erase(
+        this->recent.begin(),
+        this->recent.end() - static_cast<std::ptrdiff_t>(kRecent));
   }
-  core::CheckInvariant(newest >= this->current->Revision(), "the revision never falls");
+  core::CheckInvariant(newest >= this->current->Revision(),
+                       "the revision never falls");
   this->current = builder.Build();
   return problem;
 }
 
-const inventory::Revised* Follower::FindChange(const std::string& change_id) const noexcept {
-  const auto found =
-      std::find_if(this->recent.rbegin(), this->recent.rend(),
-                   [&](const inventory::Revised& one) { return one.change_id == change_id; });
+const inventory::Revised* Follower::FindChange(
+    const std::string& change_id) const noexcept {
+  const auto found = std::find_if(this->recent.rbegin(), this->recent.rend(),
+                                  [&](const inventory::Revised& one) {
+                                    return one.change_id == change_id;
+                                  });
   return found == this->recent.rend() ? nullptr : &*found;
 }
 
 std::variant<platform::Transaction, ChangeClash> Follower::Prepare(
-    const ChangeRequest& request, const std::string& at, const core::InstanceName& by) const {
+    const ChangeRequest& request, const std::string& at,
+    const core::InstanceName& by) const {
   for (const inventory::Change& change : request.changes) {
     const inventory::ObjectKey key =
         inventory::KeyOf(change.after ? *change.after : *change.before);
     if (ObjectNow(*this->current, key) == change.before) {
       continue;
     }
-    const auto other =
-        std::find_if(this->recent.rbegin(), this->recent.rend(),
-                     [&](const inventory::Revised& one) { return Touches(one, key); });
-    return ChangeClash{other == this->recent.rend() ? inventory::Revised{} : *other};
+    const auto other = std::find_if(
+        this->recent.rbegin(), this->recent.rend(),
+        [&](const inventory::Revised& one) { return Touches(one, key); });
+    return ChangeClash{other == this->recent.rend() ? inventory::Revised{}
+                                                    : *other};
   }
   const core::Revision before = this->current->Revision();
   const inventory::Revised revised{.revision = before.Next(),
@@ -86,11 +101,12 @@
   return platform::Transaction{
       .conditions = {{.key = std::string{inventory::kHeadKey},
                       .version = platform::RowVersion{before.Value()}},
-                     {.key = inventory::ChangeKey(revised.revision), .version = platform::kAbsent}},
-      .writes = {
-          {.key = std::string{inventory::kHeadKey},
-           .value = std::to_string(revised.revision.Value())},
-          {.key = inventory::ChangeKey(revised.revision), .value = inventory::Encode(revised)}}};
+                     {.key = inventory::ChangeKey(revised.revision),
+                      .version = platform::kAbsent}},
+      .writes = {{.key = std::string{inventory::kHeadKey},
+                  .value = std::to_string(revised.revision.Value())},
+                 {.key = inventory::ChangeKey(revised.revision),
+                  .value = inventory::Encode(revised)}}};
 }
 
 }  // namespace trefoilbend::configuration
--- a/packages/core/include/trefoilbend/core/clock.h
+++ b/packages/core/include/trefoilbend/core/clock.h
@@ -23,7 +23,9 @@
 /** @brief Clock of the running system. */
 class SteadyClock final : public Clock {
  public:
-  [[nodiscard]] TimePoint Now() const noexcept override { return std::chrono::steady_clock::now(); }
+  [[nodiscard]] TimePoint Now() const noexcept override {
+    return std::chrono::steady_clock::now();
+  }
 };
 
 /** @brief Clock that moves only when it is told to. */
--- a/packages/core/include/trefoilbend/core/duty.h
+++ b/packages/core/include/trefoilbend/core/duty.h
@@ -34,7 +34,9 @@
   void Stop();
 
   /** @return The event loop of the duty. */
-  [[nodiscard]] boost::asio::io_context& Context() noexcept { return this->context; }
+  [[nodiscard]] boost::asio::io_context& Context() noexcept {
+    return this->context;
+  }
 
   /**
    * @brief Makes this duty the reader of a ring; called before the duty starts.
@@ -44,7 +46,8 @@
   template <typename Message, typename Handler>
   void Read(Ring<Message>& ring, Handler handler) {
     ring.SetWake([this, &ring, handler] {
-      boost::asio::post(this->context, [&ring, handler] { ring.Drain(handler); });
+      boost::asio::post(this->context,
+                        [&ring, handler] { ring.Drain(handler); });
     });
   }
 
--- a/packages/core/include/trefoilbend/core/log.h
+++ b/packages/core/include/trefoilbend/core/log.h
@@ -27,13 +27,15 @@
    * @param arguments Values for the format.
    */
   template <typename... Arguments>
-  void Info(spdlog::format_string_t<Arguments...> format, Arguments&&... arguments) const {
+  void Info(spdlog::format_string_t<Arguments...> format,
+            Arguments&&... arguments) const {
     this->logger->info(format, std::forward<Arguments>(arguments)...);
   }
 
   /** @copydoc Info */
   template <typename... Arguments>
-  void Debug(spdlog::format_string_t<Arguments...> format, Arguments&&... arguments) const {
+  void Debug(spdlog::format_string_t<Arguments...> format,
+             Arguments&&... arguments) const {
     this->logger->debug(format, std::forward<Arguments>(arguments)...);
   }
 
@@ -43,7 +45,8 @@
    * @param arguments Values for the format.
    */
   template <typename... Arguments>
-  void Warn(spdlog::format_string_t<Arguments...> format, Arguments&&... arguments) const {
+  void Warn(spdlog::format_string_t<Arguments...> format,
+            Arguments&&... arguments) const {
     this->logger->warn(format, std::forward<Arguments>(arguments)...);
   }
 
@@ -57,7 +60,8 @@
  * warn, error or off.
  * @param levels Level for each listed part.
  */
-void ConfigureLogs(const std::string& level, const std::map<std::string, std::string>& levels);
+void ConfigureLogs(const std::string& level,
+                   const std::map<std::string, std::string>& levels);
 
 }  // namespace trefoilbend::core
 
--- a/packages/core/include/trefoilbend/core/name.h
+++ b/packages/core/include/trefoilbend/core/name.h
@@ -35,7 +35,9 @@
 
   [[nodiscard]] auto operator<=>(const Name&) const = default;
 
-  friend std::ostream& operator<<(std::ostream& out, const Name& name) { return out << name.text; }
+  friend std::ostream& operator<<(std::ostream& out, const Name& name) {
+    return out << name.text;
+  }
 
  private:
   std::string text;
@@ -52,7 +54,8 @@
 
 template <typename Tag>
 struct std::hash<trefoilbend::core::Name<Tag>> {
-  std::size_t operator()(const trefoilbend::core::Name<Tag>& name) const noexcept {
+  std::size_t operator()(
+      const trefoilbend::core::Name<Tag>& name) const noexcept {
     return std::hash<std::string>{}(name.Text());
   }
 };
--- a/packages/core/include/trefoilbend/core/number.h
+++ b/packages/core/include/trefoilbend/core/number.h
@@ -27,12 +27,17 @@
   constexpr explicit Number(std::uint64_t value) noexcept : value(value) {}
 
   /** @return The value of the number. */
-  [[nodiscard]] constexpr std::uint64_t Value() const noexcept { return this->value; }
+  [[nodiscard]] constexpr std::uint64_t Value() const noexcept {
+    return this->value;
+  }
 
   /** @return The number that follows this one. */
-  [[nodiscard]] constexpr Number Next() const noexcept { return Number{this->value + 1}; }
+  [[nodiscard]] constexpr Number Next() const noexcept {
+    return Number{this->value + 1};
+  }
 
-  [[nodiscard]] constexpr auto operator<=>(const Number&) const noexcept = default;
+  [[nodiscard]] constexpr auto operator<=>(const Number&) const noexcept =
+      default;
 
   friend std::ostream& operator<<(std::ostream& out, const Number& number) {
     return out << number.value;
@@ -51,7 +56,8 @@
 
 template <typename Tag>
 struct std::hash<trefoilbend::core::Number<Tag>> {
-  std::size_t operator()(const trefoilbend::core::Number<Tag>& number) const noexcept {
+  std::size_t operator()(
+      const trefoilbend::core::Number<Tag>& number) const noexcept {
     return std::hash<std::uint64_t>{}(number.Value());
   }
 };
--- a/packages/core/include/trefoilbend/core/ring.h
+++ b/packages/core/include/trefoilbend/core/ring.h
@@ -26,17 +26,20 @@
    * @param capacity Least number of messages that it holds; rounded up to a
    * power of two.
    */
-  explicit Ring(std::size_t capacity) : slots(std::bit_ceil(capacity)), mask(slots.size() - 1) {}
+  explicit Ring(std::size_t capacity)
+      : slots(std::bit_ceil(capacity)), mask(slots.size() - 1) {}
 
   Ring(const Ring&) = delete;
   Ring& operator=(const Ring&) = delete;
 
   /**
    * @brief Sets how the reader is woken; called before the first message.
-   * @param wake Function that makes the reader call Drain, safe to call from
-   * the writer's thread.
+   * @param function Function that makes the reader call Drain, safe to call
+   * from the writer's thread.
    */
-  void SetWake(std::function<void()> wake) { this->wake = std::move(wake); }
+  void SetWake(std::function<void()> function) {
+    this->wake = std::move(function);
+  }
 
   /**
    * @brief Adds a message; called by the writer only.
@@ -50,7 +53,8 @@
     }
     this->slots[at & this->mask] = std::move(message);
     this->tail.store(at + 1, std::memory_order_release);
-    if (!this->wake_pending.exchange(true, std::memory_order_acq_rel) && this->wake) {
+    if (!this->wake_pending.exchange(true, std::memory_order_acq_rel) &&
+        this->wake) {
       this->wake();
     }
     return true;
@@ -75,7 +79,9 @@
   }
 
   /** @return Number of messages that the ring holds at most. */
-  [[nodiscard]] std::size_t Capacity() const noexcept { return this->slots.size(); }
+  [[nodiscard]] std::size_t Capacity() const noexcept {
+    return this->slots.size();
+  }
 
  private:
   static constexpr std::size_t kCacheLine = 64;
--- a/packages/core/src/duty.cc
+++ b/packages/core/src/duty.cc
@@ -5,7 +5,8 @@
 namespace trefoilbend::core {
 
 Duty::Duty(std::string name)
-    : name(std::move(name)), work(boost::asio::make_work_guard(this->context)) {}
+    : name(std::move(name)),
+      work(boost::asio::make_work_guard(this->context)) {}
 
 Duty::~Duty() { this->Stop(); }
 
--- a/packages/core/src/invariant.cc
+++ b/packages/core/src/invariant.cc
@@ -5,12 +5,13 @@
 
 namespace trefoilbend::core {
 
-void CheckInvariant(const bool holds, const std::string_view invariant) noexcept {
+void CheckInvariant(const bool holds,
+                    const std::string_view invariant) noexcept {
   if (holds) {
     return;
   }
-  std::fprintf(stderr, "trefoilbend: broken invariant: %.*s\n", static_cast<int>(invariant.size()),
-               invariant.data());
+  std::fprintf(stderr, "trefoilbend: broken invariant: %.*s\n",
+               static_cast<int>(invariant.size()), invariant.data());
   std::abort();
 }
 
--- a/packages/core/src/log.cc
+++ b/packages/core/src/log.cc
@@ -37,7 +37,8 @@
   this->logger->flush_on(spdlog::level::info);
 }
 
-void ConfigureLogs(const std::string& level, const std::map<std::string, std::string>& levels) {
+void ConfigureLogs(const std::string& level,
+                   const std::map<std::string, std::string>& levels) {
   internal::LogLevels& all = internal::Levels();
   const std::lock_guard lock(all.mutex);
   all.level = level;
--- a/packages/core/test/ring_test.cc
+++ b/packages/core/test/ring_test.cc
@@ -22,7 +22,8 @@
   }
   std::vector<int> seen;
   BOOST_TEST(ring.Drain([&](int message) { seen.push_back(message); }) == 4U);
-  BOOST_TEST(seen == (std::vector{0, 1, 2, 3}), boost::test_tools::per_element());
+  BOOST_TEST(seen == (std::vector{0, 1, 2, 3}),
+             boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_CASE(refuses_a_message_when_full_and_leaves_it_untouched) {
--- a/packages/discovery/include/trefoilbend/discovery/directory.h
+++ b/packages/discovery/include/trefoilbend/discovery/directory.h
@@ -38,19 +38,24 @@
    * @param keep Longest time for which callers keep an answer.
    * @param seed Seed of the jitter.
    */
-  Directory(std::chrono::milliseconds keep, std::uint64_t seed) : keep(keep), random(seed) {}
+  Directory(std::chrono::milliseconds keep, std::uint64_t seed)
+      : keep(keep), random(seed) {}
 
   /**
    * @brief Takes note of a configuration and a list of instances.
    * @param update What is in force from now on.
    */
-  void Configure(configuration::Update update) { this->update = std::move(update); }
+  void Configure(configuration::Update update) {
+    this->update = std::move(update);
+  }
 
   /**
    * @brief Leaves an entry out of the answers from now on.
    * @param entry Entry that is about to stop.
    */
-  void Exclude(const core::InstanceName& entry) { this->excluded.push_back(entry); }
+  void Exclude(const core::InstanceName& entry) {
+    this->excluded.push_back(entry);
+  }
 
   /**
    * @brief Answers a caller.
--- a/packages/discovery/src/directory.cc
+++ b/packages/discovery/src/directory.cc
@@ -14,7 +14,8 @@
   std::uint64_t weight;
 };
 
-std::uint64_t RendezvousWeight(const std::string& caller, const std::string& entry) {
+std::uint64_t RendezvousWeight(const std::string& caller,
+                               const std::string& entry) {
   const std::uint64_t seed = XXH64(caller.data(), caller.size(), 0);
   return XXH64(entry.data(), entry.size(), seed);
 }
@@ -33,14 +34,17 @@
                                 listed.state == platform::InstanceState::kLive;
                        });
   };
-  for (const inventory::Instance* entry : this->update.configuration->Entries()) {
-    const bool stopping = std::find(this->excluded.begin(), this->excluded.end(), entry->name) !=
-                          this->excluded.end();
+  for (const inventory::Instance* entry :
+       this->update.configuration->Entries()) {
+    const bool stopping =
+        std::find(this->excluded.begin(), this->excluded.end(), entry->name) !=
+        this->excluded.end();
     if (!stopping && is_listed_live(entry->name) &&
         !this->update.configuration->IsOut(entry->data_centre)) {
-      ranked.push_back({.entry = entry,
-                        .far = entry->data_centre != question.near,
-                        .weight = RendezvousWeight(question.caller, entry->name.Text())});
+      ranked.push_back(
+          {.entry = entry,
+           .far = entry->data_centre != question.near,
+           .weight = RendezvousWeight(question.caller, entry->name.Text())});
     }
   }
   std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
@@ -50,7 +54,8 @@
   for (const Ranked& one : ranked) {
     answer.entries.push_back(one.entry->address);
   }
-  std::uniform_int_distribution<std::int64_t> jitter{this->keep.count() / 2, this->keep.count()};
+  std::uniform_int_distribution<std::int64_t> jitter{this->keep.count() / 2,
+                                                     this->keep.count()};
   answer.keep = std::chrono::milliseconds{jitter(this->random)};
   return answer;
 }
--- a/packages/discovery/test/directory_test.cc
+++ b/packages/discovery/test/directory_test.cc
@@ -15,7 +15,8 @@
 struct Fixture {
   Fixture() {
     for (int i = 0; i < 4; ++i) {
-      this->listed.push_back({core::InstanceName{"entry-" + std::to_string(i)}});
+      this->listed.push_back(
+          {core::InstanceName{"entry-" + std::to_string(i)}});
     }
     this->Configure(false);
   }
@@ -35,7 +36,8 @@
     }
     this->directory.Configure(
         {builder.Build(),
-         std::make_shared<const std::vector<platform::ListedInstance>>(this->listed)});
+         std::make_shared<const std::vector<platform::ListedInstance>>(
+             this->listed)});
   }
 
   std::vector<platform::ListedInstance> listed;
@@ -47,7 +49,8 @@
 BOOST_FIXTURE_TEST_SUITE(a_directory_of_entries, Fixture)
 
 BOOST_AUTO_TEST_CASE(puts_near_entries_first) {
-  const Answer answer = directory.Ask({"10.0.0.1", core::DataCentreName{"south"}});
+  const Answer answer =
+      directory.Ask({"10.0.0.1", core::DataCentreName{"south"}});
   BOOST_REQUIRE(answer.entries.size() == 4);
   BOOST_TEST(answer.entries.at(0).port >= 2);
   BOOST_TEST(answer.entries.at(1).port >= 2);
--- a/packages/entry/include/trefoilbend/entry/entry.h
+++ b/packages/entry/include/trefoilbend/entry/entry.h
@@ -39,7 +39,7 @@
  private:
   struct Duties;
 
-  explicit Entry(Settings settings);
+  explicit Entry(const Settings& settings);
 
   std::unique_ptr<Duties> duties;
 };
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -23,7 +23,8 @@
   configuration::ConfigurationDuty configuration;
 };
 
-Entry::Entry(Settings settings) : duties(std::make_unique<Duties>(settings)) {}
+Entry::Entry(const Settings& settings)
+    : duties(std::make_unique<Duties>(settings)) {}
 
 Entry::~Entry() {
   this->duties->configuration.Stop();
@@ -35,30 +36,34 @@
 
 core::Outcome<std::monostate, std::string> Entry::Start() {
   Duties& all = *this->duties;
-  all.forwarding.Start(
-      {.callers = &all.callers.ForwardingInlet(), .balancing = &all.balancing.ForwardingInlet()});
-  all.balancing.Start(
-      {.callers = &all.callers.BalancingInlet(), .forwarding = &all.forwarding.BalancingInlet()});
-  auto serving = all.callers.Start(
-      {.balancing = &all.balancing.CallersInlet(), .forwarding = &all.forwarding.CallersInlet()});
+  all.forwarding.Start({.callers = &all.callers.ForwardingInlet(),
+                        .balancing = &all.balancing.ForwardingInlet()});
+  all.balancing.Start({.callers = &all.callers.BalancingInlet(),
+                       .forwarding = &all.forwarding.BalancingInlet()});
+  auto serving =
+      all.callers.Start({.balancing = &all.balancing.CallersInlet(),
+                         .forwarding = &all.forwarding.CallersInlet()});
   if (!core::Succeeded(serving)) {
     return serving;
   }
-  auto operating = all.operations.Start({.configuration = &all.configuration.OperationsInlet()});
+  auto operating = all.operations.Start(
+      {.configuration = &all.configuration.OperationsInlet()});
   if (!core::Succeeded(operating)) {
     return operating;
   }
-  all.configuration.Start(
-      {.followers = {&all.callers.ConfigurationInlet(), &all.balancing.ConfigurationInlet(),
-                     &all.operations.ConfigurationInlet()},
-       .operations = &all.operations.ResultInlet()});
+  all.configuration.Start({.followers = {&all.callers.ConfigurationInlet(),
+                                         &all.balancing.ConfigurationInlet(),
+                                         &all.operations.ConfigurationInlet()},
+                           .operations = &all.operations.ResultInlet()});
   return std::monostate{};
 }
 
-void Entry::Drain(std::function<void()> done) { this->duties->callers.Drain(std::move(done)); }
+void Entry::Drain(std::function<void()> done) {
+  this->duties->callers.Drain(std::move(done));
+}
 
 std::unique_ptr<Entry> Entry::Builder::Build() {
-  return std::unique_ptr<Entry>(new Entry(std::move(this->settings)));
+  return std::unique_ptr<Entry>(new Entry(this->settings));
 }
 
 }  // namespace trefoilbend::entry
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -28,13 +28,17 @@
   explicit Reader(const settings::Document& document) : document(document) {}
 
   core::Outcome<Settings, Mistakes> Read() {
-    const std::vector<std::pair<std::string, void (Reader::*)(Section&)>> readers{
-        {"entry", &Reader::ReadEntry},           {"callers", &Reader::ReadCallers},
-        {"balancing", &Reader::ReadBalancing},   {"platform", &Reader::ReadPlatform},
-        {"operations", &Reader::ReadOperations}, {"log", &Reader::ReadLog}};
+    const std::vector<std::pair<std::string, void (Reader::*)(Section&)>>
+        readers{{"entry", &Reader::ReadEntry},
+                {"callers", &Reader::ReadCallers},
+                {"balancing", &Reader::ReadBalancing},
+                {"platform", &Reader::ReadPlatform},
+                {"operations", &Reader::ReadOperations},
+                {"log", &Reader::ReadLog}};
     this->RefuseOtherSections(readers);
     for (const auto& [name, reader] : readers) {
-      Section section{this->document.File(), name, this->EntriesOf(name), this->mistakes};
+      Section section{this->document.File(), name, this->EntriesOf(name),
+                      this->mistakes};
       (this->*reader)(section);
       section.RefuseOtherKeys();
     }
@@ -45,7 +49,8 @@
   }
 
  private:
-  const settings::Document::Entries& EntriesOf(const std::string& name) const {
+  [[nodiscard]] const settings::Document::Entries& EntriesOf(
+      const std::string& name) const {
     static const settings::Document::Entries kNone;
     for (const auto& [title, entries] : this->document.Sections()) {
       if (title == name) {
@@ -67,7 +72,8 @@
         known = known || name == title;
       }
       if (!known) {
-        Section{this->document.File(), title, entries, this->mistakes}.Refuse("", expected);
+        Section{this->document.File(), title, entries, this->mistakes}.Refuse(
+            "", expected);
       }
     }
   }
@@ -83,21 +89,28 @@
     callers::Options& options = this->result.callers;
     callers::Limits& limits = options.limits;
     options.address = section.Address("address");
-    options.keep = Milliseconds(section.Time("keep", {100ms, 1min}, options.keep));
+    options.keep =
+        Milliseconds(section.Time("keep", {100ms, 1min}, options.keep));
     limits.calls = section.Integer("max-calls", {1, kMostCalls}, limits.calls);
-    limits.connections = section.Integer("max-connections", {1, kMostCalls}, limits.connections);
+    limits.connections =
+        section.Integer("max-connections", {1, kMostCalls}, limits.connections);
     limits.header = static_cast<std::uint32_t>(
         section.Bytes("max-header", {1'024, kMostHeader}, limits.header));
     limits.body = section.Bytes("max-body", {0, kMostBody}, limits.body);
-    limits.receive = Milliseconds(section.Time("receive-timeout", {10ms, 1h}, limits.receive));
-    limits.send = Milliseconds(section.Time("send-timeout", {10ms, 1h}, limits.send));
-    limits.idle = Milliseconds(section.Time("idle-timeout", {10ms, 1h}, limits.idle));
+    limits.receive = Milliseconds(
+        section.Time("receive-timeout", {10ms, 1h}, limits.receive));
+    limits.send =
+        Milliseconds(section.Time("send-timeout", {10ms, 1h}, limits.send));
+    limits.idle =
+        Milliseconds(section.Time("idle-timeout", {10ms, 1h}, limits.idle));
   }
 
   void ReadBalancing(Section& section) {
     balancing::DispatcherOptions& options = this->result.balancing;
-    options.strategy = section.Word("strategy", balancing::StrategyNames(), options.strategy);
-    options.queue.length = section.Integer("queue", {1, kMostCalls}, options.queue.length);
+    options.strategy =
+        section.Word("strategy", balancing::StrategyNames(), options.strategy);
+    options.queue.length =
+        section.Integer("queue", {1, kMostCalls}, options.queue.length);
     options.attempts = static_cast<std::uint32_t>(
         section.Integer("attempts", {1, kMostAttempts}, options.attempts));
   }
@@ -105,7 +118,8 @@
   void ReadPlatform(Section& section) {
     configuration::Options& options = this->result.configuration;
     options.platform = section.Address("address");
-    options.timeout = Milliseconds(section.Time("timeout", {10ms, 1min}, options.timeout));
+    options.timeout =
+        Milliseconds(section.Time("timeout", {10ms, 1min}, options.timeout));
     options.poll = Milliseconds(section.Time("poll", {10ms, 5s}, options.poll));
   }
 
@@ -114,10 +128,14 @@
   }
 
   void ReadLog(Section& section) {
-    static const std::vector<std::string> kLevels{"trace", "debug", "info", "warn", "error", "off"};
-    this->result.log_level = section.Word("level", kLevels, this->result.log_level);
-    for (const char* part : {"callers", "configuration", "operations", "entry"}) {
-      this->result.log_levels[part] = section.Word(part, kLevels, this->result.log_level);
+    static const std::vector<std::string> kLevels{"trace", "debug", "info",
+                                                  "warn",  "error", "off"};
+    this->result.log_level =
+        section.Word("level", kLevels, this->result.log_level);
+    for (const char* part :
+         {"callers", "configuration", "operations", "entry"}) {
+      this->result.log_levels[part] =
+          section.Word(part, kLevels, this->result.log_level);
     }
   }
 
@@ -128,7 +146,8 @@
 
 }  // namespace
 
-core::Outcome<Settings, Mistakes> ReadSettings(const settings::Document& document) {
+core::Outcome<Settings, Mistakes> ReadSettings(
+    const settings::Document& document) {
   return Reader{document}.Read();
 }
 
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -22,7 +22,8 @@
 )";
 
 core::Outcome<Settings, settings::Mistakes> Read(const std::string& text) {
-  return ReadSettings(core::ValueOf(settings::Document::Parse("entry.ini", text)));
+  return ReadSettings(
+      core::ValueOf(settings::Document::Parse("entry.ini", text)));
 }
 
 }  // namespace
@@ -52,8 +53,9 @@
     places.push_back(mistake.place + ' ' + mistake.key);
   }
   const std::vector<std::string> expected{
-      "section [colours] ",         "section [entry] name",     "section [callers] address",
-      "section [callers] keep",     "section [callers] colour", "section [balancing] strategy",
+      "section [colours] ",         "section [entry] name",
+      "section [callers] address",  "section [callers] keep",
+      "section [callers] colour",   "section [balancing] strategy",
       "section [platform] address",
   };
   BOOST_TEST(places == expected, boost::test_tools::per_element());
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -35,7 +35,8 @@
 };
 
 /** @brief Orders from the duty that chooses targets. */
-using FromBalancing = std::variant<std::monostate, StartExchange, CancelExchange>;
+using FromBalancing =
+    std::variant<std::monostate, StartExchange, CancelExchange>;
 
 /** @brief The caller has taken a part of the answer; the next one may follow.
  */
@@ -76,7 +77,8 @@
 };
 
 /** @brief Messages to the duty that talks to callers. */
-using ToCallers = std::variant<std::monostate, AnswerStarted, AnswerContinued, AnswerBroken>;
+using ToCallers =
+    std::variant<std::monostate, AnswerStarted, AnswerContinued, AnswerBroken>;
 
 /** @brief Load of a target by its own account. */
 struct LoadReport {
--- a/packages/forwarding/src/connection_pool.cc
+++ b/packages/forwarding/src/connection_pool.cc
@@ -8,8 +8,8 @@
   boost::system::error_code error;
   stream.socket().non_blocking(true, error);
   char byte{};
-  stream.socket().receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek,
-                          error);
+  stream.socket().receive(boost::asio::buffer(&byte, 1),
+                          boost::asio::ip::tcp::socket::message_peek, error);
   return error == boost::asio::error::would_block;
 }
 
--- a/packages/forwarding/src/duty.cc
+++ b/packages/forwarding/src/duty.cc
@@ -18,44 +18,53 @@
 class ForwardingDuty::Loop final : public internal::ExchangeOwner {
  public:
   explicit Loop(const std::size_t max_calls)
-      : from_balancing(max_calls * kOrdersPerCall), from_callers(max_calls * kOrdersPerCall) {
+      : from_balancing(max_calls * kOrdersPerCall),
+        from_callers(max_calls * kOrdersPerCall) {
     this->duty.Read(this->from_balancing, [this](FromBalancing&& message) {
-      std::visit(core::Visitor{[](std::monostate) {},
-                               [this](StartExchange& order) { this->Start(std::move(order)); },
-                               [this](const CancelExchange& order) { this->Cancel(order); }},
-                 message);
+      std::visit(
+          core::Visitor{
+              [](std::monostate) {},
+              [this](StartExchange& order) { this->Start(std::move(order)); },
+              [this](const CancelExchange& order) { this->Cancel(order); }},
+          message);
     });
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
-      std::visit(core::Visitor{[](std::monostate) {},
-                               [this](const ContinueAnswer& order) {
-                                 this->ForCall(order.call, &internal::Exchange::Continue);
-                               },
-                               [this](const AbandonAnswer& order) {
-                                 this->ForCall(order.call, &internal::Exchange::Abandon);
-                               }},
+      std::visit(core::Visitor{
+                     [](std::monostate) {},
+                     [this](const ContinueAnswer& order) {
+                       this->ForCall(order.call, &internal::Exchange::Continue);
+                     },
+                     [this](const AbandonAnswer& order) {
+                       this->ForCall(order.call, &internal::Exchange::Abandon);
+                     }},
                  message);
     });
   }
 
-  [[nodiscard]] internal::ConnectionPool& Pool() noexcept override { return this->pool; }
+  [[nodiscard]] internal::ConnectionPool& Pool() noexcept override {
+    return this->pool;
+  }
 
   [[nodiscard]] boost::asio::io_context& Context() noexcept override {
     return this->duty.Context();
   }
 
   void Answer(ToCallers message) override {
-    core::CheckInvariant(this->outlets.callers->TryPush(std::move(message)),
-                         "the ring to callers has room for every call's answer");
+    core::CheckInvariant(
+        this->outlets.callers->TryPush(std::move(message)),
+        "the ring to callers has room for every call's answer");
   }
 
   void End(ExchangeEnded ended) override {
     this->exchanges.erase(ended.exchange);
     const auto by_call = this->exchange_of_call.find(ended.call);
-    if (by_call != this->exchange_of_call.end() && by_call->second == ended.exchange) {
+    if (by_call != this->exchange_of_call.end() &&
+        by_call->second == ended.exchange) {
       this->exchange_of_call.erase(by_call);
     }
-    core::CheckInvariant(this->outlets.balancing->TryPush(std::move(ended)),
-                         "the ring to balancing has room for every call's report");
+    core::CheckInvariant(
+        this->outlets.balancing->TryPush(std::move(ended)),
+        "the ring to balancing has room for every call's report");
   }
 
   core::Ring<FromBalancing> from_balancing;
@@ -67,7 +76,8 @@
   void Start(StartExchange order) {
     const core::ExchangeId id = order.exchange;
     this->exchange_of_call[order.call] = id;
-    const auto exchange = std::make_shared<internal::Exchange>(*this, std::move(order));
+    const auto exchange =
+        std::make_shared<internal::Exchange>(*this, std::move(order));
     this->exchanges.emplace(id, exchange);
     exchange->Start();
   }
@@ -85,12 +95,14 @@
     if (id == this->exchange_of_call.end()) {
       return;
     }
-    const std::shared_ptr<internal::Exchange> exchange = this->exchanges.at(id->second);
+    const std::shared_ptr<internal::Exchange> exchange =
+        this->exchanges.at(id->second);
     (*exchange.*action)();
   }
 
   internal::ConnectionPool pool;
-  std::unordered_map<core::ExchangeId, std::shared_ptr<internal::Exchange>> exchanges;
+  std::unordered_map<core::ExchangeId, std::shared_ptr<internal::Exchange>>
+      exchanges;
   std::unordered_map<core::CallId, core::ExchangeId> exchange_of_call;
 };
 
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -18,10 +18,12 @@
 constexpr std::uint32_t kHeadLimit = 32U << 10U;
 constexpr std::uint64_t kNoLimit = UINT64_MAX;
 
-beast::string_view View(const std::string_view text) { return {text.data(), text.size()}; }
+beast::string_view View(const std::string_view text) {
+  return {text.data(), text.size()};
+}
 
-beast::http::request<beast::http::string_body> Encode(const core::CallRequest& request,
-                                                      const core::TimePoint now) {
+beast::http::request<beast::http::string_body> Encode(
+    const core::CallRequest& request, const core::TimePoint now) {
   beast::http::request<beast::http::string_body> message;
   message.version(kHttp11);
   message.method_string(request.method);
@@ -29,9 +31,11 @@
   for (const auto& [name, value] : request.fields) {
     message.insert(name, value);
   }
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      request.deadline - now);
   message.set(beast::http::field::host, request.service.Text());
-  message.set("Trefoilbend-Timeout", std::to_string(std::max<std::int64_t>(left.count(), 0)));
+  message.set("Trefoilbend-Timeout",
+              std::to_string(std::max<std::int64_t>(left.count(), 0)));
   message.body() = request.body;
   message.prepare_payload();
   return message;
@@ -40,7 +44,9 @@
 }  // namespace
 
 Exchange::Exchange(ExchangeOwner& owner, StartExchange order)
-    : owner(owner), order(std::move(order)), started(std::chrono::steady_clock::now()) {}
+    : owner(owner),
+      order(std::move(order)),
+      started(std::chrono::steady_clock::now()) {}
 
 void Exchange::Start() {
   this->out = Encode(*this->order.request, this->started);
@@ -57,10 +63,12 @@
   this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
   this->connection->expires_at(this->order.request->deadline);
   boost::system::error_code error;
-  const auto host = boost::asio::ip::make_address(this->order.address.host, error);
+  const auto host =
+      boost::asio::ip::make_address(this->order.address.host, error);
   this->connection->async_connect(
       tcp::endpoint{host, this->order.address.port},
-      [self = this->shared_from_this()](const boost::system::error_code failure) {
+      [self =
+           this->shared_from_this()](const boost::system::error_code failure) {
         if (failure) {
           self->Fail(failure);
           return;
@@ -78,7 +86,8 @@
   this->sent = true;
   beast::http::async_write(
       *this->connection, this->out,
-      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) {
         if (error) {
           self->Fail(error);
           return;
@@ -97,9 +106,8 @@
   this->parser->skip(this->out.method() == beast::http::verb::head);
   beast::http::async_read_header(
       *this->connection, this->buffer, *this->parser,
-      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
-        self->OnHead(error);
-      });
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) { self->OnHead(error); });
 }
 
 void Exchange::OnHead(const boost::system::error_code error) {
@@ -110,7 +118,8 @@
   this->latency = this->Elapsed();
   const auto report = this->parser->get().find(View(kLoadField));
   if (report != this->parser->get().end()) {
-    this->load = ParseLoadReport({report->value().data(), report->value().size()});
+    this->load =
+        ParseLoadReport({report->value().data(), report->value().size()});
   }
   if (this->parser->is_done()) {
     this->Deliver("", true);
@@ -131,9 +140,8 @@
   body.more = true;
   beast::http::async_read_some(
       *this->connection, this->buffer, *this->parser,
-      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
-        self->OnPart(error);
-      });
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) { self->OnPart(error); });
 }
 
 void Exchange::OnPart(boost::system::error_code error) {
@@ -145,7 +153,8 @@
     this->Fail(error);
     return;
   }
-  const std::size_t length = this->part.size() - this->parser->get().body().size;
+  const std::size_t length =
+      this->part.size() - this->parser->get().body().size;
   const bool complete = this->parser->is_done();
   if (length == 0 && !complete) {
     this->ReadPart();
@@ -156,21 +165,23 @@
 
 void Exchange::Deliver(std::string body, const bool complete) {
   if (!this->abandoned && this->head_passed) {
-    this->owner.Answer(
-        AnswerContinued{this->order.call, {.body = std::move(body), .complete = complete}});
+    this->owner.Answer(AnswerContinued{
+        this->order.call, {.body = std::move(body), .complete = complete}});
   } else if (!this->abandoned) {
     this->head_passed = true;
     const auto& message = this->parser->get();
-    core::AnswerHead head{.status = static_cast<std::uint16_t>(message.result_int()),
-                          .fields = {},
-                          .length = std::nullopt,
-                          .body = std::move(body),
-                          .complete = complete};
+    core::AnswerHead head{
+        .status = static_cast<std::uint16_t>(message.result_int()),
+        .fields = {},
+        .length = std::nullopt,
+        .body = std::move(body),
+        .complete = complete};
     if (const auto length = this->parser->content_length()) {
       head.length = *length;
     }
     for (const auto& field : message) {
-      const std::string_view name{field.name_string().data(), field.name_string().size()};
+      const std::string_view name{field.name_string().data(),
+                                  field.name_string().size()};
       if (!IsHopByHop(name)) {
         head.fields.emplace_back(name, field.value());
       }
@@ -217,8 +228,9 @@
     this->Finish(ExchangeResult::kNotSent);
     return;
   }
-  this->Finish(error == beast::error::timeout ? ExchangeResult::kTimedOut
-                                              : ExchangeResult::kBrokenBeforeAnswer);
+  this->Finish(error == beast::error::timeout
+                   ? ExchangeResult::kTimedOut
+                   : ExchangeResult::kBrokenBeforeAnswer);
 }
 
 void Exchange::Finish(const ExchangeResult result) {
@@ -228,7 +240,8 @@
   this->ended = true;
   const bool answered = result == ExchangeResult::kAnswered;
   const auto status =
-      answered ? static_cast<std::uint16_t>(this->parser->get().result_int()) : std::uint16_t{0};
+      answered ? static_cast<std::uint16_t>(this->parser->get().result_int())
+               : std::uint16_t{0};
   if (answered && this->parser->keep_alive() && this->buffer.size() == 0) {
     this->owner.Pool().Keep(this->order.address, std::move(this->connection));
   } else if (this->connection) {
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -84,7 +84,9 @@
   Connection connection;
   boost::beast::flat_buffer buffer;
   boost::beast::http::request<boost::beast::http::string_body> out;
-  std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::buffer_body>>
+      parser;
   std::array<char, kPartSize> part;
   std::optional<LoadReport> load;
   bool sent{};
--- a/packages/forwarding/src/load_report.cc
+++ b/packages/forwarding/src/load_report.cc
@@ -9,7 +9,8 @@
 constexpr std::string_view kJsonForm = "JSON ";
 constexpr double kMostRequests = 1e6;
 
-std::optional<std::uint32_t> CountOf(const nlohmann::json& metrics, const char* name) {
+std::optional<std::uint32_t> CountOf(const nlohmann::json& metrics,
+                                     const char* name) {
   const auto found = metrics.find(name);
   if (found == metrics.end()) {
     return 0;
@@ -30,7 +31,8 @@
   if (!value.starts_with(kJsonForm)) {
     return std::nullopt;
   }
-  const auto report = nlohmann::json::parse(value.substr(kJsonForm.size()), nullptr, false);
+  const auto report =
+      nlohmann::json::parse(value.substr(kJsonForm.size()), nullptr, false);
   if (!report.is_object() || !report.contains("named_metrics") ||
       !report["named_metrics"].is_object()) {
     return std::nullopt;
@@ -43,8 +45,10 @@
   if (!in_flight || !queued || !cold || !draining) {
     return std::nullopt;
   }
-  return LoadReport{
-      .in_flight = *in_flight, .queued = *queued, .cold = *cold != 0, .draining = *draining != 0};
+  return LoadReport{.in_flight = *in_flight,
+                    .queued = *queued,
+                    .cold = *cold != 0,
+                    .draining = *draining != 0};
 }
 
 }  // namespace trefoilbend::forwarding
--- a/packages/http/include/trefoilbend/http/client.h
+++ b/packages/http/include/trefoilbend/http/client.h
@@ -46,7 +46,8 @@
    * @param context Event loop that carries it.
    * @return The client.
    */
-  [[nodiscard]] static std::shared_ptr<Client> Create(boost::asio::io_context& context);
+  [[nodiscard]] static std::shared_ptr<Client> Create(
+      boost::asio::io_context& context);
 
   /**
    * @brief Sends a request; a failed one is never sent again.
@@ -55,8 +56,8 @@
    * @param timeout Longest time until the whole response is there.
    * @param done Takes the result on the client's thread.
    */
-  void Send(const Address& server, Request request, std::chrono::milliseconds timeout,
-            OnResponse done);
+  void Send(const Address& server, Request request,
+            std::chrono::milliseconds timeout, OnResponse done);
 
  private:
   class Session;
@@ -74,7 +75,8 @@
  * @param timeout Longest time until the whole response is there.
  * @return The result.
  */
-[[nodiscard]] ResponseOutcome SendAndWait(const Address& server, Request request,
+[[nodiscard]] ResponseOutcome SendAndWait(const Address& server,
+                                          Request request,
                                           std::chrono::milliseconds timeout);
 
 }  // namespace trefoilbend::http
--- a/packages/http/include/trefoilbend/http/message.h
+++ b/packages/http/include/trefoilbend/http/message.h
@@ -44,8 +44,8 @@
  * @param name Name of the field.
  * @return Value of the first such field, or nothing.
  */
-[[nodiscard]] std::optional<std::string_view> FindField(const Fields& fields,
-                                                        std::string_view name) noexcept;
+[[nodiscard]] std::optional<std::string_view> FindField(
+    const Fields& fields, std::string_view name) noexcept;
 
 /**
  * @brief Returns the path of a request's target.
@@ -59,7 +59,8 @@
  * @param target Path and query.
  * @return Decoded parameters by name; of a repeated one, the last.
  */
-[[nodiscard]] std::map<std::string, std::string> QueryOf(std::string_view target);
+[[nodiscard]] std::map<std::string, std::string> QueryOf(
+    std::string_view target);
 
 /**
  * @brief Escapes text for use as a value in a query or as a path segment.
--- a/packages/http/include/trefoilbend/http/server.h
+++ b/packages/http/include/trefoilbend/http/server.h
@@ -47,10 +47,13 @@
   void Close();
 
   /** @return Port that the server listens on. */
-  [[nodiscard]] std::uint16_t Port() const noexcept { return this->address.port; }
+  [[nodiscard]] std::uint16_t Port() const noexcept {
+    return this->address.port;
+  }
 
  private:
-  Server(boost::asio::io_context& context, Address address, Handler handler, ServerLimits limits);
+  Server(boost::asio::io_context& context, Address address, Handler handler,
+         ServerLimits limits);
 
   void Accept();
 
--- a/packages/http/src/address.cc
+++ b/packages/http/src/address.cc
@@ -18,8 +18,10 @@
   boost::asio::ip::make_address(std::string{host}, error);
   const std::string_view digits = text.substr(colon + 1);
   std::uint16_t port{};
-  const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (error || problem != std::errc{} || end != digits.data() + digits.size() || port == 0) {
+  const auto [end, problem] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error || problem != std::errc{} || end != digits.data() + digits.size() ||
+      port == 0) {
     return std::nullopt;
   }
   return Address{.host = std::string{host}, .port = port};
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -17,7 +17,8 @@
 
 constexpr std::uint64_t kResponseLimit = 64U << 20U;
 
-beast::http::request<beast::http::string_body> Encode(const Address& server, Request request) {
+beast::http::request<beast::http::string_body> Encode(const Address& server,
+                                                      Request request) {
   beast::http::request<beast::http::string_body> message;
   message.method_string(request.method);
   message.target(request.target);
@@ -32,10 +33,11 @@
 }
 
 Response Decode(beast::http::response<beast::http::string_body> message) {
-  Response response{.status = static_cast<std::uint16_t>(message.result_int()),
-                    .content_type = std::string{message[beast::http::field::content_type]},
-                    .fields = {},
-                    .body = std::move(message.body())};
+  Response response{
+      .status = static_cast<std::uint16_t>(message.result_int()),
+      .content_type = std::string{message[beast::http::field::content_type]},
+      .fields = {},
+      .body = std::move(message.body())};
   for (const auto& field : message) {
     response.fields.emplace_back(field.name_string(), field.value());
   }
@@ -49,7 +51,8 @@
   Session(const std::shared_ptr<Client>& client, Address server)
       : client(client), server(std::move(server)), stream(client->context) {}
 
-  void Send(Request request, const std::chrono::milliseconds timeout, OnResponse on_response) {
+  void Send(Request request, const std::chrono::milliseconds timeout,
+            OnResponse on_response) {
     this->out = Encode(this->server, std::move(request));
     this->done = std::move(on_response);
     this->stream.expires_after(timeout);
@@ -59,25 +62,27 @@
     }
     boost::system::error_code error;
     const auto host = boost::asio::ip::make_address(this->server.host, error);
-    this->stream.async_connect(
-        tcp::endpoint{host, this->server.port},
-        [self = this->shared_from_this()](auto failure) { self->OnConnect(failure); });
+    this->stream.async_connect(tcp::endpoint{host, this->server.port},
+                               [self = this->shared_from_this()](auto failure) {
+                                 self->OnConnect(failure);
+                               });
   }
 
   [[nodiscard]] bool IsUsable() {
     boost::system::error_code error;
     this->stream.socket().non_blocking(true, error);
     char byte{};
-    this->stream.socket().receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    this->stream.socket().receive(boost::asio::buffer(&byte, 1),
+                                  tcp::socket::message_peek, error);
     return error == boost::asio::error::would_block;
   }
 
  private:
   void OnConnect(const boost::system::error_code error) {
     if (error) {
-      this->Finish(
-          RequestError{RequestStage::kConnecting,
-                       "cannot connect to " + ToString(this->server) + ": " + error.message()});
+      this->Finish(RequestError{RequestStage::kConnecting,
+                                "cannot connect to " + ToString(this->server) +
+                                    ": " + error.message()});
       return;
     }
     this->connected = true;
@@ -89,7 +94,9 @@
   void Write() {
     beast::http::async_write(
         this->stream, this->out,
-        [self = this->shared_from_this()](auto error, std::size_t) { self->OnWrite(error); });
+        [self = this->shared_from_this()](auto error, std::size_t) {
+          self->OnWrite(error);
+        });
   }
 
   void OnWrite(const boost::system::error_code error) {
@@ -104,7 +111,9 @@
     }
     beast::http::async_read(
         this->stream, this->buffer, *this->parser,
-        [self = this->shared_from_this()](auto failure, std::size_t) { self->OnRead(failure); });
+        [self = this->shared_from_this()](auto failure, std::size_t) {
+          self->OnRead(failure);
+        });
   }
 
   void OnRead(const boost::system::error_code error) {
@@ -122,11 +131,14 @@
   }
 
   void Fail(const boost::system::error_code error) {
-    this->Finish(RequestError{RequestStage::kSent,
-                              ToString(this->server) + " did not answer: " + error.message()});
+    this->Finish(RequestError{
+        RequestStage::kSent,
+        ToString(this->server) + " did not answer: " + error.message()});
   }
 
-  void Finish(ResponseOutcome outcome) { std::exchange(this->done, nullptr)(std::move(outcome)); }
+  void Finish(ResponseOutcome outcome) {
+    std::exchange(this->done, nullptr)(std::move(outcome));
+  }
 
   std::weak_ptr<Client> client;
   Address server;
@@ -142,8 +154,8 @@
   return std::shared_ptr<Client>(new Client(context));
 }
 
-void Client::Send(const Address& server, Request request, const std::chrono::milliseconds timeout,
-                  OnResponse done) {
+void Client::Send(const Address& server, Request request,
+                  const std::chrono::milliseconds timeout, OnResponse done) {
   auto& sessions = this->idle[server];
   while (!sessions.empty()) {
     const std::shared_ptr<Session> session = std::move(sessions.back());
@@ -161,8 +173,9 @@
                             const std::chrono::milliseconds timeout) {
   boost::asio::io_context context{1};
   ResponseOutcome outcome{RequestError{}};
-  Client::Create(context)->Send(server, std::move(request), timeout,
-                                [&](ResponseOutcome result) { outcome = std::move(result); });
+  Client::Create(context)->Send(
+      server, std::move(request), timeout,
+      [&](ResponseOutcome result) { outcome = std::move(result); });
   context.run();
   return outcome;
 }
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -32,11 +32,11 @@
 
 }  // namespace internal
 
-std::optional<std::string_view> FindField(const Fields& fields,
-                                          const std::string_view name) noexcept {
+std::optional<std::string_view> FindField(
+    const Fields& fields, const std::string_view name) noexcept {
   const auto same_name = [&](const auto& field) {
-    return std::equal(field.first.begin(), field.first.end(), name.begin(), name.end(),
-                      internal::SameLetter);
+    return std::equal(field.first.begin(), field.first.end(), name.begin(),
+                      name.end(), internal::SameLetter);
   };
   const auto found = std::find_if(fields.begin(), fields.end(), same_name);
   if (found == fields.end()) {
@@ -52,14 +52,17 @@
 std::map<std::string, std::string> QueryOf(const std::string_view target) {
   std::map<std::string, std::string> parameters;
   const std::size_t question = target.find('?');
-  std::string_view rest =
-      question == std::string_view::npos ? std::string_view{} : target.substr(question + 1);
+  std::string_view rest = question == std::string_view::npos
+                              ? std::string_view{}
+                              : target.substr(question + 1);
   while (!rest.empty()) {
     const std::string_view pair = rest.substr(0, rest.find('&'));
     const std::size_t equals = pair.find('=');
-    const std::string_view value =
-        equals == std::string_view::npos ? std::string_view{} : pair.substr(equals + 1);
-    parameters[internal::Unescape(pair.substr(0, equals))] = internal::Unescape(value);
+    const std::string_view value = equals == std::string_view::npos
+                                       ? std::string_view{}
+                                       : pair.substr(equals + 1);
+    parameters[internal::Unescape(pair.substr(0, equals))] =
+        internal::Unescape(value);
     rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
   }
   return parameters;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -33,13 +33,19 @@
     this->stream.expires_after(this->limits.idle);
     beast::http::async_read(
         this->stream, this->buffer, *this->parser,
-        [self = this->shared_from_this()](auto error, std::size_t) { self->OnRead(error); });
+        [self = this->shared_from_this()](auto error, std::size_t) {
+          self->OnRead(error);
+        });
   }
 
  private:
   void OnRead(const boost::system::error_code error) {
     if (error == beast::http::error::body_limit) {
-      this->Write({.status = 413, .content_type = "text/plain", .fields = {}, .body = ""}, false);
+      this->Write({.status = 413,
+                   .content_type = "text/plain",
+                   .fields = {},
+                   .body = ""},
+                  false);
       return;
     }
     if (error) {
@@ -55,13 +61,14 @@
     for (const auto& field : message) {
       request.fields.emplace_back(field.name_string(), field.value());
     }
-    this->handler(std::move(request),
-                  [self = this->shared_from_this(), keep_alive](Response response) mutable {
-                    asio::dispatch(self->stream.get_executor(),
-                                   [self, keep_alive, response = std::move(response)]() mutable {
-                                     self->Write(std::move(response), keep_alive);
-                                   });
-                  });
+    this->handler(std::move(request), [self = this->shared_from_this(),
+                                       keep_alive](Response response) mutable {
+      asio::dispatch(
+          self->stream.get_executor(),
+          [self, keep_alive, response = std::move(response)]() mutable {
+            self->Write(std::move(response), keep_alive);
+          });
+    });
   }
 
   void Write(Response response, const bool keep_alive) {
@@ -76,12 +83,13 @@
     message.keep_alive(keep_alive && !*this->closing);
     message.prepare_payload();
     this->stream.expires_after(this->limits.idle);
-    beast::http::async_write(this->stream, message,
-                             [self = this->shared_from_this()](auto error, std::size_t) {
-                               if (!error && self->out.keep_alive()) {
-                                 self->Read();
-                               }
-                             });
+    beast::http::async_write(
+        this->stream, message,
+        [self = this->shared_from_this()](auto error, std::size_t) {
+          if (!error && self->out.keep_alive()) {
+            self->Read();
+          }
+        });
   }
 
   beast::tcp_stream stream;
@@ -95,9 +103,12 @@
 
 }  // namespace internal
 
-Server::Server(boost::asio::io_context& context, Address address, Handler handler,
-               const ServerLimits limits)
-    : acceptor(context), address(std::move(address)), handler(std::move(handler)), limits(limits) {}
+Server::Server(boost::asio::io_context& context, Address address,
+               Handler handler, const ServerLimits limits)
+    : acceptor(context),
+      address(std::move(address)),
+      handler(std::move(handler)),
+      limits(limits) {}
 
 core::Outcome<std::monostate, std::string> Server::Listen() {
   using boost::asio::ip::tcp;
@@ -110,11 +121,17 @@
     }
   };
   then([&] { this->acceptor.open(endpoint.protocol(), error); });
-  then([&] { this->acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+  then([&] {
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  });
   then([&] { this->acceptor.bind(endpoint, error); });
-  then([&] { this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error); });
+  then([&] {
+    this->acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                          error);
+  });
   if (error) {
-    return "cannot listen on " + ToString(this->address) + ": " + error.message();
+    return "cannot listen on " + ToString(this->address) + ": " +
+           error.message();
   }
   this->address.port = this->acceptor.local_endpoint().port();
   this->Accept();
@@ -122,17 +139,18 @@
 }
 
 void Server::Accept() {
-  this->acceptor.async_accept([self = this->shared_from_this()](auto error, auto socket) {
-    if (!self->acceptor.is_open()) {
-      return;
-    }
-    if (!error) {
-      std::make_shared<internal::ServerSession>(std::move(socket), self->handler, self->limits,
-                                                self->closing)
-          ->Read();
-    }
-    self->Accept();
-  });
+  this->acceptor.async_accept(
+      [self = this->shared_from_this()](auto error, auto socket) {
+        if (!self->acceptor.is_open()) {
+          return;
+        }
+        if (!error) {
+          std::make_shared<internal::ServerSession>(
+              std::move(socket), self->handler, self->limits, self->closing)
+              ->Read();
+        }
+        self->Accept();
+      });
 }
 
 void Server::Close() {
@@ -141,9 +159,11 @@
   this->acceptor.close(ignored);
 }
 
-std::shared_ptr<Server> Server::Builder::Build(boost::asio::io_context& context) {
-  return std::shared_ptr<Server>(
-      new Server(context, std::move(this->address), std::move(this->handler), this->limits));
+std::shared_ptr<Server> Server::Builder::Build(
+    boost::asio::io_context& context) {
+  return std::shared_ptr<Server>(new Server(context, std::move(this->address),
+                                            std::move(this->handler),
+                                            this->limits));
 }
 
 }  // namespace trefoilbend::http
--- a/packages/inventory/include/trefoilbend/inventory/configuration.h
+++ b/packages/inventory/include/trefoilbend/inventory/configuration.h
@@ -34,7 +34,9 @@
   Configuration& operator=(const Configuration&) = delete;
 
   /** @return Revision of the configuration. */
-  [[nodiscard]] core::Revision Revision() const noexcept { return this->revision; }
+  [[nodiscard]] core::Revision Revision() const noexcept {
+    return this->revision;
+  }
 
   /** @return All objects by identity. */
   [[nodiscard]] const std::map<ObjectKey, Object>& Objects() const noexcept {
@@ -51,11 +53,13 @@
   [[nodiscard]] const Type* Find(const std::string& name) const {
     static const auto kKind = static_cast<Kind>(Object{Type{}}.index());
     const auto found = this->objects.find(ObjectKey{kKind, name});
-    return found == this->objects.end() ? nullptr : std::get_if<Type>(&found->second);
+    return found == this->objects.end() ? nullptr
+                                        : std::get_if<Type>(&found->second);
   }
 
   /** @return All services with their targets and routes. */
-  [[nodiscard]] const std::map<core::ServiceName, ServiceView>& Services() const noexcept {
+  [[nodiscard]] const std::map<core::ServiceName, ServiceView>& Services()
+      const noexcept {
     return this->services;
   }
 
@@ -95,7 +99,8 @@
    * @brief Begins with the objects of another configuration.
    * @param base Configuration to begin with.
    */
-  explicit Builder(const Configuration& base) : revision(base.revision), objects(base.objects) {}
+  explicit Builder(const Configuration& base)
+      : revision(base.revision), objects(base.objects) {}
 
   /**
    * @brief Adds or replaces an object.
@@ -136,7 +141,8 @@
  * @param path Path of the request, without its query.
  * @return The route with the longest matching path, or null.
  */
-[[nodiscard]] const Route* MatchRoute(const ServiceView& view, std::string_view method,
+[[nodiscard]] const Route* MatchRoute(const ServiceView& view,
+                                      std::string_view method,
                                       std::string_view path) noexcept;
 
 /**
@@ -147,7 +153,8 @@
  * alone.
  * @return Changes by identity.
  */
-[[nodiscard]] std::vector<Change> Difference(const Configuration& from, const Configuration& to,
+[[nodiscard]] std::vector<Change> Difference(const Configuration& from,
+                                             const Configuration& to,
                                              const std::vector<Kind>& kinds);
 
 }  // namespace trefoilbend::inventory
--- a/packages/inventory/include/trefoilbend/inventory/objects.h
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -109,7 +109,13 @@
 using Object = std::variant<DataCentre, Service, Instance, Route, Outage>;
 
 /** @brief Kinds of objects, in the order of Object's alternatives. */
-enum class Kind : std::uint8_t { kDataCentre, kService, kInstance, kRoute, kOutage };
+enum class Kind : std::uint8_t {
+  kDataCentre,
+  kService,
+  kInstance,
+  kRoute,
+  kOutage
+};
 
 /** @brief Identity of an object. */
 struct ObjectKey {
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -28,15 +28,19 @@
 }
 
 json ToJson(const DataCentre& data_centre) {
-  return {{"name", data_centre.name.Text()}, {"region", data_centre.region.Text()}};
+  return {{"name", data_centre.name.Text()},
+          {"region", data_centre.region.Text()}};
 }
 
 json ToJson(const Outage& outage) { return {{"name", outage.name.Text()}}; }
 
 json ToJson(const Service& service) {
-  return {{"name", service.name.Text()},           {"version", service.version.Text()},
-          {"timeout_us", service.timeout.count()}, {"cold_allowance", service.cold_allowance},
-          {"probe_budget", service.probe_budget},  {"trusts_refusals", service.trusts_refusals}};
+  return {{"name", service.name.Text()},
+          {"version", service.version.Text()},
+          {"timeout_us", service.timeout.count()},
+          {"cold_allowance", service.cold_allowance},
+          {"probe_budget", service.probe_budget},
+          {"trusts_refusals", service.trusts_refusals}};
 }
 
 json ToJson(const Instance& instance) {
@@ -83,18 +87,20 @@
 }
 
 Object ServiceFrom(const json& object) {
-  return Service{.name = core::ServiceName{TextOf(object, "name")},
-                 .version = core::VersionName{TextOf(object, "version")},
-                 .timeout = TimeOf(object, "timeout_us"),
-                 .cold_allowance = object.at("cold_allowance").get<std::uint32_t>(),
-                 .probe_budget = object.at("probe_budget").get<std::uint32_t>(),
-                 .trusts_refusals = object.at("trusts_refusals").get<bool>()};
+  return Service{
+      .name = core::ServiceName{TextOf(object, "name")},
+      .version = core::VersionName{TextOf(object, "version")},
+      .timeout = TimeOf(object, "timeout_us"),
+      .cold_allowance = object.at("cold_allowance").get<std::uint32_t>(),
+      .probe_budget = object.at("probe_budget").get<std::uint32_t>(),
+      .trusts_refusals = object.at("trusts_refusals").get<bool>()};
 }
 
 Object InstanceFrom(const json& object) {
   Instance instance;
   instance.name = core::InstanceName{TextOf(object, "name")};
-  instance.role = TextOf(object, "role") == "entry" ? Role::kEntry : Role::kTarget;
+  instance.role =
+      TextOf(object, "role") == "entry" ? Role::kEntry : Role::kTarget;
   instance.data_centre = core::DataCentreName{TextOf(object, "data_centre")};
   instance.address = AddressOf(object.at("address"));
   if (instance.role == Role::kTarget) {
@@ -140,7 +146,8 @@
      {"outage", OutageFrom}}};
 
 json ToJson(const Object& object) {
-  json encoded = std::visit([](const auto& concrete) { return ToJson(concrete); }, object);
+  json encoded =
+      std::visit([](const auto& concrete) { return ToJson(concrete); }, object);
   encoded["kind"] = kCodecs.at(object.index()).name;
   return encoded;
 }
@@ -166,15 +173,17 @@
 
 std::string ChangeKey(const core::Revision revision) {
   std::ostringstream key;
-  key << kChangePrefix << std::setw(kRevisionDigits) << std::setfill('0') << revision.Value();
+  key << kChangePrefix << std::setw(kRevisionDigits) << std::setfill('0')
+      << revision.Value();
   return key.str();
 }
 
 std::string Encode(const Revised& revised) {
-  json encoded{{"format", kFormat},       {"revision", revised.revision.Value()},
-               {"id", revised.change_id}, {"who", revised.who},
-               {"why", revised.why},      {"at", revised.at},
-               {"by", revised.by.Text()}, {"changes", json::array()}};
+  json encoded{
+      {"format", kFormat},       {"revision", revised.revision.Value()},
+      {"id", revised.change_id}, {"who", revised.who},
+      {"why", revised.why},      {"at", revised.at},
+      {"by", revised.by.Text()}, {"changes", json::array()}};
   for (const Change& change : revised.changes) {
     encoded["changes"].push_back(
         {{"before", ToJson(change.before)}, {"after", ToJson(change.after)}});
@@ -188,16 +197,17 @@
     if (encoded.at("format").get<int>() != kFormat) {
       return std::nullopt;
     }
-    Revised revised{.revision = core::Revision{encoded.at("revision").get<std::uint64_t>()},
-                    .change_id = TextOf(encoded, "id"),
-                    .who = TextOf(encoded, "who"),
-                    .why = TextOf(encoded, "why"),
-                    .at = TextOf(encoded, "at"),
-                    .by = core::InstanceName{TextOf(encoded, "by")},
-                    .changes = {}};
+    Revised revised{
+        .revision = core::Revision{encoded.at("revision").get<std::uint64_t>()},
+        .change_id = TextOf(encoded, "id"),
+        .who = TextOf(encoded, "who"),
+        .why = TextOf(encoded, "why"),
+        .at = TextOf(encoded, "at"),
+        .by = core::InstanceName{TextOf(encoded, "by")},
+        .changes = {}};
     for (const json& change : encoded.at("changes")) {
-      revised.changes.push_back(
-          {.before = ObjectFrom(change.at("before")), .after = ObjectFrom(change.at("after"))});
+      revised.changes.push_back({.before = ObjectFrom(change.at("before")),
+                                 .after = ObjectFrom(change.at("after"))});
     }
     return revised;
   } catch (const json::exception&) {
--- a/packages/inventory/src/configuration.cc
+++ b/packages/inventory/src/configuration.cc
@@ -6,7 +6,8 @@
 
 namespace trefoilbend::inventory {
 
-Configuration::Configuration(const core::Revision revision, std::map<ObjectKey, Object> objects)
+Configuration::Configuration(const core::Revision revision,
+                             std::map<ObjectKey, Object> objects)
     : revision(revision), objects(std::move(objects)) {
   for (const auto& [key, object] : this->objects) {
     if (const auto* service = std::get_if<Service>(&object)) {
@@ -15,19 +16,23 @@
   }
   for (const auto& [key, object] : this->objects) {
     if (const auto* instance = std::get_if<Instance>(&object)) {
-      auto& list = instance->role == Role::kEntry ? this->entries
-                                                  : this->services[instance->service].targets;
+      auto& list = instance->role == Role::kEntry
+                       ? this->entries
+                       : this->services[instance->service].targets;
       list.push_back(instance);
     }
     if (const auto* route = std::get_if<Route>(&object)) {
       this->services[route->service].routes.push_back(route);
     }
   }
-  std::erase_if(this->services, [](const auto& entry) { return entry.second.service == nullptr; });
+  std::erase_if(this->services, [](const auto& entry) {
+    return entry.second.service == nullptr;
+  });
   for (auto& [name, view] : this->services) {
-    std::stable_sort(view.routes.begin(), view.routes.end(), [](const Route* a, const Route* b) {
-      return a->path.size() > b->path.size();
-    });
+    std::stable_sort(view.routes.begin(), view.routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->path.size() > b->path.size();
+                     });
   }
 }
 
@@ -49,19 +54,23 @@
 }
 
 ConfigurationPtr Configuration::Builder::Build() {
-  return ConfigurationPtr(new Configuration(this->revision, std::move(this->objects)));
+  return ConfigurationPtr(
+      new Configuration(this->revision, std::move(this->objects)));
 }
 
 const Route* MatchRoute(const ServiceView& view, const std::string_view method,
                         const std::string_view path) noexcept {
   const auto matches = [&](const Route* route) {
-    return path.starts_with(route->path) && (route->method.empty() || route->method == method);
+    return path.starts_with(route->path) &&
+           (route->method.empty() || route->method == method);
   };
-  const auto found = std::find_if(view.routes.begin(), view.routes.end(), matches);
+  const auto found =
+      std::find_if(view.routes.begin(), view.routes.end(), matches);
   return found == view.routes.end() ? nullptr : *found;
 }
 
-std::vector<Change> Difference(const Configuration& from, const Configuration& to,
+std::vector<Change> Difference(const Configuration& from,
+                               const Configuration& to,
                                const std::vector<Kind>& kinds) {
   std::set<ObjectKey> keys;
   for (const Configuration* side : {&from, &to}) {
@@ -71,9 +80,11 @@
       }
     }
   }
-  const auto at = [](const Configuration& side, const ObjectKey& key) -> std::optional<Object> {
+  const auto at = [](const Configuration& side,
+                     const ObjectKey& key) -> std::optional<Object> {
     const auto found = side.Objects().find(key);
-    return found == side.Objects().end() ? std::nullopt : std::optional{found->second};
+    return found == side.Objects().end() ? std::nullopt
+                                         : std::optional{found->second};
   };
   std::vector<Change> changes;
   for (const ObjectKey& key : keys) {
--- a/packages/inventory/src/files.cc
+++ b/packages/inventory/src/files.cc
@@ -22,12 +22,13 @@
 
 class FileReader {
  public:
-  void Read(const settings::Document& inventory, const settings::Document& rules) {
+  void Read(const settings::Document& inventory,
+            const settings::Document& rules) {
     this->ReadSections(inventory, {{"data-centre", &FileReader::ReadDataCentre},
                                    {"service", &FileReader::ReadService},
                                    {"instance", &FileReader::ReadInstance}});
-    this->ReadSections(
-        rules, {{"service", &FileReader::ReadServiceRules}, {"route", &FileReader::ReadRoute}});
+    this->ReadSections(rules, {{"service", &FileReader::ReadServiceRules},
+                               {"route", &FileReader::ReadRoute}});
     for (auto& [name, service] : this->services) {
       this->builder.Put(std::move(service));
     }
@@ -49,7 +50,8 @@
       Section section{document.File(), title, entries, this->mistakes};
       const std::size_t space = title.find(' ');
       const auto reader = readers.find(title.substr(0, space));
-      if (reader == readers.end() || space == std::string::npos || space + 1 == title.size()) {
+      if (reader == readers.end() || space == std::string::npos ||
+          space + 1 == title.size()) {
         section.Refuse("", this->ExpectedTitles(readers));
         continue;
       }
@@ -58,7 +60,8 @@
     }
   }
 
-  static std::string ExpectedTitles(const std::map<std::string, Reader>& readers) {
+  static std::string ExpectedTitles(
+      const std::map<std::string, Reader>& readers) {
     std::string expected = "a section of the form";
     for (const auto& [kind, reader] : readers) {
       expected += " [" + kind + " NAME]";
@@ -68,8 +71,9 @@
 
   void ReadDataCentre(const std::string& name, Section& section) {
     this->data_centres.insert(name);
-    this->builder.Put(DataCentre{.name = core::DataCentreName{name},
-                                 .region = core::RegionName{section.Text("region")}});
+    this->builder.Put(
+        DataCentre{.name = core::DataCentreName{name},
+                   .region = core::RegionName{section.Text("region")}});
   }
 
   void ReadService(const std::string& name, Section& section) {
@@ -85,8 +89,10 @@
   void ReadInstance(const std::string& name, Section& section) {
     Instance instance;
     instance.name = core::InstanceName{name};
-    instance.role = section.Word("role", {"target", "entry"}, "target") == "entry" ? Role::kEntry
-                                                                                   : Role::kTarget;
+    instance.role =
+        section.Word("role", {"target", "entry"}, "target") == "entry"
+            ? Role::kEntry
+            : Role::kTarget;
     instance.data_centre = core::DataCentreName{section.Text("data-centre")};
     if (!this->data_centres.contains(instance.data_centre.Text())) {
       section.Refuse("data-centre", "a data centre with a section above");
@@ -111,9 +117,10 @@
     const std::string version =
         service == this->services.end() ? "" : service->second.version.Text();
     instance.version = core::VersionName{section.Text("version", version)};
-    instance.slots = static_cast<std::uint32_t>(section.Integer("slots", {1, kMostSlots}));
-    instance.connections =
-        static_cast<std::uint32_t>(section.Integer("connections", {1, kMostConnections}));
+    instance.slots =
+        static_cast<std::uint32_t>(section.Integer("slots", {1, kMostSlots}));
+    instance.connections = static_cast<std::uint32_t>(
+        section.Integer("connections", {1, kMostConnections}));
     instance.connection_cost = section.Time("connection-cost", {0us, 10s}, 1ms);
   }
 
@@ -123,10 +130,11 @@
       section.Refuse("", "a service of the inventory");
     }
     Service ignored;
-    Service& rules = service == this->services.end() ? ignored : service->second;
+    Service& rules =
+        service == this->services.end() ? ignored : service->second;
     rules.timeout = section.Time("timeout", {1ms, 1h}, kDefaultTimeout);
-    rules.cold_allowance = static_cast<std::uint32_t>(
-        section.Integer("cold-allowance", {1, kMostSlots}, kDefaultColdAllowance));
+    rules.cold_allowance = static_cast<std::uint32_t>(section.Integer(
+        "cold-allowance", {1, kMostSlots}, kDefaultColdAllowance));
     rules.probe_budget = static_cast<std::uint32_t>(
         section.Integer("probe-budget", {0, kMostProbes}, kDefaultProbeBudget));
     rules.trusts_refusals = section.YesNo("trust-refusals", false);
@@ -144,8 +152,10 @@
       section.Refuse("path", "a path that begins with /");
     }
     route.method = section.Word(
-        "method", {"", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}, "");
-    route.idempotent = section.YesNo("idempotent", route.method == "GET" || route.method == "HEAD");
+        "method",
+        {"", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}, "");
+    route.idempotent = section.YesNo(
+        "idempotent", route.method == "GET" || route.method == "HEAD");
     route.urgent_allowed = section.YesNo("urgent", false);
     const auto timeout = section.Time("timeout", {0us, 1h}, 0us);
     if (timeout > 0us) {
@@ -154,11 +164,12 @@
     this->builder.Put(std::move(route));
   }
 
-  void RefuseTaken(const http::Address& address, const std::string& name, const std::string& key,
-                   Section& section) {
+  void RefuseTaken(const http::Address& address, const std::string& name,
+                   const std::string& key, Section& section) {
     const auto [taken, fresh] = this->addresses.insert({address, name});
     if (!fresh && address.port != 0) {
-      section.Refuse(key, "an address of its own, not that of " + taken->second);
+      section.Refuse(key,
+                     "an address of its own, not that of " + taken->second);
     }
   }
 
@@ -176,13 +187,13 @@
 }  // namespace
 
 const std::vector<Kind>& FileKinds() {
-  static const std::vector<Kind> kKinds{Kind::kDataCentre, Kind::kService, Kind::kInstance,
-                                        Kind::kRoute};
+  static const std::vector<Kind> kKinds{Kind::kDataCentre, Kind::kService,
+                                        Kind::kInstance, Kind::kRoute};
   return kKinds;
 }
 
-core::Outcome<ConfigurationPtr, Mistakes> ReadFiles(const settings::Document& inventory,
-                                                    const settings::Document& rules) {
+core::Outcome<ConfigurationPtr, Mistakes> ReadFiles(
+    const settings::Document& inventory, const settings::Document& rules) {
   FileReader reader;
   reader.Read(inventory, rules);
   return reader.Finish();
--- a/packages/inventory/src/objects.cc
+++ b/packages/inventory/src/objects.cc
@@ -8,15 +8,17 @@
 ObjectKey KeyOf(const Object& object) {
   return std::visit(
       [&](const auto& concrete) {
-        return ObjectKey{static_cast<Kind>(object.index()), concrete.name.Text()};
+        return ObjectKey{static_cast<Kind>(object.index()),
+                         concrete.name.Text()};
       },
       object);
 }
 
 std::string ToString(const ObjectKey& key) {
-  static constexpr std::array<std::string_view, std::variant_size_v<Object>> kKinds{
-      "data-centre", "service", "instance", "route", "outage"};
-  return std::string{kKinds.at(static_cast<std::size_t>(key.kind))} + '/' + key.name;
+  static constexpr std::array<std::string_view, std::variant_size_v<Object>>
+      kKinds{"data-centre", "service", "instance", "route", "outage"};
+  return std::string{kKinds.at(static_cast<std::size_t>(key.kind))} + '/' +
+         key.name;
 }
 
 }  // namespace trefoilbend::inventory
--- a/packages/inventory/test/files_test.cc
+++ b/packages/inventory/test/files_test.cc
@@ -41,10 +41,11 @@
 urgent = yes
 )";
 
-core::Outcome<ConfigurationPtr, settings::Mistakes> ReadText(const std::string& inventory,
-                                                             const std::string& rules) {
-  return ReadFiles(core::ValueOf(settings::Document::Parse("inventory.ini", inventory)),
-                   core::ValueOf(settings::Document::Parse("rules.ini", rules)));
+core::Outcome<ConfigurationPtr, settings::Mistakes> ReadText(
+    const std::string& inventory, const std::string& rules) {
+  return ReadFiles(
+      core::ValueOf(settings::Document::Parse("inventory.ini", inventory)),
+      core::ValueOf(settings::Document::Parse("rules.ini", rules)));
 }
 
 }  // namespace
@@ -57,7 +58,8 @@
   const auto outcome = ReadText(kInventory, kRules);
   BOOST_REQUIRE(core::Succeeded(outcome));
   const ConfigurationPtr& configuration = core::ValueOf(outcome);
-  const ServiceView& view = configuration->Services().at(core::ServiceName{"stock"});
+  const ServiceView& view =
+      configuration->Services().at(core::ServiceName{"stock"});
   BOOST_TEST(view.targets.size() == 1U);
   BOOST_TEST(configuration->Entries().size() == 1U);
   BOOST_TEST(!MatchRoute(view, "POST", "/reserve/7")->idempotent);
@@ -77,7 +79,8 @@
                   .changes = Difference(*empty, *read, FileKinds())};
   const auto decoded = DecodeRevised(Encode(revised));
   BOOST_REQUIRE(decoded.has_value());
-  const ConfigurationPtr again = Configuration::Builder{*empty}.Apply(*decoded).Build();
+  const ConfigurationPtr again =
+      Configuration::Builder{*empty}.Apply(*decoded).Build();
   BOOST_TEST((again->Objects() == read->Objects()));
   BOOST_TEST(again->Revision() == core::Revision{1});
   BOOST_TEST(Difference(*read, *again, FileKinds()).empty());
@@ -99,10 +102,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(refuses_two_instances_on_one_address) {
-  const auto outcome = ReadText(std::string{kInventory} +
-                                    "[instance stock-2]\ndata-centre = xela\nservice = stock\n"
-                                    "address = 127.0.0.1:9001\nslots = 6\nconnections = 200\n",
-                                kRules);
+  const auto outcome =
+      ReadText(std::string{kInventory} +
+                   "[instance stock-2]\ndata-centre = xela\nservice = stock\n"
+                   "address = 127.0.0.1:9001\nslots = 6\nconnections = 200\n",
+               kRules);
   BOOST_REQUIRE(!core::Succeeded(outcome));
   BOOST_TEST(core::ProblemOf(outcome).front().expected ==
              "an address of its own, not that of stock-1");
--- a/packages/operations/include/trefoilbend/operations/duty.h
+++ b/packages/operations/include/trefoilbend/operations/duty.h
@@ -49,14 +49,16 @@
   [[nodiscard]] core::Ring<configuration::ChangeResult>& ResultInlet() noexcept;
 
   /** @return Ring for configurations. */
-  [[nodiscard]] core::Ring<configuration::Update>& ConfigurationInlet() noexcept;
+  [[nodiscard]] core::Ring<configuration::Update>&
+  ConfigurationInlet() noexcept;
 
   /**
    * @brief Starts the duty.
    * @param outlets Rings to write to.
    * @return Nothing, or the reason why the address cannot be used.
    */
-  [[nodiscard]] core::Outcome<std::monostate, std::string> Start(Outlets outlets);
+  [[nodiscard]] core::Outcome<std::monostate, std::string> Start(
+      Outlets outlets);
 
   /** @brief Stops the duty. */
   void Stop();
--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -49,15 +49,17 @@
 }
 
 http::Response ToResponse(const configuration::ChangeClash& clash) {
-  const std::string other = clash.other.who.empty() ? "another operator" : clash.other.who;
-  return Answer(kClash, {{"error", "Another change came first, by " + other +
-                                       ". Look at it and repeat the command."},
-                         {"other", json::parse(inventory::Encode(clash.other))}});
+  const std::string other =
+      clash.other.who.empty() ? "another operator" : clash.other.who;
+  return Answer(kClash,
+                {{"error", "Another change came first, by " + other +
+                               ". Look at it and repeat the command."},
+                 {"other", json::parse(inventory::Encode(clash.other))}});
 }
 
 http::Response ToResponse(const configuration::ChangeRefused& refused) {
-  return Answer(kUnavailable,
-                {{"error", refused.message}, {"effect_unknown", refused.effect_unknown}});
+  return Answer(kUnavailable, {{"error", refused.message},
+                               {"effect_unknown", refused.effect_unknown}});
 }
 
 }  // namespace
@@ -70,22 +72,27 @@
         options(std::move(options)),
         registry(registry) {
     this->duty.Read(this->results,
-                    [this](const configuration::ChangeResult& result) { this->Finish(result); });
-    this->duty.Read(this->updates,
-                    [this](configuration::Update&& update) { this->update = std::move(update); });
+                    [this](const configuration::ChangeResult& result) {
+                      this->Finish(result);
+                    });
+    this->duty.Read(this->updates, [this](configuration::Update&& update) {
+      this->update = std::move(update);
+    });
   }
 
   core::Outcome<std::monostate, std::string> Start(const Outlets writes) {
     this->outlets = writes;
     this->server = http::Server::Builder{}
                        .On(this->options.address)
-                       .WithHandler([this](http::Request request, http::Respond respond) {
-                         this->Handle(std::move(request), std::move(respond));
+                       .WithHandler([this](const http::Request& request,
+                                           const http::Respond& respond) {
+                         this->Handle(request, respond);
                        })
                        .Build(this->duty.Context());
     auto listening = this->server->Listen();
     if (core::Succeeded(listening)) {
-      this->log.Info("Serves operators on {}.", http::ToString(this->options.address));
+      this->log.Info("Serves operators on {}.",
+                     http::ToString(this->options.address));
       this->duty.Start();
     }
     return listening;
@@ -96,29 +103,33 @@
   core::Duty duty{"operations"};
 
  private:
-  using Method = void (Loop::*)(const http::Request&, http::Respond);
-
-  void Handle(const http::Request& request, http::Respond respond) {
-    static const std::map<std::pair<std::string_view, std::string_view>, Method> kMethods{
-        {{"GET", "/v1/status"}, &Loop::ShowStatus},
-        {{"GET", "/v1/configuration"}, &Loop::ShowConfiguration},
-        {{"POST", "/v1/apply"}, &Loop::Apply},
-        {{"GET", "/metrics"}, &Loop::ShowMetrics}};
-    const auto method = kMethods.find({request.method, http::PathOf(request.target)});
+  using Method = void (Loop::*)(const http::Request&, const http::Respond&);
+
+  void Handle(const http::Request& request, const http::Respond& respond) {
+    static const std::map<std::pair<std::string_view, std::string_view>, Method>
+        kMethods{{{"GET", "/v1/status"}, &Loop::ShowStatus},
+                 {{"GET", "/v1/configuration"}, &Loop::ShowConfiguration},
+                 {{"POST", "/v1/apply"}, &Loop::Apply},
+                 {{"GET", "/metrics"}, &Loop::ShowMetrics}};
+    const auto method =
+        kMethods.find({request.method, http::PathOf(request.target)});
     if (method == kMethods.end()) {
       respond(Problem(kNotFound, "no such command"));
       return;
     }
-    (this->*method->second)(request, std::move(respond));
+    (this->*method->second)(request, respond);
   }
 
-  void ShowStatus(const http::Request& /*request*/, http::Respond respond) {
+  void ShowStatus(const http::Request& /*request*/,
+                  const http::Respond& respond) {
     json entries = json::array();
     std::uint64_t revision = 0;
     if (this->update.configuration != nullptr) {
       revision = this->update.configuration->Revision().Value();
-      for (const inventory::Instance* entry : this->update.configuration->Entries()) {
-        const std::string operations = entry->operations ? http::ToString(*entry->operations) : "";
+      for (const inventory::Instance* entry :
+           this->update.configuration->Entries()) {
+        const std::string operations =
+            entry->operations ? http::ToString(*entry->operations) : "";
         entries.push_back({{"name", entry->name.Text()},
                            {"data_centre", entry->data_centre.Text()},
                            {"operations", operations}});
@@ -129,7 +140,8 @@
                          {"entries", std::move(entries)}}));
   }
 
-  void ShowConfiguration(const http::Request& /*request*/, http::Respond respond) {
+  void ShowConfiguration(const http::Request& /*request*/,
+                         const http::Respond& respond) {
     json objects = json::array();
     std::uint64_t revision = 0;
     if (this->update.configuration != nullptr) {
@@ -138,35 +150,42 @@
         objects.push_back(json::parse(inventory::Encode(object)));
       }
     }
-    respond(Answer(200, {{"revision", revision}, {"objects", std::move(objects)}}));
+    respond(
+        Answer(200, {{"revision", revision}, {"objects", std::move(objects)}}));
   }
 
-  void ShowMetrics(const http::Request& /*request*/, http::Respond respond) {
+  void ShowMetrics(const http::Request& /*request*/,
+                   const http::Respond& respond) {
     respond({.status = 200,
              .content_type = "text/plain; version=0.0.4",
              .fields = {},
-             .body = prometheus::TextSerializer{}.Serialize(this->registry.Collect())});
+             .body = prometheus::TextSerializer{}.Serialize(
+                 this->registry.Collect())});
   }
 
-  void Apply(const http::Request& request, http::Respond respond) {
+  void Apply(const http::Request& request, const http::Respond& respond) {
     const json body = json::parse(request.body, nullptr, false);
     if (!body.is_object()) {
       respond(Problem(kBadRequest, "the body is not a JSON object"));
       return;
     }
-    auto inventory = settings::Document::Parse("inventory", body.value("inventory", ""));
+    auto inventory =
+        settings::Document::Parse("inventory", body.value("inventory", ""));
     auto rules = settings::Document::Parse("rules", body.value("rules", ""));
     for (const auto* document : {&inventory, &rules}) {
       if (!core::Succeeded(*document)) {
-        respond(Answer(kBadRequest, {{"error", "the files have mistakes"},
-                                     {"mistakes", ToJson(core::ProblemOf(*document))}}));
+        respond(Answer(kBadRequest,
+                       {{"error", "the files have mistakes"},
+                        {"mistakes", ToJson(core::ProblemOf(*document))}}));
         return;
       }
     }
-    const auto wanted = inventory::ReadFiles(core::ValueOf(inventory), core::ValueOf(rules));
+    const auto wanted =
+        inventory::ReadFiles(core::ValueOf(inventory), core::ValueOf(rules));
     if (!core::Succeeded(wanted)) {
-      respond(Answer(kBadRequest, {{"error", "the files have mistakes"},
-                                   {"mistakes", ToJson(core::ProblemOf(wanted))}}));
+      respond(
+          Answer(kBadRequest, {{"error", "the files have mistakes"},
+                               {"mistakes", ToJson(core::ProblemOf(wanted))}}));
       return;
     }
     this->Change({.request = {},
@@ -174,25 +193,31 @@
                   .who = body.value("who", ""),
                   .why = body.value("why", ""),
                   .changes = this->ChangesTo(*core::ValueOf(wanted))},
-                 std::move(respond));
+                 respond);
   }
 
-  std::vector<inventory::Change> ChangesTo(const inventory::Configuration& wanted) const {
+  std::vector<inventory::Change> ChangesTo(
+      const inventory::Configuration& wanted) const {
     if (this->update.configuration == nullptr) {
-      const inventory::ConfigurationPtr none = inventory::Configuration::Builder{}.Build();
+      const inventory::ConfigurationPtr none =
+          inventory::Configuration::Builder{}.Build();
       return inventory::Difference(*none, wanted, inventory::FileKinds());
     }
-    return inventory::Difference(*this->update.configuration, wanted, inventory::FileKinds());
+    return inventory::Difference(*this->update.configuration, wanted,
+                                 inventory::FileKinds());
   }
 
-  void Change(configuration::ChangeRequest request, http::Respond respond) {
+  void Change(configuration::ChangeRequest request,
+              const http::Respond& respond) {
     if (request.change_id.empty() || request.who.empty()) {
       respond(Problem(kBadRequest, "a change needs an id and who asks for it"));
       return;
     }
     if (request.changes.empty()) {
       const std::uint64_t revision =
-          this->update.configuration ? this->update.configuration->Revision().Value() : 0;
+          this->update.configuration
+              ? this->update.configuration->Revision().Value()
+              : 0;
       respond(Answer(200, {{"revision", revision}, {"unchanged", true}}));
       return;
     }
@@ -200,10 +225,12 @@
     request.request = this->last_request;
     if (this->waiting.size() >= kRequestsAtOnce ||
         !this->outlets.configuration->TryPush(std::move(request))) {
-      respond(Problem(kUnavailable, "too many changes are under way; repeat the command later"));
+      respond(
+          Problem(kUnavailable,
+                  "too many changes are under way; repeat the command later"));
       return;
     }
-    this->waiting.emplace(this->last_request, std::move(respond));
+    this->waiting.emplace(this->last_request, respond);
   }
 
   void Finish(const configuration::ChangeResult& result) {
@@ -213,7 +240,9 @@
     }
     const http::Respond respond = std::move(found->second);
     this->waiting.erase(found);
-    respond(std::visit([](const auto& concrete) { return ToResponse(concrete); }, result.result));
+    respond(
+        std::visit([](const auto& concrete) { return ToResponse(concrete); },
+                   result.result));
   }
 
   Options options;
@@ -226,20 +255,24 @@
   core::Log log{"operations"};
 };
 
-OperationsDuty::OperationsDuty(Options options, const prometheus::Registry& registry)
+OperationsDuty::OperationsDuty(Options options,
+                               const prometheus::Registry& registry)
     : loop(std::make_unique<Loop>(std::move(options), registry)) {}
 
 OperationsDuty::~OperationsDuty() { this->Stop(); }
 
-core::Ring<configuration::ChangeResult>& OperationsDuty::ResultInlet() noexcept {
+core::Ring<configuration::ChangeResult>&
+OperationsDuty::ResultInlet() noexcept {
   return this->loop->results;
 }
 
-core::Ring<configuration::Update>& OperationsDuty::ConfigurationInlet() noexcept {
+core::Ring<configuration::Update>&
+OperationsDuty::ConfigurationInlet() noexcept {
   return this->loop->updates;
 }
 
-core::Outcome<std::monostate, std::string> OperationsDuty::Start(const Outlets outlets) {
+core::Outcome<std::monostate, std::string> OperationsDuty::Start(
+    const Outlets outlets) {
   return this->loop->Start(outlets);
 }
 
--- a/packages/platform/include/trefoilbend/platform/client.h
+++ b/packages/platform/include/trefoilbend/platform/client.h
@@ -29,7 +29,8 @@
    * @param transaction Transaction to commit.
    * @param done Takes the result.
    */
-  void Transact(const Transaction& transaction, std::function<void(TransactOutcome)> done);
+  void Transact(const Transaction& transaction,
+                std::function<void(TransactOutcome)> done);
 
   /**
    * @brief Reads a row.
@@ -46,8 +47,8 @@
    * @param limit Greatest number of rows.
    * @param done Takes the result.
    */
-  void ReadRange(const std::string& prefix, const std::string& after, std::size_t limit,
-                 std::function<void(RangeOutcome)> done);
+  void ReadRange(const std::string& prefix, const std::string& after,
+                 std::size_t limit, std::function<void(RangeOutcome)> done);
 
   /**
    * @brief Reads the list of instances, which may lag.
--- a/packages/platform/src/client.cc
+++ b/packages/platform/src/client.cc
@@ -14,12 +14,14 @@
 constexpr std::uint16_t kConflict = 409;
 
 Unavailable NoAnswer(const http::RequestError& error) {
-  return {.effect_unknown = error.stage == http::RequestStage::kSent, .message = error.message};
+  return {.effect_unknown = error.stage == http::RequestStage::kSent,
+          .message = error.message};
 }
 
 Unavailable BadAnswer(const http::Response& response) {
   return {.effect_unknown = true,
-          .message = "the platform answered with status " + std::to_string(response.status)};
+          .message = "the platform answered with status " +
+                     std::to_string(response.status)};
 }
 
 Row DecodeRow(const json& row) {
@@ -39,7 +41,8 @@
 json Encode(const Transaction& transaction) {
   json body{{"conditions", json::array()}, {"writes", json::array()}};
   for (const Condition& condition : transaction.conditions) {
-    body["conditions"].push_back({{"key", condition.key}, {"version", condition.version.Value()}});
+    body["conditions"].push_back(
+        {{"key", condition.key}, {"version", condition.version.Value()}});
   }
   for (const Write& write : transaction.writes) {
     json encoded{{"key", write.key}};
@@ -56,19 +59,21 @@
   try {
     return decode(json::parse(response.body));
   } catch (const json::exception&) {
-    return Unavailable{.effect_unknown = true, .message = "the platform's answer is malformed"};
+    return Unavailable{.effect_unknown = true,
+                       .message = "the platform's answer is malformed"};
   }
 }
 
 template <typename Result, typename Decode>
 http::OnResponse Expect(std::function<void(Result)> done, Decode decode) {
-  return [done = std::move(done), decode](const http::ResponseOutcome& outcome) {
-    if (!core::Succeeded(outcome)) {
-      done(NoAnswer(core::ProblemOf(outcome)));
-      return;
-    }
-    done(decode(core::ValueOf(outcome)));
-  };
+  return
+      [done = std::move(done), decode](const http::ResponseOutcome& outcome) {
+        if (!core::Succeeded(outcome)) {
+          done(NoAnswer(core::ProblemOf(outcome)));
+          return;
+        }
+        done(decode(core::ValueOf(outcome)));
+      };
 }
 
 TransactOutcome DecodeTransact(const http::Response& response) {
@@ -78,8 +83,9 @@
   if (response.status != kConflict) {
     return BadAnswer(response);
   }
-  return DecodeOr<TransactOutcome>(
-      response, [](const json& body) { return Conflict{DecodeRows(body.at("conflicts"))}; });
+  return DecodeOr<TransactOutcome>(response, [](const json& body) {
+    return Conflict{DecodeRows(body.at("conflicts"))};
+  });
 }
 
 ReadOutcome DecodeRead(const http::Response& response) {
@@ -89,16 +95,17 @@
   if (response.status != kOk) {
     return BadAnswer(response);
   }
-  return DecodeOr<ReadOutcome>(
-      response, [](const json& body) { return std::optional<Row>{DecodeRow(body)}; });
+  return DecodeOr<ReadOutcome>(response, [](const json& body) {
+    return std::optional<Row>{DecodeRow(body)};
+  });
 }
 
 RangeOutcome DecodeRange(const http::Response& response) {
   if (response.status != kOk) {
     return BadAnswer(response);
   }
-  return DecodeOr<RangeOutcome>(response,
-                                [](const json& body) { return DecodeRows(body.at("rows")); });
+  return DecodeOr<RangeOutcome>(
+      response, [](const json& body) { return DecodeRows(body.at("rows")); });
 }
 
 ListOutcome DecodeList(const http::Response& response) {
@@ -109,15 +116,17 @@
     std::vector<ListedInstance> instances;
     for (const json& instance : body.at("instances")) {
       const bool leaving = instance.at("state") == "leaving";
-      instances.push_back({.name = core::InstanceName{instance.at("name").get<std::string>()},
-                           .state = leaving ? InstanceState::kLeaving : InstanceState::kLive});
+      instances.push_back(
+          {.name = core::InstanceName{instance.at("name").get<std::string>()},
+           .state = leaving ? InstanceState::kLeaving : InstanceState::kLive});
     }
     return instances;
   });
 }
 
 http::Request Get(std::string target) {
-  return {.method = "GET", .target = std::move(target), .fields = {}, .body = {}};
+  return {
+      .method = "GET", .target = std::move(target), .fields = {}, .body = {}};
 }
 
 }  // namespace
@@ -126,7 +135,8 @@
                const std::chrono::milliseconds timeout)
     : http(std::move(http)), address(std::move(address)), timeout(timeout) {}
 
-void Client::Transact(const Transaction& transaction, std::function<void(TransactOutcome)> done) {
+void Client::Transact(const Transaction& transaction,
+                      std::function<void(TransactOutcome)> done) {
   http::Request request{.method = "POST",
                         .target = "/table/transactions",
                         .fields = {{"Content-Type", "application/json"}},
@@ -135,17 +145,20 @@
                    Expect(std::move(done), DecodeTransact));
 }
 
-void Client::Read(const std::string& key, std::function<void(ReadOutcome)> done) {
-  this->http->Send(this->address, Get("/table/row?key=" + http::Escape(key)), this->timeout,
-                   Expect(std::move(done), DecodeRead));
+void Client::Read(const std::string& key,
+                  std::function<void(ReadOutcome)> done) {
+  this->http->Send(this->address, Get("/table/row?key=" + http::Escape(key)),
+                   this->timeout, Expect(std::move(done), DecodeRead));
 }
 
-void Client::ReadRange(const std::string& prefix, const std::string& after, const std::size_t limit,
+void Client::ReadRange(const std::string& prefix, const std::string& after,
+                       const std::size_t limit,
                        std::function<void(RangeOutcome)> done) {
-  this->http->Send(this->address,
-                   Get("/table/rows?prefix=" + http::Escape(prefix) +
-                       "&after=" + http::Escape(after) + "&limit=" + std::to_string(limit)),
-                   this->timeout, Expect(std::move(done), DecodeRange));
+  this->http->Send(
+      this->address,
+      Get("/table/rows?prefix=" + http::Escape(prefix) +
+          "&after=" + http::Escape(after) + "&limit=" + std::to_string(limit)),
+      this->timeout, Expect(std::move(done), DecodeRange));
 }
 
 void Client::ListInstances(std::function<void(ListOutcome)> done) {
--- a/packages/settings/include/trefoilbend/settings/document.h
+++ b/packages/settings/include/trefoilbend/settings/document.h
@@ -23,21 +23,23 @@
    * @param text Text of the file.
    * @return The document, or the mistake that makes it unreadable.
    */
-  [[nodiscard]] static core::Outcome<Document, Mistakes> Parse(std::string file,
-                                                               const std::string& text);
+  [[nodiscard]] static core::Outcome<Document, Mistakes> Parse(
+      std::string file, const std::string& text);
 
   /**
    * @brief Reads an INI file.
    * @param path Path of the file.
    * @return The document, or the mistake that makes it unreadable.
    */
-  [[nodiscard]] static core::Outcome<Document, Mistakes> Load(const std::string& path);
+  [[nodiscard]] static core::Outcome<Document, Mistakes> Load(
+      const std::string& path);
 
   /** @return Name of the file. */
   [[nodiscard]] const std::string& File() const noexcept { return this->file; }
 
   /** @return Sections in the order of the file. */
-  [[nodiscard]] const std::vector<std::pair<std::string, Entries>>& Sections() const noexcept {
+  [[nodiscard]] const std::vector<std::pair<std::string, Entries>>& Sections()
+      const noexcept {
     return this->sections;
   }
 
@@ -47,7 +49,8 @@
    * @param key Key to set.
    * @param value Value that replaces the one of the file.
    */
-  void Set(const std::string& section, const std::string& key, std::string value);
+  void Set(const std::string& section, const std::string& key,
+           std::string value);
 
  private:
   std::string file;
--- a/packages/settings/include/trefoilbend/settings/section.h
+++ b/packages/settings/include/trefoilbend/settings/section.h
@@ -38,7 +38,8 @@
    * @param entries Keys and values; outlives the reader.
    * @param mistakes Takes the mistakes; outlives the reader.
    */
-  Section(std::string file, std::string name, const Document::Entries& entries, Mistakes& mistakes);
+  Section(std::string file, std::string name, const Document::Entries& entries,
+          Mistakes& mistakes);
 
   /**
    * @brief Reads text.
@@ -47,8 +48,9 @@
    * required.
    * @return The value.
    */
-  [[nodiscard]] std::string Text(const std::string& key,
-                                 std::optional<std::string> fallback = std::nullopt);
+  [[nodiscard]] std::string Text(
+      const std::string& key,
+      const std::optional<std::string>& fallback = std::nullopt);
 
   /**
    * @brief Reads one word of a list.
@@ -58,8 +60,9 @@
    * required.
    * @return The word.
    */
-  [[nodiscard]] std::string Word(const std::string& key, const std::vector<std::string>& words,
-                                 std::optional<std::string> fallback = std::nullopt);
+  [[nodiscard]] std::string Word(
+      const std::string& key, const std::vector<std::string>& words,
+      const std::optional<std::string>& fallback = std::nullopt);
 
   /**
    * @brief Reads an IP number with a port.
@@ -73,7 +76,8 @@
    * @param key Key to read.
    * @return The address, or nothing.
    */
-  [[nodiscard]] std::optional<http::Address> OptionalAddress(const std::string& key);
+  [[nodiscard]] std::optional<http::Address> OptionalAddress(
+      const std::string& key);
 
   /**
    * @brief Reads a whole number.
@@ -83,8 +87,9 @@
    * required.
    * @return The number.
    */
-  [[nodiscard]] std::uint64_t Integer(const std::string& key, Range<std::uint64_t> range,
-                                      std::optional<std::uint64_t> fallback = std::nullopt);
+  [[nodiscard]] std::uint64_t Integer(
+      const std::string& key, Range<std::uint64_t> range,
+      std::optional<std::uint64_t> fallback = std::nullopt);
 
   /**
    * @brief Reads a number of bytes with a unit: B, KiB or MiB.
@@ -93,7 +98,8 @@
    * @param fallback Value if the key is missing.
    * @return The number of bytes.
    */
-  [[nodiscard]] std::uint64_t Bytes(const std::string& key, Range<std::uint64_t> range,
+  [[nodiscard]] std::uint64_t Bytes(const std::string& key,
+                                    Range<std::uint64_t> range,
                                     std::uint64_t fallback);
 
   /**
@@ -128,7 +134,8 @@
 
  private:
   [[nodiscard]] std::optional<std::string> Find(const std::string& key);
-  [[nodiscard]] std::optional<std::string> Require(const std::string& key, bool has_fallback,
+  [[nodiscard]] std::optional<std::string> Require(const std::string& key,
+                                                   bool has_fallback,
                                                    std::string_view expected);
 
   std::string file;
--- a/packages/settings/src/mistake.cc
+++ b/packages/settings/src/mistake.cc
@@ -4,7 +4,8 @@
 
 std::string ToString(const Mistake& mistake) {
   const std::string key = mistake.key.empty() ? "" : ", key " + mistake.key;
-  return mistake.file + ": " + mistake.place + key + ": expected " + mistake.expected;
+  return mistake.file + ": " + mistake.place + key + ": expected " +
+         mistake.expected;
 }
 
 }  // namespace trefoilbend::settings
--- a/packages/settings/src/section.cc
+++ b/packages/settings/src/section.cc
@@ -20,8 +20,11 @@
 constexpr std::uint64_t kHour = 60 * kMinute;
 
 const std::vector<Unit>& TimeUnits() {
-  static const std::vector<Unit> kUnits{
-      {"us", 1}, {"ms", kMillisecond}, {"s", kSecond}, {"min", kMinute}, {"h", kHour}};
+  static const std::vector<Unit> kUnits{{"us", 1},
+                                        {"ms", kMillisecond},
+                                        {"s", kSecond},
+                                        {"min", kMinute},
+                                        {"h", kHour}};
   return kUnits;
 }
 
@@ -39,12 +42,14 @@
 std::optional<Quantity> ParseQuantity(const std::string_view text) {
   Quantity quantity;
   const char* end = text.data() + text.size();
-  const auto [rest, problem] = std::from_chars(text.data(), end, quantity.number);
+  const auto [rest, problem] =
+      std::from_chars(text.data(), end, quantity.number);
   if (problem != std::errc{}) {
     return std::nullopt;
   }
   quantity.unit = text.substr(static_cast<std::size_t>(rest - text.data()));
-  quantity.unit.remove_prefix(std::min(quantity.unit.find_first_not_of(' '), quantity.unit.size()));
+  quantity.unit.remove_prefix(
+      std::min(quantity.unit.find_first_not_of(' '), quantity.unit.size()));
   return quantity;
 }
 
@@ -54,19 +59,23 @@
   if (!quantity) {
     return std::nullopt;
   }
-  const auto unit = std::find_if(units.begin(), units.end(),
-                                 [&](const Unit& one) { return one.name == quantity->unit; });
+  const auto unit =
+      std::find_if(units.begin(), units.end(),
+                   [&](const Unit& one) { return one.name == quantity->unit; });
   std::uint64_t product{};
-  if (unit == units.end() || __builtin_mul_overflow(quantity->number, unit->factor, &product)) {
+  if (unit == units.end() ||
+      __builtin_mul_overflow(quantity->number, unit->factor, &product)) {
     return std::nullopt;
   }
   return product;
 }
 
-std::string WithUnit(const std::uint64_t value, const std::vector<Unit>& units) {
-  const auto unit = std::find_if(units.rbegin(), units.rend(), [&](const Unit& one) {
-    return value % one.factor == 0 && value >= one.factor;
-  });
+std::string WithUnit(const std::uint64_t value,
+                     const std::vector<Unit>& units) {
+  const auto unit =
+      std::find_if(units.rbegin(), units.rend(), [&](const Unit& one) {
+        return value % one.factor == 0 && value >= one.factor;
+      });
   const Unit& chosen = unit == units.rend() ? units.front() : *unit;
   return std::to_string(value / chosen.factor) + ' ' + std::string{chosen.name};
 }
@@ -77,11 +86,15 @@
 
 }  // namespace
 
-Section::Section(std::string file, std::string name, const Document::Entries& entries,
-                 Mistakes& mistakes)
-    : file(std::move(file)), name(std::move(name)), entries(entries), mistakes(mistakes) {}
+Section::Section(std::string file, std::string name,
+                 const Document::Entries& entries, Mistakes& mistakes)
+    : file(std::move(file)),
+      name(std::move(name)),
+      entries(entries),
+      mistakes(mistakes) {}
 
-std::string Section::Text(const std::string& key, std::optional<std::string> fallback) {
+std::string Section::Text(const std::string& key,
+                          const std::optional<std::string>& fallback) {
   const auto value = this->Require(key, fallback.has_value(), "a value");
   if (value && value->empty() && !fallback) {
     this->Refuse(key, "a value");
@@ -89,8 +102,9 @@
   return value ? *value : fallback.value_or("");
 }
 
-std::string Section::Word(const std::string& key, const std::vector<std::string>& words,
-                          std::optional<std::string> fallback) {
+std::string Section::Word(const std::string& key,
+                          const std::vector<std::string>& words,
+                          const std::optional<std::string>& fallback) {
   std::string list;
   for (const std::string& word : words) {
     list += (list.empty() ? "" : ", ") + word;
@@ -108,7 +122,8 @@
 }
 
 http::Address Section::Address(const std::string& key) {
-  static constexpr std::string_view kExpected = "an IP number and a port, such as 10.0.0.1:8080";
+  static constexpr std::string_view kExpected =
+      "an IP number and a port, such as 10.0.0.1:8080";
   const auto value = this->Require(key, false, kExpected);
   if (!value) {
     return {};
@@ -127,10 +142,12 @@
   return this->Address(key);
 }
 
-std::uint64_t Section::Integer(const std::string& key, const Range<std::uint64_t> range,
+std::uint64_t Section::Integer(const std::string& key,
+                               const Range<std::uint64_t> range,
                                const std::optional<std::uint64_t> fallback) {
   const std::string expected =
-      "a whole number " + Between(std::to_string(range.least), std::to_string(range.most));
+      "a whole number " +
+      Between(std::to_string(range.least), std::to_string(range.most));
   const auto value = this->Require(key, fallback.has_value(), expected);
   if (!value) {
     return fallback.value_or(range.least);
@@ -144,7 +161,8 @@
   return quantity->number;
 }
 
-std::uint64_t Section::Bytes(const std::string& key, const Range<std::uint64_t> range,
+std::uint64_t Section::Bytes(const std::string& key,
+                             const Range<std::uint64_t> range,
                              const std::uint64_t fallback) {
   const auto value = this->Find(key);
   if (!value) {
@@ -152,22 +170,22 @@
   }
   const auto bytes = ParseWithUnit(*value, ByteUnits());
   if (!bytes || *bytes < range.least || *bytes > range.most) {
-    this->Refuse(
-        key, "a size with its unit (B, KiB, MiB) " +
-                 Between(WithUnit(range.least, ByteUnits()), WithUnit(range.most, ByteUnits())));
+    this->Refuse(key, "a size with its unit (B, KiB, MiB) " +
+                          Between(WithUnit(range.least, ByteUnits()),
+                                  WithUnit(range.most, ByteUnits())));
     return fallback;
   }
   return *bytes;
 }
 
-std::chrono::microseconds Section::Time(const std::string& key,
-                                        const Range<std::chrono::microseconds> range,
-                                        const std::optional<std::chrono::microseconds> fallback) {
+std::chrono::microseconds Section::Time(
+    const std::string& key, const Range<std::chrono::microseconds> range,
+    const std::optional<std::chrono::microseconds> fallback) {
   const auto count = [](const std::chrono::microseconds time) {
     return WithUnit(static_cast<std::uint64_t>(time.count()), TimeUnits());
   };
-  const std::string expected =
-      "a time with its unit (us, ms, s, min, h) " + Between(count(range.least), count(range.most));
+  const std::string expected = "a time with its unit (us, ms, s, min, h) " +
+                               Between(count(range.least), count(range.most));
   const auto value = this->Require(key, fallback.has_value(), expected);
   if (!value) {
     return fallback.value_or(range.least);
@@ -194,20 +212,23 @@
 }
 
 void Section::Refuse(const std::string& key, std::string expected) {
-  this->mistakes.push_back({this->file, "section [" + this->name + "]", key, std::move(expected)});
+  this->mistakes.push_back(
+      {this->file, "section [" + this->name + "]", key, std::move(expected)});
 }
 
 std::optional<std::string> Section::Find(const std::string& key) {
   this->known.insert(key);
-  const auto found = std::find_if(this->entries.begin(), this->entries.end(),
-                                  [&](const auto& entry) { return entry.first == key; });
+  const auto found =
+      std::find_if(this->entries.begin(), this->entries.end(),
+                   [&](const auto& entry) { return entry.first == key; });
   if (found == this->entries.end()) {
     return std::nullopt;
   }
   return found->second;
 }
 
-std::optional<std::string> Section::Require(const std::string& key, const bool has_fallback,
+std::optional<std::string> Section::Require(const std::string& key,
+                                            const bool has_fallback,
                                             const std::string_view expected) {
   auto value = this->Find(key);
   if (!value && !has_fallback) {
--- a/packages/settings/test/section_test.cc
+++ b/packages/settings/test/section_test.cc
@@ -89,13 +89,15 @@
 BOOST_AUTO_TEST_SUITE(a_document)
 
 BOOST_AUTO_TEST_CASE(tells_the_line_that_is_not_ini) {
-  const auto outcome = Document::Parse("entry.ini", "[callers]\nno equals sign\n");
+  const auto outcome =
+      Document::Parse("entry.ini", "[callers]\nno equals sign\n");
   BOOST_REQUIRE(!core::Succeeded(outcome));
   BOOST_TEST(core::ProblemOf(outcome).front().place == "line 2");
 }
 
 BOOST_AUTO_TEST_CASE(lets_a_flag_replace_a_value) {
-  auto document = core::ValueOf(Document::Parse("entry.ini", "[entry]\nname=a\n"));
+  auto document =
+      core::ValueOf(Document::Parse("entry.ini", "[entry]\nname=a\n"));
   document.Set("entry", "name", "b");
   BOOST_TEST(document.Sections().front().second.front().second == "b");
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -11,7 +11,7 @@
 source scripts/fleet.sh
 work=$(mktemp -d)
 trap 'fleet_end; rm -rf "$work"' EXIT
-fleet_begin "$work" build/release 21000
+fleet_begin "$work" build/release
 
 echo
 echo "== Starting the platform, six targets and three entries"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,6 +1,6 @@
 # Functions that start and stop a fleet of local processes; sourced by other scripts.
 #
-# fleet_begin DIRECTORY BUILD PORT      where files go, which build to run, first port
+# fleet_begin DIRECTORY BUILD           where files go, which build to run
 # fleet_start NAME PROGRAM ARGUMENTS... starts a process and remembers its id
 # fleet_signal NAME SIGNAL              sends a signal to one process
 # fleet_await ADDRESS PATH              waits until a server answers
@@ -9,7 +9,7 @@
 fleet_begin() {
   fleet_directory=$1
   fleet_build=$2
-  fleet_port=$3
+  fleet_host=127.$(($$ / 250 % 250 + 1)).$(($$ % 250)).1
   declare -gA fleet_pids=()
   mkdir -p "$fleet_directory"
 }
@@ -42,8 +42,8 @@
 }
 
 # fleet_files ENTRIES TARGETS writes inventory.ini and rules.ini.
-# Ports: base = platform, base+1.. = entries, base+101.. = operations, base+201.. = peers,
-# base+301.. = targets.
+# Each fleet has a loopback address of its own. Ports: 7000 platform, 7001.. entries,
+# 7101.. operations, 7201.. peers, 7301.. targets.
 fleet_files() {
   local entries=$1 targets=$2 i
   {
@@ -78,11 +78,11 @@
 RULES
 }
 
-fleet_platform() { echo "127.0.0.1:$fleet_port"; }
-fleet_entry() { echo "127.0.0.1:$((fleet_port + $1))"; }
-fleet_operations() { echo "127.0.0.1:$((fleet_port + 100 + $1))"; }
-fleet_peers() { echo "127.0.0.1:$((fleet_port + 200 + $1))"; }
-fleet_target() { echo "127.0.0.1:$((fleet_port + 300 + $1))"; }
+fleet_platform() { echo "$fleet_host:7000"; }
+fleet_entry() { echo "$fleet_host:$((7000 + $1))"; }
+fleet_operations() { echo "$fleet_host:$((7000 + 100 + $1))"; }
+fleet_peers() { echo "$fleet_host:$((7000 + 200 + $1))"; }
+fleet_target() { echo "$fleet_host:$((7000 + 300 + $1))"; }
 
 # fleet_list NAME STATE sets an instance's state in the platform's list: live, leaving or gone.
 fleet_list() {
--- a/scripts/install_dependencies.sh
+++ b/scripts/install_dependencies.sh
@@ -4,7 +4,7 @@
 
 packages=(
   build-essential cmake ninja-build ccache pkg-config clang-format clang-tidy curl python3
-  libboost-dev libboost-system-dev libboost-test-dev libcapnp-dev capnproto prometheus-cpp-dev
+  libboost-dev libboost-system-dev libboost-test-dev libboost-filesystem-dev libcapnp-dev capnproto prometheus-cpp-dev
   libspdlog-dev libcli11-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libssl-dev
 )
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -40,7 +40,7 @@
 
 check_lint() {
   git ls-files '*.cc' | grep -v '\.capnp\.' |
-    xargs run-clang-tidy -quiet -p build/release -j "$(nproc)" >build/lint.log 2>&1 ||
+    xargs run-clang-tidy -quiet -extra-arg=-Wno-unknown-warning-option -p build/release -j "$(nproc)" >build/lint.log 2>&1 ||
     { grep -E 'error:|warning:' build/lint.log | sort -u | head -40; return 1; }
 }
 
--- a/stand_ins/caller/driver.cc
+++ b/stand_ins/caller/driver.cc
@@ -20,7 +20,8 @@
   std::string expected;
 };
 
-CallOutcome Judge(const PlannedCall& call, const http::ResponseOutcome& outcome) {
+CallOutcome Judge(const PlannedCall& call,
+                  const http::ResponseOutcome& outcome) {
   if (!core::Succeeded(outcome)) {
     return CallOutcome::kBroken;
   }
@@ -32,7 +33,8 @@
   if (response.status != 200) {
     return CallOutcome::kFailed;
   }
-  return response.body == call.expected ? CallOutcome::kAnswered : CallOutcome::kWrong;
+  return response.body == call.expected ? CallOutcome::kAnswered
+                                        : CallOutcome::kWrong;
 }
 
 }  // namespace
@@ -69,7 +71,8 @@
       return;
     }
     this->timer.expires_at(this->due);
-    this->timer.async_wait([self = this->shared_from_this()](auto) { self->FindEntry(); });
+    this->timer.async_wait(
+        [self = this->shared_from_this()](auto) { self->FindEntry(); });
   }
 
   void FindEntry() {
@@ -83,27 +86,29 @@
     }
     const auto& entries = this->driver.options.entries;
     const http::Address& asked = entries[this->asked++ % entries.size()];
-    this->http->Send(asked,
-                     {.method = "GET",
-                      .target = "/v1/entries?service=" + this->driver.options.service,
-                      .fields = {},
-                      .body = {}},
-                     kTimeout, [self = this->shared_from_this()](const auto& outcome) {
-                       self->OnEntries(outcome);
-                     });
+    this->http->Send(
+        asked,
+        {.method = "GET",
+         .target = "/v1/entries?service=" + this->driver.options.service,
+         .fields = {},
+         .body = {}},
+        kTimeout, [self = this->shared_from_this()](const auto& outcome) {
+          self->OnEntries(outcome);
+        });
   }
 
   void OnEntries(const http::ResponseOutcome& outcome) {
     this->known.clear();
     if (core::Succeeded(outcome)) {
-      const auto body = nlohmann::json::parse(core::ValueOf(outcome).body, nullptr, false);
+      const auto body =
+          nlohmann::json::parse(core::ValueOf(outcome).body, nullptr, false);
       if (body.is_object() && body.contains("entries")) {
         for (const auto& entry : body["entries"]) {
-          this->known.push_back(
-              http::ParseAddress(entry.get<std::string>()).value_or(http::Address{}));
+          this->known.push_back(http::ParseAddress(entry.get<std::string>())
+                                    .value_or(http::Address{}));
         }
-        this->known_until =
-            Clock::now() + std::chrono::milliseconds{body.value("keep_ms", std::int64_t{0})};
+        this->known_until = Clock::now() + std::chrono::milliseconds{body.value(
+                                               "keep_ms", std::int64_t{0})};
       }
     }
     if (!this->known.empty()) {
@@ -114,15 +119,17 @@
       return;
     }
     this->timer.expires_after(kPause);
-    this->timer.async_wait([self = this->shared_from_this()](auto) { self->FindEntry(); });
+    this->timer.async_wait(
+        [self = this->shared_from_this()](auto) { self->FindEntry(); });
   }
 
   void Call(const http::Address& entry) {
     auto call = std::make_shared<PlannedCall>(this->Plan());
-    this->http->Send(entry, call->request, kTimeout,
-                     [self = this->shared_from_this(), call](const auto& outcome) {
-                       self->OnAnswer(*call, outcome);
-                     });
+    this->http->Send(
+        entry, call->request, kTimeout,
+        [self = this->shared_from_this(), call](const auto& outcome) {
+          self->OnAnswer(*call, outcome);
+        });
   }
 
   void OnAnswer(const PlannedCall& call, const http::ResponseOutcome& outcome) {
@@ -131,7 +138,8 @@
     if (judged == CallOutcome::kBroken && !this->known.empty()) {
       this->known.erase(this->known.begin());
     }
-    this->due += this->driver.options.rate > 0 ? this->DrawGap() : Clock::duration{};
+    this->due +=
+        this->driver.options.rate > 0 ? this->DrawGap() : Clock::duration{};
     this->Next();
   }
 
@@ -140,8 +148,8 @@
     PlannedCall call;
     call.id = this->name + '-' + std::to_string(this->count++);
     call.request.fields = {{"Host", options.service}, {"Call-Id", call.id}};
-    std::uint32_t draw =
-        std::uniform_int_distribution<std::uint32_t>{0, kPercent - 1}(this->random);
+    std::uint32_t draw = std::uniform_int_distribution<std::uint32_t>{
+        0, kPercent - 1}(this->random);
     if (draw < options.reserve_percent) {
       call.request.method = "POST";
       call.request.target = "/reserve";
@@ -154,7 +162,8 @@
     call.request.method = "GET";
     if (draw < options.sheet_percent) {
       const std::string path = "/sheet/" + std::to_string(draw);
-      call.request.target = path + "?bytes=" + std::to_string(options.sheet_bytes);
+      call.request.target =
+          path + "?bytes=" + std::to_string(options.sheet_bytes);
       call.expected = MakeContent(path, options.sheet_bytes);
       return call;
     }
@@ -162,15 +171,19 @@
     if (draw < options.urgent_percent) {
       call.request.fields.emplace_back("Priority", "u=0");
     }
-    call.request.target = "/lookup?bytes=" + std::to_string(options.lookup_bytes);
+    call.request.target =
+        "/lookup?bytes=" + std::to_string(options.lookup_bytes);
     call.expected = MakeContent(call.id, options.lookup_bytes);
     return call;
   }
 
   Clock::duration DrawGap() {
-    const double mean = this->driver.options.callers / this->driver.options.rate;
-    const double seconds = std::exponential_distribution<double>{1.0 / mean}(this->random);
-    return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>{seconds});
+    const double mean =
+        this->driver.options.callers / this->driver.options.rate;
+    const double seconds =
+        std::exponential_distribution<double>{1.0 / mean}(this->random);
+    return std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>{seconds});
   }
 
   Driver& driver;
--- a/stand_ins/caller/tally.cc
+++ b/stand_ins/caller/tally.cc
@@ -4,12 +4,14 @@
 
 namespace trefoilbend::stand_ins {
 
-void Tally::Add(const CallOutcome outcome, const std::chrono::nanoseconds latency,
+void Tally::Add(const CallOutcome outcome,
+                const std::chrono::nanoseconds latency,
                 const std::string& call) {
   ++this->counts[static_cast<std::size_t>(outcome)];
   if (outcome == CallOutcome::kAnswered) {
     this->latencies.push_back(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(latency).count()));
+        std::chrono::duration_cast<std::chrono::microseconds>(latency)
+            .count()));
   }
   if (outcome == CallOutcome::kNotRun) {
     this->not_run.push_back(call);
@@ -17,8 +19,8 @@
 }
 
 nlohmann::json Tally::Report(const std::chrono::nanoseconds elapsed) {
-  static constexpr const char* kNames[kOutcomes] = {"answered", "not_run", "unknown",
-                                                    "broken",   "failed",  "wrong"};
+  static constexpr const char* kNames[kOutcomes] = {
+      "answered", "not_run", "unknown", "broken", "failed", "wrong"};
   nlohmann::json report;
   for (std::size_t at = 0; at < kOutcomes; ++at) {
     report[kNames[at]] = this->counts[at];
@@ -28,14 +30,16 @@
     if (this->latencies.empty()) {
       return 0;
     }
-    const auto at = static_cast<std::size_t>(part * static_cast<double>(this->latencies.size()));
+    const auto at = static_cast<std::size_t>(
+        part * static_cast<double>(this->latencies.size()));
     return this->latencies[std::min(at, this->latencies.size() - 1)];
   };
   report["p50_us"] = quantile(0.5);
   report["p99_us"] = quantile(0.99);
   report["p999_us"] = quantile(0.999);
   const double seconds = std::chrono::duration<double>(elapsed).count();
-  report["calls_per_second"] = static_cast<double>(this->latencies.size()) / seconds;
+  report["calls_per_second"] =
+      static_cast<double>(this->latencies.size()) / seconds;
   report["not_run_calls"] = this->not_run;
   return report;
 }
--- a/stand_ins/caller/tally.h
+++ b/stand_ins/caller/tally.h
@@ -34,7 +34,8 @@
    * @param latency Time from the call's due start to its outcome.
    * @param call Identity of the call.
    */
-  void Add(CallOutcome outcome, std::chrono::nanoseconds latency, const std::string& call);
+  void Add(CallOutcome outcome, std::chrono::nanoseconds latency,
+           const std::string& call);
 
   /**
    * @brief Sums the run up.
@@ -45,11 +46,14 @@
   [[nodiscard]] nlohmann::json Report(std::chrono::nanoseconds elapsed);
 
   /** @return Number of answers that looked whole and were wrong. */
-  [[nodiscard]] std::uint64_t Wrong() const noexcept { return this->counts[kWrongIndex]; }
+  [[nodiscard]] std::uint64_t Wrong() const noexcept {
+    return this->counts[kWrongIndex];
+  }
 
  private:
   static constexpr std::size_t kOutcomes = 6;
-  static constexpr std::size_t kWrongIndex = static_cast<std::size_t>(CallOutcome::kWrong);
+  static constexpr std::size_t kWrongIndex =
+      static_cast<std::size_t>(CallOutcome::kWrong);
 
   std::uint64_t counts[kOutcomes]{};
   std::vector<std::uint32_t> latencies;
