--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -16,7 +16,9 @@
 
 namespace {
 
-using namespace trefoilbend;
+namespace core = trefoilbend::core;
+namespace http = trefoilbend::http;
+namespace stand_ins = trefoilbend::stand_ins;
 using nlohmann::json;
 
 constexpr std::size_t kMostRows = 10'000;
@@ -31,11 +33,13 @@
 
 class Platform {
  public:
-  Platform(boost::asio::io_context& context, http::Address address) : context(context) {
+  Platform(boost::asio::io_context& context, http::Address address)
+      : context(context) {
     this->server = http::Server::Builder{}
                        .On(std::move(address))
-                       .WithHandler([this](http::Request request, http::Respond respond) {
-                         this->Handle(std::move(request), std::move(respond));
+                       .WithHandler([this](const http::Request& request,
+                                           http::Respond respond) {
+                         this->Handle(request, std::move(respond));
                        })
                        .Build(context);
   }
@@ -50,11 +54,12 @@
     std::int64_t* count;
   };
 
-  static http::Response Answer(const json& body, const std::uint16_t status = 200) {
+  static http::Response Answer(const json& body,
+                               const std::uint16_t status = 200) {
     return {.status = status, .fields = {}, .body = body.dump()};
   }
 
-  void Handle(http::Request request, http::Respond respond) {
+  void Handle(const http::Request& request, http::Respond respond) {
     const std::string_view path = http::PathOf(request.target);
     if (path.starts_with("/control/")) {
       respond(this->Control(request));
@@ -70,19 +75,22 @@
       respond(Answer({{"error", "answer lost"}}, 504));
       return;
     }
-    this->After(this->faults.slow_ms,
-                [respond = std::move(respond), response] { respond(response); });
+    this->After(this->faults.slow_ms, [respond = std::move(respond), response] {
+      respond(response);
+    });
   }
 
   http::Response Serve(const http::Request& request) {
-    const std::map<std::pair<std::string_view, std::string_view>, Command> commands{
-        {{"POST", "/table/transactions"}, {&Platform::Transact, &this->writes}},
-        {{"GET", "/table/row"}, {&Platform::ReadRow, &this->reads}},
-        {{"GET", "/table/rows"}, {&Platform::ReadRows, &this->reads}},
-        {{"GET", "/object"}, {&Platform::ReadObject, &this->reads}},
-        {{"PUT", "/object"}, {&Platform::WriteObject, &this->writes}},
-        {{"GET", "/instances"}, {&Platform::List, &this->reads}}};
-    const auto command = commands.find({request.method, http::PathOf(request.target)});
+    const std::map<std::pair<std::string_view, std::string_view>, Command>
+        commands{{{"POST", "/table/transactions"},
+                  {&Platform::Transact, &this->writes}},
+                 {{"GET", "/table/row"}, {&Platform::ReadRow, &this->reads}},
+                 {{"GET", "/table/rows"}, {&Platform::ReadRows, &this->reads}},
+                 {{"GET", "/object"}, {&Platform::ReadObject, &this->reads}},
+                 {{"PUT", "/object"}, {&Platform::WriteObject, &this->writes}},
+                 {{"GET", "/instances"}, {&Platform::List, &this->reads}}};
+    const auto command =
+        commands.find({request.method, http::PathOf(request.target)});
     if (command == commands.end()) {
       return Answer({{"error", "no such command"}}, 404);
     }
@@ -102,18 +110,21 @@
 
   http::Response ReadRow(const http::Request& request) {
     const json row = this->table.Read(http::QueryOf(request.target)["key"]);
-    return row.is_null() ? Answer({{"error", "no such row"}}, 404) : Answer(row);
+    return row.is_null() ? Answer({{"error", "no such row"}}, 404)
+                         : Answer(row);
   }
 
   http::Response ReadRows(const http::Request& request) {
     auto query = http::QueryOf(request.target);
-    const std::size_t limit =
-        std::min(kMostRows, static_cast<std::size_t>(std::atol(query["limit"].c_str())));
-    return Answer({{"rows", this->table.ReadRange(query["prefix"], query["after"], limit)}});
+    const std::size_t limit = std::min(
+        kMostRows, static_cast<std::size_t>(std::atol(query["limit"].c_str())));
+    return Answer({{"rows", this->table.ReadRange(query["prefix"],
+                                                  query["after"], limit)}});
   }
 
   http::Response ReadObject(const http::Request& request) {
-    const auto object = this->objects.find(http::QueryOf(request.target)["name"]);
+    const auto object =
+        this->objects.find(http::QueryOf(request.target)["name"]);
     if (object == this->objects.end()) {
       return Answer({{"error", "no such object"}}, 404);
     }
@@ -196,15 +207,18 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"Stand-in for the platform: table, object store, list of instances."};
+  CLI::App app{
+      "Stand-in for the platform: table, object store, list of instances."};
   std::string address;
   app.add_option("--address", address, "Address to listen on")->required();
   CLI11_PARSE(app, argc, argv);
   boost::asio::io_context context{1};
-  Platform platform{context, http::ParseAddress(address).value_or(http::Address{})};
+  Platform platform{context,
+                    http::ParseAddress(address).value_or(http::Address{})};
   const auto listening = platform.GetServer().Listen();
   if (!core::Succeeded(listening)) {
-    std::fprintf(stderr, "stand_in_platform: %s\n", core::ProblemOf(listening).c_str());
+    std::fprintf(stderr, "stand_in_platform: %s\n",
+                 core::ProblemOf(listening).c_str());
     return 1;
   }
   boost::asio::signal_set signals{context, SIGTERM, SIGINT};
--- a/stand_ins/platform/table.cc
+++ b/stand_ins/platform/table.cc
@@ -10,7 +10,8 @@
     const auto key = condition.at("key").get<std::string>();
     if (this->VersionOf(key) != condition.at("version").get<std::uint64_t>()) {
       json row = this->Read(key);
-      conflicts.push_back(row.is_null() ? json{{"key", key}, {"version", 0}} : std::move(row));
+      conflicts.push_back(row.is_null() ? json{{"key", key}, {"version", 0}}
+                                        : std::move(row));
     }
   }
   if (!conflicts.empty()) {
@@ -33,14 +34,18 @@
   if (found == this->rows.end()) {
     return nullptr;
   }
-  return {{"key", key}, {"value", found->second.value}, {"version", found->second.version}};
+  return {{"key", key},
+          {"value", found->second.value},
+          {"version", found->second.version}};
 }
 
 json Table::ReadRange(const std::string& prefix, const std::string& after,
                       const std::size_t limit) const {
   json found = json::array();
   for (auto row = this->rows.upper_bound(std::max(prefix, after));
-       row != this->rows.end() && found.size() < limit && row->first.starts_with(prefix); ++row) {
+       row != this->rows.end() && found.size() < limit &&
+       row->first.starts_with(prefix);
+       ++row) {
     found.push_back(this->Read(row->first));
   }
   return found;
--- a/stand_ins/platform/table.h
+++ b/stand_ins/platform/table.h
@@ -32,7 +32,8 @@
    * @param limit Greatest number of rows.
    * @return The rows.
    */
-  [[nodiscard]] nlohmann::json ReadRange(const std::string& prefix, const std::string& after,
+  [[nodiscard]] nlohmann::json ReadRange(const std::string& prefix,
+                                         const std::string& after,
                                          std::size_t limit) const;
 
  private:
--- a/stand_ins/target/faults.h
+++ b/stand_ins/target/faults.h
@@ -36,7 +36,8 @@
   std::int64_t one_route = 0;
 
   /** @return The switch of each fault by its name. */
-  [[nodiscard]] static const std::map<std::string, std::int64_t Faults::*>& Switches() {
+  [[nodiscard]] static const std::map<std::string, std::int64_t Faults::*>&
+  Switches() {
     static const std::map<std::string, std::int64_t Faults::*> kSwitches{
         {"slow", &Faults::slow},
         {"fail_percent", &Faults::fail_percent},
--- a/stand_ins/target/session.cc
+++ b/stand_ins/target/session.cc
@@ -8,16 +8,18 @@
 namespace beast = boost::beast;
 using boost::asio::ip::tcp;
 
-Session::Session(tcp::socket socket, Target& target) : stream(std::move(socket)), target(target) {
+Session::Session(tcp::socket socket, Target& target)
+    : stream(std::move(socket)), target(target) {
   boost::system::error_code ignored;
   this->stream.socket().set_option(tcp::no_delay(true), ignored);
 }
 
 void Session::Read() {
   this->in = {};
-  beast::http::async_read(this->stream, this->buffer, this->in,
-                          [self = this->shared_from_this()](const boost::system::error_code error,
-                                                            std::size_t) { self->OnRead(error); });
+  beast::http::async_read(
+      this->stream, this->buffer, this->in,
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) { self->OnRead(error); });
 }
 
 void Session::OnRead(const boost::system::error_code error) {
@@ -31,15 +33,17 @@
   for (const auto& field : this->in) {
     request.fields.emplace_back(field.name_string(), field.value());
   }
-  this->target.Handle(std::move(request), [self = this->shared_from_this()](Reply reply) {
-    self->Write(std::move(reply));
-  });
+  this->target.Handle(std::move(request),
+                      [self = this->shared_from_this()](Reply reply) {
+                        self->Write(std::move(reply));
+                      });
 }
 
 void Session::Write(Reply reply) {
   if (reply.reset) {
     boost::system::error_code ignored;
-    this->stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    this->stream.socket().set_option(boost::asio::socket_base::linger(true, 0),
+                                     ignored);
     this->stream.close();
     return;
   }
@@ -61,7 +65,8 @@
   }
   beast::http::async_write(
       this->stream, this->out,
-      [self = this->shared_from_this()](const boost::system::error_code error, std::size_t) {
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) {
         if (!error && self->out.keep_alive()) {
           self->Read();
         }
@@ -73,9 +78,10 @@
   text << this->out;
   this->cut = text.str();
   this->cut.resize(this->cut.size() - this->out.body().size() / 2 - 1);
-  boost::asio::async_write(this->stream, boost::asio::buffer(this->cut),
-                           [self = this->shared_from_this()](
-                               boost::system::error_code, std::size_t) { self->stream.close(); });
+  boost::asio::async_write(
+      this->stream, boost::asio::buffer(this->cut),
+      [self = this->shared_from_this()](boost::system::error_code,
+                                        std::size_t) { self->stream.close(); });
 }
 
 }  // namespace trefoilbend::stand_ins
--- a/stand_ins/target/target.cc
+++ b/stand_ins/target/target.cc
@@ -43,7 +43,8 @@
     return;
   }
   const auto with_report = [this, done = std::move(done)](Reply reply) {
-    reply.response.fields.emplace_back("Endpoint-Load-Metrics", this->LoadReport());
+    reply.response.fields.emplace_back("Endpoint-Load-Metrics",
+                                       this->LoadReport());
     done(std::move(reply));
   };
   if (path == "/load") {
@@ -55,12 +56,14 @@
 }
 
 std::string Target::LoadReport() {
-  Sample shown{.at = {}, .running = this->running, .queued = this->waiting.size()};
+  Sample shown{
+      .at = {}, .running = this->running, .queued = this->waiting.size()};
   const auto age = std::chrono::milliseconds{this->faults.report_lag_ms};
   const auto now = std::chrono::steady_clock::now();
   if (age.count() > 0) {
-    const auto found = std::find_if(this->samples.rbegin(), this->samples.rend(),
-                                    [&](const Sample& sample) { return sample.at <= now - age; });
+    const auto found = std::find_if(
+        this->samples.rbegin(), this->samples.rend(),
+        [&](const Sample& sample) { return sample.at <= now - age; });
     shown = found == this->samples.rend() ? Sample{} : *found;
   }
   if (this->faults.lie != 0) {
@@ -126,14 +129,17 @@
   ++this->running;
   ++this->handled;
   this->most_running = std::max(this->most_running, this->running);
-  this->samples.push_back({std::chrono::steady_clock::now(), this->running, this->waiting.size()});
+  this->samples.push_back(
+      {std::chrono::steady_clock::now(), this->running, this->waiting.size()});
   if (this->samples.size() > kMostSamples) {
     this->samples.pop_front();
   }
-  if (const std::string key = FieldOf(work.request, "Idempotency-Key"); !key.empty()) {
+  if (const std::string key = FieldOf(work.request, "Idempotency-Key");
+      !key.empty()) {
     ++this->runs_by_key[key];
   }
-  if (const std::string call = FieldOf(work.request, "Call-Id"); !call.empty()) {
+  if (const std::string call = FieldOf(work.request, "Call-Id");
+      !call.empty()) {
     ++this->runs_by_call[call];
   }
   const auto time = this->DrawServiceTime(work.request);
@@ -158,24 +164,28 @@
   }
   const std::string path{http::PathOf(request.target)};
   auto query = http::QueryOf(request.target);
-  const std::size_t bytes = query.contains("bytes") ? std::stoul(query["bytes"]) : kDefaultBytes;
+  const std::size_t bytes =
+      query.contains("bytes") ? std::stoul(query["bytes"]) : kDefaultBytes;
   const bool is_sheet = path.starts_with("/sheet/");
   const std::string subject = is_sheet ? path : FieldOf(request, "Call-Id");
   Reply reply;
   reply.response.content_type = "text/plain";
   reply.response.body = MakeContent(subject, bytes);
   if (is_sheet) {
-    reply.response.fields.emplace_back("ETag", '"' + path + '-' + std::to_string(bytes) + '"');
+    reply.response.fields.emplace_back(
+        "ETag", '"' + path + '-' + std::to_string(bytes) + '"');
     reply.response.fields.emplace_back("Accept-Ranges", "bytes");
     const std::string range = FieldOf(request, "Range");
     const std::string prefix = "bytes=";
     if (range.starts_with(prefix)) {
-      const std::size_t from = std::min(bytes, std::stoul(range.substr(prefix.size())));
+      const std::size_t from =
+          std::min(bytes, std::stoul(range.substr(prefix.size())));
       reply.response.status = 206;
       reply.response.body.erase(0, from);
-      reply.response.fields.emplace_back("Content-Range", "bytes " + std::to_string(from) + '-' +
-                                                              std::to_string(bytes - 1) + '/' +
-                                                              std::to_string(bytes));
+      reply.response.fields.emplace_back("Content-Range",
+                                         "bytes " + std::to_string(from) + '-' +
+                                             std::to_string(bytes - 1) + '/' +
+                                             std::to_string(bytes));
     }
   }
   reply.reset = this->Strikes(this->faults.reset_percent, request);
@@ -185,18 +195,21 @@
 
 bool Target::Strikes(const std::int64_t percent, const http::Request& request) {
   return percent > 0 && this->Concerns(request) &&
-         std::uniform_int_distribution<std::int64_t>{0, kPercent - 1}(this->random) < percent;
+         std::uniform_int_distribution<std::int64_t>{
+             0, kPercent - 1}(this->random) < percent;
 }
 
 bool Target::Concerns(const http::Request& request) const {
   return this->faults.one_route == 0 || request.target.starts_with("/lookup");
 }
 
-std::chrono::microseconds Target::DrawServiceTime(const http::Request& request) {
+std::chrono::microseconds Target::DrawServiceTime(
+    const http::Request& request) {
   const auto median = static_cast<double>(this->options.service_time.count());
   double time = median;
   if (this->options.sigma > 0) {
-    time = std::lognormal_distribution<double>{std::log(median), this->options.sigma}(this->random);
+    time = std::lognormal_distribution<double>{
+        std::log(median), this->options.sigma}(this->random);
   }
   if (this->faults.slow > 0 && this->Concerns(request)) {
     time *= static_cast<double>(this->faults.slow);
@@ -204,7 +217,8 @@
   return std::chrono::microseconds{static_cast<std::int64_t>(time)};
 }
 
-void Target::After(const std::chrono::microseconds delay, std::function<void()> action) {
+void Target::After(const std::chrono::microseconds delay,
+                   std::function<void()> action) {
   if (delay.count() == 0) {
     action();
     return;
--- a/stand_ins/target/target.h
+++ b/stand_ins/target/target.h
@@ -84,9 +84,11 @@
   void Run(Waiting work);
   void Finish(const Waiting& work);
   [[nodiscard]] Reply Answer(const http::Request& request);
-  [[nodiscard]] bool Strikes(std::int64_t percent, const http::Request& request);
+  [[nodiscard]] bool Strikes(std::int64_t percent,
+                             const http::Request& request);
   [[nodiscard]] bool Concerns(const http::Request& request) const;
-  [[nodiscard]] std::chrono::microseconds DrawServiceTime(const http::Request& request);
+  [[nodiscard]] std::chrono::microseconds DrawServiceTime(
+      const http::Request& request);
   void After(std::chrono::microseconds delay, std::function<void()> action);
 
   boost::asio::io_context& context;
