--- a/packages/core/include/trefoilbend/core/ring.h
+++ b/packages/core/include/trefoilbend/core/ring.h
@@ -37,8 +37,9 @@
    * @param function Function that makes the reader call Drain, safe to call
    * from the writer's thread.
    */
-  void SetWake(std::function<void()> function) {
-    this->wake = std::move(function);
+  template <typename Wake>
+  void SetWake(Wake&& function) {
+    this->wake = std::forward<Wake>(function);
   }
 
   /**
--- a/packages/inventory/include/trefoilbend/inventory/objects.h
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -68,8 +68,12 @@
   std::uint32_t connections{};
   /** @brief Time that a target needs to take a new connection. */
   std::chrono::microseconds connection_cost{};
-  /** @brief Address on which an entry talks to its peers. */
+  /** @brief Address on which an entry takes its peers' gossip. */
   std::optional<http::Address> peers;
+  /** @brief Address on which an entry takes calls that peers pass on. */
+  std::optional<http::Address> relay;
+  /** @brief Address on which an entry takes its peers' release evidence. */
+  std::optional<http::Address> rollout;
   /** @brief Address on which an entry talks to operators. */
   std::optional<http::Address> operations;
 
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -58,6 +58,12 @@
   if (instance.peers) {
     object["peers"] = http::ToString(*instance.peers);
   }
+  if (instance.relay) {
+    object["relay"] = http::ToString(*instance.relay);
+  }
+  if (instance.rollout) {
+    object["rollout"] = http::ToString(*instance.rollout);
+  }
   if (instance.operations) {
     object["operations"] = http::ToString(*instance.operations);
   }
@@ -113,6 +119,12 @@
   if (object.contains("peers")) {
     instance.peers = AddressOf(object.at("peers"));
   }
+  if (object.contains("relay")) {
+    instance.relay = AddressOf(object.at("relay"));
+  }
+  if (object.contains("rollout")) {
+    instance.rollout = AddressOf(object.at("rollout"));
+  }
   if (object.contains("operations")) {
     instance.operations = AddressOf(object.at("operations"));
   }
--- a/packages/inventory/src/files.cc
+++ b/packages/inventory/src/files.cc
@@ -101,6 +101,8 @@
     this->RefuseTaken(instance.address, name, "address", section);
     if (instance.role == Role::kEntry) {
       instance.peers = section.OptionalAddress("peers");
+      instance.relay = section.OptionalAddress("relay");
+      instance.rollout = section.OptionalAddress("rollout");
       instance.operations = section.OptionalAddress("operations");
     } else {
       this->ReadTarget(instance, section);
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -43,7 +43,7 @@
 
 # fleet_files ENTRIES TARGETS writes inventory.ini and rules.ini.
 # Each fleet has a loopback address of its own. Ports: 7000 platform, 7001.. entries,
-# 7101.. operations, 7201.. peers, 7301.. targets.
+# 7101.. operations, 7201.. peers, 7301.. targets, 7401.. relay, 7501.. rollout.
 fleet_files() {
   local entries=$1 targets=$2 i
   {
@@ -52,6 +52,7 @@
       printf '[instance entry-%d]\nrole = entry\ndata-centre = xela-%d\n' "$i" $((i % 2 + 1))
       printf 'address = %s\noperations = %s\npeers = %s\n' "$(fleet_entry "$i")" \
         "$(fleet_operations "$i")" "$(fleet_peers "$i")"
+      printf 'relay = %s\nrollout = %s\n' "$(fleet_relay "$i")" "$(fleet_rollout "$i")"
     done
     for ((i = 1; i <= targets; i++)); do
       printf '[instance stock-%d]\ndata-centre = xela-%d\nservice = stock\n' "$i" $((i % 2 + 1))
@@ -82,6 +83,8 @@
 fleet_entry() { echo "$fleet_host:$((7000 + $1))"; }
 fleet_operations() { echo "$fleet_host:$((7000 + 100 + $1))"; }
 fleet_peers() { echo "$fleet_host:$((7000 + 200 + $1))"; }
+fleet_relay() { echo "$fleet_host:$((7400 + $1))"; }
+fleet_rollout() { echo "$fleet_host:$((7500 + $1))"; }
 fleet_target() { echo "$fleet_host:$((7000 + 300 + $1))"; }
 
 # fleet_list NAME STATE sets an instance's state in the platform's list: live, leaving or gone.
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -23,6 +23,8 @@
 constexpr std::uint16_t kServicePort = 7000;
 constexpr std::uint16_t kOperationsPort = 7100;
 constexpr std::uint16_t kPeersPort = 7200;
+constexpr std::uint16_t kRelayPort = 7300;
+constexpr std::uint16_t kRolloutPort = 7400;
 constexpr std::chrono::milliseconds kPoll{20};
 constexpr std::chrono::seconds kTimeout{10};
 
@@ -102,7 +104,10 @@
           << i % 2 + 1
           << "\naddress = " << ToString(this->Address(name, kServicePort))
           << "\noperations = " << ToString(this->Address(name, kOperationsPort))
-          << "\npeers = " << ToString(this->Address(name, kPeersPort)) << '\n';
+          << "\npeers = " << ToString(this->Address(name, kPeersPort))
+          << "\nrelay = " << ToString(this->Address(name, kRelayPort))
+          << "\nrollout = " << ToString(this->Address(name, kRolloutPort))
+          << '\n';
     }
     for (std::size_t i = 1; i <= this->targets; ++i) {
       const std::string name = "stock-" + std::to_string(i);
@@ -124,7 +129,7 @@
   }
 
   [[nodiscard]] std::string WriteSettings(const std::string& entry) const {
-    const std::string path = this->folder + '/' + entry + ".ini";
+    std::string path = this->folder + '/' + entry + ".ini";
     std::ofstream out{path};
     out << "[entry]\nname = " << entry << "\n[callers]\naddress = "
         << ToString(this->Address(entry, kServicePort))
