Add leases, and changes that the daemon itself commits

Cause: the release controller needs a lease whose lapsed holder can do nothing, and a way to commit a change from inside the daemon. Two readers of revisions at once (poll and commit) made the follower call the second reading 'out of order'. Change: platform::Lease (row version as the sign of life, no wall clock); ConfigurationDuty::AutomationInlet with fences and based_on in ChangeRequest; changes run one at a time; the row change-id/ID, written in the same transaction, makes a repeated change safe however old it is; a lost answer is read back and the change retried up to 4 times, which the guard on head makes safe. Ruled out: comparing expiry times by wall clock; finding change ids among the 256 newest revisions only (a later repeat ran twice).

--- a/packages/configuration/include/trefoilbend/configuration/duty.h
+++ b/packages/configuration/include/trefoilbend/configuration/duty.h
@@ -31,6 +31,9 @@
   std::vector<core::Ring<Update>*> followers;
   /** @brief Results for the duty that talks to operators. */
   core::Ring<ChangeResult>* operations{};
+  /** @brief Results for the duty that changes objects by itself; may be null
+   * if no such duty sends requests. */
+  core::Ring<ChangeResult>* automation{};
 };
 
 /** @brief Duty that follows the platform's revisions and commits operators'
@@ -50,6 +53,9 @@
   /** @return Ring for operators' requests. */
   [[nodiscard]] core::Ring<ChangeRequest>& OperationsInlet() noexcept;
 
+  /** @return Ring for requests of a duty of this process, such as rollout. */
+  [[nodiscard]] core::Ring<ChangeRequest>& AutomationInlet() noexcept;
+
   /**
    * @brief Starts the duty.
    * @param outlets Rings to write to.
--- a/packages/configuration/include/trefoilbend/configuration/follower.h
+++ b/packages/configuration/include/trefoilbend/configuration/follower.h
@@ -22,8 +22,9 @@
   [[nodiscard]] std::string After() const;
 
   /**
-   * @brief Takes revisions that were read, in their order.
-   * @param rows Rows after the key that After gave.
+   * @brief Takes revisions that were read, in their order; those that are in
+   * force already are passed over.
+   * @param rows Rows of revisions.
    * @return Nothing, or why the first row that could not be taken is unusable.
    */
   [[nodiscard]] std::optional<std::string> Take(
--- a/packages/configuration/include/trefoilbend/configuration/messages.h
+++ b/packages/configuration/include/trefoilbend/configuration/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,6 +43,13 @@
   std::string why;
   /** @brief Changes; each object must still be as the change's before. */
   std::vector<inventory::Change> changes;
+  /**
+   * @brief Revision that must still be the newest; nothing if only the changed
+   * objects matter.
+   */
+  std::optional<core::Revision> based_on;
+  /** @brief Rows that must be unchanged, such as that of a lease. */
+  std::vector<platform::Condition> fences;
 };
 
 /** @brief The change has taken effect. */
--- a/packages/configuration/src/duty.cc
+++ b/packages/configuration/src/duty.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
 #include <ctime>
+#include <deque>
 #include <utility>
 
 #include "trefoilbend/configuration/follower.h"
@@ -19,6 +21,17 @@
 
 constexpr std::size_t kRequests = 64;
 constexpr std::size_t kRowsAtOnce = 256;
+constexpr int kAttempts = 4;
+constexpr int kDecimal = 10;
+constexpr const char* kLostMessage =
+    "The platform's answer was lost, so the change may have taken effect. "
+    "Repeat the command with the same change id.";
+constexpr const char* kBusyMessage =
+    "Other changes came first each time. Nothing was changed; repeat the "
+    "command.";
+constexpr const char* kFenceMessage =
+    "A row that the change depends on, such as its lease, has changed. Nothing "
+    "was changed.";
 
 std::string WallClock() {
   const std::time_t now =
@@ -36,12 +49,18 @@
  public:
   explicit Loop(Options options)
       : from_operations(kRequests),
+        from_automation(kRequests),
         options(std::move(options)),
         timer(this->duty.Context()),
         platform(http::Client::Create(this->duty.Context()),
                  this->options.platform, this->options.timeout) {
     this->duty.Read(this->from_operations, [this](ChangeRequest&& request) {
-      this->Begin(std::move(request));
+      this->Enqueue(
+          {.request = std::move(request), .results = this->outlets.operations});
+    });
+    this->duty.Read(this->from_automation, [this](ChangeRequest&& request) {
+      this->Enqueue(
+          {.request = std::move(request), .results = this->outlets.automation});
     });
   }
 
@@ -53,6 +72,7 @@
   }
 
   core::Ring<ChangeRequest> from_operations;
+  core::Ring<ChangeRequest> from_automation;
   core::Duty duty{"configuration"};
 
  private:
@@ -141,77 +161,122 @@
     }
   }
 
-  void Begin(ChangeRequest request) {
-    const auto shared =
-        std::make_shared<const ChangeRequest>(std::move(request));
-    this->ReadRevisions([this, shared] { this->Commit(shared); });
+  /** A request under way, with the ring that takes its result. */
+  struct Pending {
+    ChangeRequest request;
+    core::Ring<ChangeResult>* results{};
+    int attempts = 0;
+  };
+
+  using PendingPtr = std::shared_ptr<Pending>;
+
+  void Enqueue(Pending pending) {
+    this->pending.push_back(std::make_shared<Pending>(std::move(pending)));
+    if (this->pending.size() == 1) {
+      this->Begin(this->pending.front());
+    }
   }
 
-  void Commit(const std::shared_ptr<const ChangeRequest>& request) {
+  void Begin(const PendingPtr& pending) {
+    ++pending->attempts;
+    this->ReadRevisions([this, pending] { this->Commit(pending); });
+  }
+
+  void Commit(const PendingPtr& pending) {
+    const ChangeRequest& request = pending->request;
     if (const inventory::Revised* done =
-            this->follower.FindChange(request->change_id)) {
-      this->Finish(*request, ChangeAccepted{done->revision});
+            this->follower.FindChange(request.change_id)) {
+      this->Finish(*pending, ChangeAccepted{done->revision});
       return;
     }
     auto prepared =
-        this->follower.Prepare(*request, WallClock(), this->options.self);
+        this->follower.Prepare(request, WallClock(), this->options.self);
     if (auto* clash = std::get_if<ChangeClash>(&prepared)) {
-      this->Finish(*request, std::move(*clash));
+      this->Finish(*pending, std::move(*clash));
       return;
     }
     this->platform.Transact(
         std::get<platform::Transaction>(prepared),
-        [this, request](const platform::TransactOutcome& outcome) {
+        [this, pending](const platform::TransactOutcome& outcome) {
           std::visit(core::Visitor{[&](const platform::Committed&) {
-                                     this->ReadRevisions([this, request] {
-                                       this->Settle(request);
+                                     this->ReadRevisions([this, pending] {
+                                       this->Settle(pending);
                                      });
                                    },
-                                   [&](const platform::Conflict&) {
-                                     this->Begin(*request);
+                                   [&](const platform::Conflict& conflict) {
+                                     this->Resolve(pending, conflict);
                                    },
                                    [&](const platform::Unavailable& failure) {
-                                     this->ReadBack(request, failure);
+                                     this->ReadBack(pending, failure);
                                    }},
                      outcome);
         });
   }
 
-  void Settle(const std::shared_ptr<const ChangeRequest>& request) {
+  void Resolve(const PendingPtr& pending, const platform::Conflict& conflict) {
+    for (const platform::Row& row : conflict.rows) {
+      if (row.key == inventory::ChangeIdKey(pending->request.change_id)) {
+        const core::Revision done{
+            std::strtoull(row.value.c_str(), nullptr, kDecimal)};
+        this->Finish(*pending, ChangeAccepted{done});
+        return;
+      }
+      for (const platform::Condition& fence : pending->request.fences) {
+        if (row.key == fence.key) {
+          this->Finish(*pending, ChangeRefused{.effect_unknown = false,
+                                               .message = kFenceMessage});
+          return;
+        }
+      }
+    }
+    this->Retry(pending, {.effect_unknown = false, .message = kBusyMessage});
+  }
+
+  void Retry(const PendingPtr& pending, ChangeRefused refusal) {
+    if (pending->attempts >= kAttempts) {
+      this->Finish(*pending, std::move(refusal));
+      return;
+    }
+    this->Begin(pending);
+  }
+
+  void Settle(const PendingPtr& pending) {
     const inventory::Revised* done =
-        this->follower.FindChange(request->change_id);
+        this->follower.FindChange(pending->request.change_id);
     if (done == nullptr) {
-      this->Finish(
-          *request,
-          ChangeRefused{.effect_unknown = true,
-                        .message = "The platform's answer was lost. Repeat the "
-                                   "command with the same change id."});
+      this->Retry(pending, {.effect_unknown = true, .message = kLostMessage});
       return;
     }
     this->Publish();
-    this->Finish(*request, ChangeAccepted{done->revision});
+    this->Finish(*pending, ChangeAccepted{done->revision});
   }
 
-  void ReadBack(const std::shared_ptr<const ChangeRequest>& request,
+  void ReadBack(const PendingPtr& pending,
                 const platform::Unavailable& failure) {
     if (failure.effect_unknown) {
-      this->ReadRevisions([this, request] { this->Settle(request); });
+      this->ReadRevisions([this, pending] { this->Settle(pending); });
       return;
     }
     this->Finish(
-        *request,
+        *pending,
         ChangeRefused{
-            .effect_unknown = false,
-            .message = "The platform cannot be reached (" + failure.message +
-                       "). Nothing was changed; repeat the command later."});
+            .effect_unknown = pending->attempts > 1,
+            .message =
+                pending->attempts > 1
+                    ? std::string{kLostMessage}
+                    : "The platform cannot be reached (" + failure.message +
+                          "). Nothing was changed; repeat the command later."});
   }
 
-  void Finish(const ChangeRequest& request,
-              decltype(ChangeResult::result) result) {
+  void Finish(const Pending& pending, decltype(ChangeResult::result) result) {
     core::CheckInvariant(
-        this->outlets.operations->TryPush(
-            {.request = request.request, .result = std::move(result)}),
-        "the ring to operations has room for every request's result");
+        pending.results->TryPush(
+            {.request = pending.request.request, .result = std::move(result)}),
+        "the ring for results has room for every request's result");
+    this->pending.pop_front();
+    if (!this->pending.empty()) {
+      this->Begin(this->pending.front());
+    }
   }
 
   Options options;
@@ -220,6 +285,7 @@
   boost::asio::steady_timer timer;
   platform::Client platform;
   Follower follower;
+  std::deque<PendingPtr> pending;
   InstanceList listed =
       std::make_shared<const std::vector<platform::ListedInstance>>();
   bool changed = false;
@@ -236,6 +302,10 @@
   return this->loop->from_operations;
 }
 
+core::Ring<ChangeRequest>& ConfigurationDuty::AutomationInlet() noexcept {
+  return this->loop->from_automation;
+}
+
 void ConfigurationDuty::Start(Outlets outlets) {
   this->loop->Start(std::move(outlets));
 }
--- a/packages/configuration/src/follower.cc
+++ b/packages/configuration/src/follower.cc
@@ -46,6 +46,9 @@
   std::optional<std::string> problem;
   for (const platform::Row& row : rows) {
     auto revised = inventory::DecodeRevised(row.value);
+    if (revised && revised->revision <= newest) {
+      continue;
+    }
     if (!revised || revised->revision != newest.Next()) {
       problem =
           "row " + row.key + " is malformed, of a newer format or out of order";
@@ -78,6 +81,10 @@
 std::variant<platform::Transaction, ChangeClash> Follower::Prepare(
     const ChangeRequest& request, const std::string& at,
     const core::InstanceName& by) const {
+  if (request.based_on && *request.based_on != this->current->Revision()) {
+    return ChangeClash{this->recent.empty() ? inventory::Revised{}
+                                            : this->recent.back()};
+  }
   for (const inventory::Change& change : request.changes) {
     const inventory::ObjectKey key =
         inventory::KeyOf(change.after ? *change.after : *change.before);
@@ -98,15 +105,22 @@
                                    .at = at,
                                    .by = by,
                                    .changes = request.changes};
-  return platform::Transaction{
+  const std::string number = std::to_string(revised.revision.Value());
+  platform::Transaction transaction{
       .conditions = {{.key = std::string{inventory::kHeadKey},
                       .version = platform::RowVersion{before.Value()}},
                      {.key = inventory::ChangeKey(revised.revision),
+                      .version = platform::kAbsent},
+                     {.key = inventory::ChangeIdKey(request.change_id),
                       .version = platform::kAbsent}},
-      .writes = {{.key = std::string{inventory::kHeadKey},
-                  .value = std::to_string(revised.revision.Value())},
-                 {.key = inventory::ChangeKey(revised.revision),
-                  .value = inventory::Encode(revised)}}};
+      .writes = {
+          {.key = std::string{inventory::kHeadKey}, .value = number},
+          {.key = inventory::ChangeKey(revised.revision),
+           .value = inventory::Encode(revised)},
+          {.key = inventory::ChangeIdKey(request.change_id), .value = number}}};
+  transaction.conditions.insert(transaction.conditions.end(),
+                                request.fences.begin(), request.fences.end());
+  return transaction;
 }
 
 }  // namespace trefoilbend::configuration
--- a/packages/inventory/include/trefoilbend/inventory/codec.h
+++ b/packages/inventory/include/trefoilbend/inventory/codec.h
@@ -24,6 +24,13 @@
  */
 [[nodiscard]] std::string ChangeKey(core::Revision revision);
 
+/**
+ * @brief Returns the key of the row that tells which revision a change became.
+ * @param change_id Identity of the change.
+ * @return The key.
+ */
+[[nodiscard]] std::string ChangeIdKey(std::string_view change_id);
+
 /**
  * @brief Writes a revision with its changes as JSON.
  * @param revised Revision to write.
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -190,6 +190,10 @@
   return key.str();
 }
 
+std::string ChangeIdKey(const std::string_view change_id) {
+  return "change-id/" + std::string{change_id};
+}
+
 std::string Encode(const Revised& revised) {
   json encoded{
       {"format", kFormat},       {"revision", revised.revision.Value()},
--- a/packages/platform/include/trefoilbend/platform/fwd.h
+++ b/packages/platform/include/trefoilbend/platform/fwd.h
@@ -12,7 +12,11 @@
 struct Unavailable;
 struct ListedInstance;
 
+struct LeaseHolder;
+struct LeaseTimes;
+
 class Client;
+class Lease;
 
 }  // namespace trefoilbend::platform
 
--- /dev/null
+++ b/packages/platform/include/trefoilbend/platform/lease.h
@@ -0,0 +1,112 @@
+#ifndef TREFOILBEND_PLATFORM_LEASE_H_
+#define TREFOILBEND_PLATFORM_LEASE_H_
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "trefoilbend/core/clock.h"
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/core/number.h"
+#include "trefoilbend/platform/messages.h"
+
+namespace trefoilbend::platform {
+
+/** @brief Number of a lease's holders so far. */
+using Epoch = core::Number<struct EpochTag>;
+
+/** @brief Who competes for a lease. */
+struct LeaseHolder {
+  /** @brief Name of the entry. */
+  core::InstanceName name;
+  /** @brief Run of the entry's process. */
+  core::Incarnation incarnation;
+
+  [[nodiscard]] bool operator==(const LeaseHolder&) const = default;
+};
+
+/** @brief Times of a lease. */
+struct LeaseTimes {
+  /** @brief Time for which a renewal holds. */
+  std::chrono::milliseconds length{5'000};
+  /** @brief Time by which the holder stops earlier than others may begin, for
+   * clocks that run at different rates. */
+  std::chrono::milliseconds margin{500};
+};
+
+/**
+ * @brief A lease in one row of the platform's table.
+ *
+ * The row's version tells that the holder lives, so no wall clock is compared.
+ * A contender takes the lease over when it has seen the same version for the
+ * whole length on its own clock. The holder counts its time from before it sent
+ * the renewal, which is never later than when a contender saw it.
+ */
+class Lease {
+ public:
+  /**
+   * @brief Makes a lease that is not held.
+   * @param key Key of the row.
+   * @param self Who competes.
+   * @param times Times of the lease, equal on all contenders.
+   */
+  Lease(std::string key, LeaseHolder self, LeaseTimes times = {});
+
+  /** @return Key of the row, to be read before each attempt. */
+  [[nodiscard]] const std::string& Key() const noexcept { return this->key; }
+
+  /**
+   * @brief Takes note of the row and prepares to take or renew the lease.
+   * @param row Row as it was read, or nothing if it is absent.
+   * @param now Time after the reading.
+   * @return Transaction to commit now, or nothing while another holds it.
+   */
+  [[nodiscard]] std::optional<Transaction> Attempt(
+      const std::optional<Row>& row, core::TimePoint now);
+
+  /**
+   * @brief Takes note that the transaction of the last attempt has committed.
+   * @param sent Time at which the transaction was sent.
+   */
+  void Renew(core::TimePoint sent);
+
+  /** @brief Gives up, after a conflict in a fenced write. */
+  void Lose() noexcept { this->held_until.reset(); }
+
+  /**
+   * @brief Tells whether this process may act as the holder.
+   * @param now Current time.
+   * @return True while the lease is held for certain.
+   */
+  [[nodiscard]] bool Held(core::TimePoint now) const noexcept {
+    return this->held_until && now < *this->held_until;
+  }
+
+  /** @return Epoch of the last renewal. */
+  [[nodiscard]] Epoch Current() const noexcept { return this->epoch; }
+
+  /**
+   * @brief Returns the condition that fences a write against a later holder.
+   * @return Condition on the row's version since the last renewal.
+   */
+  [[nodiscard]] Condition Fence() const;
+
+ private:
+  struct Seen {
+    RowVersion version;
+    core::TimePoint since;
+  };
+
+  std::string key;
+  LeaseHolder self;
+  LeaseTimes times;
+  Epoch epoch;
+  Epoch attempted_epoch;
+  RowVersion version;
+  std::optional<Seen> seen;
+  std::optional<core::TimePoint> held_until;
+};
+
+}  // namespace trefoilbend::platform
+
+#endif  // TREFOILBEND_PLATFORM_LEASE_H_
