Give a release's version its share of the calls at every entry

Cause: targets of every version in the register were used alike, so a new version got traffic from the moment it was registered. Change: a release is an object of the configuration, committed as a revision like any other. The dispatcher asks a VersionChooser for the version of a new call and takes only that version's targets. A retry goes to the old version. Seen: the story of two versions fails to build before the hook; with it 0 of 100 calls reach the new version before the first step and 10 of 100 at 100 thousandths. Ruled out: falling back to the new version when the old one's targets are gone, since that would push an unproved version; such calls are refused as not run.

--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -13,6 +13,7 @@
 #include "trefoilbend/admission/queue.h"
 #include "trefoilbend/balancing/messages.h"
 #include "trefoilbend/balancing/target_table.h"
+#include "trefoilbend/rollout/version_chooser.h"
 
 namespace trefoilbend::balancing {
 
@@ -101,6 +102,7 @@
   struct CallState {
     std::shared_ptr<const core::CallRequest> request;
     std::vector<core::InstanceName> tried;
+    core::VersionName version;
     std::optional<core::ExchangeId> exchange;
     bool cancelled{};
     bool perhaps_run{};
@@ -109,6 +111,9 @@
   void Serve(ServiceState& service, core::TimePoint now, Decisions& decisions);
   [[nodiscard]] bool TryStart(ServiceState& service, core::CallId id,
                               core::TimePoint now, Decisions& decisions);
+  [[nodiscard]] const inventory::Instance* ChooseTarget(ServiceState& service,
+                                                        CallState& call,
+                                                        core::TimePoint now);
   void RetryOrRefuse(ServiceState& service,
                      const forwarding::ExchangeEnded& ended,
                      core::TimePoint now, Decisions& decisions);
@@ -117,6 +122,7 @@
 
   DispatcherOptions options;
   std::map<core::ServiceName, ServiceState> services;
+  rollout::VersionChooser versions;
   std::unordered_map<core::CallId, CallState> calls;
   core::ExchangeId last_exchange;
 };
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -65,11 +65,13 @@
   /**
    * @brief Chooses a target and counts the call as in flight there.
    * @param excluded Targets that already had the call.
+   * @param version Version that the target must run.
    * @param now Current time.
    * @return The target, or null if none may take a call.
    */
   [[nodiscard]] const inventory::Instance* Choose(
-      const std::vector<core::InstanceName>& excluded, core::TimePoint now);
+      const std::vector<core::InstanceName>& excluded,
+      const core::VersionName& version, core::TimePoint now);
 
   /**
    * @brief Takes note of an exchange that ended.
@@ -78,9 +80,13 @@
    */
   void Ended(const forwarding::ExchangeEnded& ended, core::TimePoint now);
 
-  /** @return Whether any target may take new calls, now or once calls in flight
-   * end. */
-  [[nodiscard]] bool HasUsable() const noexcept;
+  /**
+   * @brief Tells whether any target may take new calls, now or once calls in
+   * flight end.
+   * @param version Version that the target must run.
+   * @return True if there is one.
+   */
+  [[nodiscard]] bool HasUsable(const core::VersionName& version) const noexcept;
 
   /** @return All targets. */
   [[nodiscard]] const std::vector<TargetState>& Targets() const noexcept {
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -36,6 +36,7 @@
            state->second == platform::InstanceState::kLive &&
            !configuration.IsOut(target.data_centre);
   };
+  this->versions.Configure(configuration);
   Decisions decisions;
   for (const auto& [name, view] : configuration.Services()) {
     auto known = this->services.find(name);
@@ -79,7 +80,7 @@
     return decisions;
   }
   ServiceState& state = service->second;
-  if (!state.targets.HasUsable()) {
+  if (!state.targets.HasUsable(this->versions.Stable(service->first))) {
     this->Refuse(call.call, core::RefusalReason::kNoTarget, decisions);
     return decisions;
   }
@@ -157,7 +158,7 @@
 bool Dispatcher::TryStart(ServiceState& service, const core::CallId id,
                           const core::TimePoint now, Decisions& decisions) {
   CallState& call = this->calls.at(id);
-  const inventory::Instance* target = service.targets.Choose(call.tried, now);
+  const inventory::Instance* target = this->ChooseTarget(service, call, now);
   if (target == nullptr) {
     return false;
   }
@@ -172,6 +173,25 @@
   return true;
 }
 
+const inventory::Instance* Dispatcher::ChooseTarget(ServiceState& service,
+                                                    CallState& call,
+                                                    const core::TimePoint now) {
+  const core::ServiceName& name = call.request->service;
+  const core::VersionName stable = this->versions.Stable(name);
+  if (call.tried.empty() && call.version.Empty()) {
+    call.version = this->versions.Choose(name);
+  }
+  const bool prefers_new = call.tried.empty() && call.version != stable &&
+                           this->versions.Serves(name, call.version);
+  if (prefers_new) {
+    if (const auto* target =
+            service.targets.Choose(call.tried, call.version, now)) {
+      return target;
+    }
+  }
+  return service.targets.Choose(call.tried, stable, now);
+}
+
 void Dispatcher::RetryOrRefuse(ServiceState& service,
                                const forwarding::ExchangeEnded& ended,
                                const core::TimePoint now,
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -36,14 +36,14 @@
 
 const inventory::Instance* TargetTable::Choose(
     const std::vector<core::InstanceName>& excluded,
-    const core::TimePoint now) {
+    const core::VersionName& version, const core::TimePoint now) {
   this->candidates.clear();
   for (std::size_t at = 0; at < this->targets.size(); ++at) {
     const TargetState& target = this->targets[at];
     const bool tried = std::find(excluded.begin(), excluded.end(),
                                  target.instance.name) != excluded.end();
-    if (target.usable && !tried && target.in_flight < target.limit &&
-        target.avoided_until <= now) {
+    if (target.usable && target.instance.version == version && !tried &&
+        target.in_flight < target.limit && target.avoided_until <= now) {
       this->candidates.push_back(
           {.target = at,
            .in_flight = target.in_flight,
@@ -80,9 +80,12 @@
   }
 }
 
-bool TargetTable::HasUsable() const noexcept {
+bool TargetTable::HasUsable(const core::VersionName& version) const noexcept {
   return std::any_of(this->targets.begin(), this->targets.end(),
-                     [](const TargetState& target) { return target.usable; });
+                     [&](const TargetState& target) {
+                       return target.usable &&
+                              target.instance.version == version;
+                     });
 }
 
 }  // namespace trefoilbend::balancing
--- /dev/null
+++ b/packages/balancing/test/version_test.cc
@@ -0,0 +1,114 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "trefoilbend/balancing/dispatcher.h"
+
+namespace trefoilbend::balancing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::ServiceName kStock{"stock"};
+
+struct Fixture {
+  Dispatcher dispatcher{DispatcherOptions{.queue = {.length = 16}}};
+  core::TimePoint now{10s};
+  std::uint64_t last_call = 0;
+
+  void Configure(const std::uint32_t share, const bool old_is_live = true) {
+    inventory::Configuration::Builder builder;
+    builder.Put(
+        inventory::Service{.name = kStock, .version = core::VersionName{"1"}});
+    builder.Put(inventory::Release{.name = kStock,
+                                   .version = core::VersionName{"2"},
+                                   .state = inventory::ReleaseState::kMoving,
+                                   .share = share});
+    auto listed = std::make_shared<std::vector<platform::ListedInstance>>();
+    for (const std::string version : {"1", "2"}) {
+      inventory::Instance target;
+      target.name = core::InstanceName{"stock-" + version};
+      target.service = kStock;
+      target.version = core::VersionName{version};
+      target.slots = 1;
+      target.connections = 1'000;
+      builder.Put(target);
+      if (old_is_live || version == "2") {
+        listed->push_back({target.name, platform::InstanceState::kLive});
+      }
+    }
+    (void)this->dispatcher.Configure({builder.Build(), listed}, this->now);
+  }
+
+  Decision Submit() {
+    auto request = std::make_shared<core::CallRequest>();
+    request->service = kStock;
+    request->idempotent = true;
+    request->deadline = this->now + 1s;
+    const Decisions decisions = this->dispatcher.Submit(
+        {core::CallId{++this->last_call}, request}, this->now);
+    BOOST_REQUIRE(decisions.size() == 1);
+    return decisions.front();
+  }
+
+  std::map<std::string, int> Started(const int calls) {
+    std::map<std::string, int> started;
+    for (int call = 0; call < calls; ++call) {
+      ++started[std::get<forwarding::StartExchange>(this->Submit())
+                    .target.Text()];
+    }
+    return started;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_service_with_targets_of_two_versions, Fixture)
+
+BOOST_AUTO_TEST_CASE(uses_only_the_services_version_before_the_first_step) {
+  Configure(0);
+  BOOST_TEST(Started(100)["stock-2"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(gives_the_new_version_the_share_of_its_release) {
+  Configure(100);
+  const auto started = Started(100);
+  BOOST_TEST(started.at("stock-2") == 10);
+  BOOST_TEST(started.at("stock-1") == 90);
+}
+
+BOOST_AUTO_TEST_CASE(retries_a_call_of_the_new_version_on_the_old_one) {
+  Configure(inventory::kWholeShare);
+  const auto first = std::get<forwarding::StartExchange>(Submit());
+  BOOST_TEST(first.target.Text() == "stock-2");
+  const Decisions next = dispatcher.Ended(
+      {.call = first.call,
+       .exchange = first.exchange,
+       .target = first.target,
+       .result = forwarding::ExchangeResult::kBrokenBeforeAnswer,
+       .load = std::nullopt},
+      now);
+  BOOST_REQUIRE(next.size() == 1);
+  const auto& second = std::get<forwarding::StartExchange>(next.front());
+  BOOST_TEST(second.target.Text() == "stock-1");
+}
+
+BOOST_AUTO_TEST_SUITE(whose_old_targets_are_gone)
+
+BOOST_AUTO_TEST_CASE(refuses_calls_as_not_run_and_never_floods_the_new_one) {
+  Configure(10, false);
+  const auto refused = std::get<CallRefused>(Submit());
+  BOOST_TEST((refused.refusal.reason == core::RefusalReason::kNoTarget));
+  BOOST_TEST((refused.refusal.run == core::RunState::kNotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::balancing
--- a/packages/inventory/include/trefoilbend/inventory/fwd.h
+++ b/packages/inventory/include/trefoilbend/inventory/fwd.h
@@ -8,6 +8,7 @@
 struct Instance;
 struct Route;
 struct Outage;
+struct Release;
 struct ObjectKey;
 struct Change;
 struct Revised;
--- a/packages/inventory/include/trefoilbend/inventory/objects.h
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -109,8 +109,50 @@
   [[nodiscard]] bool operator==(const Outage&) const = default;
 };
 
+/** @brief Where a release stands. */
+enum class ReleaseState : std::uint8_t {
+  /** @brief Traffic moves to the new version step by step. */
+  kMoving,
+  /** @brief Operators hold the release at its step. */
+  kPaused,
+  /** @brief All traffic is on the old version again. */
+  kTakenBack,
+  /** @brief All traffic is on the new version. */
+  kDone
+};
+
+/** @brief The move of a service's traffic to a new version. */
+struct Release {
+  /** @brief Service whose traffic moves; a service has one release at a time.
+   */
+  core::ServiceName name;
+  /** @brief Version that the traffic moves to. */
+  core::VersionName version;
+  /** @brief Wall-clock time at which operators began the release, which tells
+   * it from earlier ones. */
+  std::chrono::sys_seconds begun{};
+  /** @brief Wall-clock time by which the new version must carry all traffic. */
+  std::chrono::sys_seconds deadline{};
+  /** @brief Where the release stands. */
+  ReleaseState state = ReleaseState::kMoving;
+  /** @brief Number of the step; 0 before the first. */
+  std::uint32_t step{};
+  /** @brief Greatest share of calls that the new version gets, in thousandths.
+   */
+  std::uint32_t share{};
+  /** @brief Epoch of the controller that wrote last; writes of earlier ones
+   * clash. */
+  std::uint64_t epoch{};
+
+  [[nodiscard]] bool operator==(const Release&) const = default;
+};
+
+/** @brief Whole of a release's share. */
+inline constexpr std::uint32_t kWholeShare = 1'000;
+
 /** @brief Any object of the configuration. */
-using Object = std::variant<DataCentre, Service, Instance, Route, Outage>;
+using Object =
+    std::variant<DataCentre, Service, Instance, Route, Outage, Release>;
 
 /** @brief Kinds of objects, in the order of Object's alternatives. */
 enum class Kind : std::uint8_t {
@@ -118,7 +160,8 @@
   kService,
   kInstance,
   kRoute,
-  kOutage
+  kOutage,
+  kRelease
 };
 
 /** @brief Identity of an object. */
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -1,5 +1,6 @@
 #include "trefoilbend/inventory/codec.h"
 
+#include <algorithm>
 #include <array>
 #include <iomanip>
 #include <nlohmann/json.hpp>
@@ -83,6 +84,46 @@
   return object;
 }
 
+constexpr std::array<const char*, 4> kReleaseStates{"moving", "paused",
+                                                    "taken-back", "done"};
+
+json ToJson(const Release& release) {
+  return {{"name", release.name.Text()},
+          {"version", release.version.Text()},
+          {"begun_s", release.begun.time_since_epoch().count()},
+          {"deadline_s", release.deadline.time_since_epoch().count()},
+          {"state", kReleaseStates.at(static_cast<std::size_t>(release.state))},
+          {"step", release.step},
+          {"share", release.share},
+          {"epoch", release.epoch}};
+}
+
+ReleaseState ReleaseStateFrom(const json& object) {
+  const std::string text = TextOf(object, "state");
+  const auto* const found =
+      std::find(kReleaseStates.begin(), kReleaseStates.end(), text);
+  if (found == kReleaseStates.end()) {
+    throw json::other_error::create(0, "unknown state", &object);
+  }
+  return static_cast<ReleaseState>(found - kReleaseStates.begin());
+}
+
+std::chrono::sys_seconds WallTimeOf(const json& object, const char* key) {
+  return std::chrono::sys_seconds{
+      std::chrono::seconds{object.at(key).get<std::int64_t>()}};
+}
+
+Object ReleaseFrom(const json& object) {
+  return Release{.name = core::ServiceName{TextOf(object, "name")},
+                 .version = core::VersionName{TextOf(object, "version")},
+                 .begun = WallTimeOf(object, "begun_s"),
+                 .deadline = WallTimeOf(object, "deadline_s"),
+                 .state = ReleaseStateFrom(object),
+                 .step = object.at("step").get<std::uint32_t>(),
+                 .share = object.at("share").get<std::uint32_t>(),
+                 .epoch = object.at("epoch").get<std::uint64_t>()};
+}
+
 Object DataCentreFrom(const json& object) {
   return DataCentre{.name = core::DataCentreName{TextOf(object, "name")},
                     .region = core::RegionName{TextOf(object, "region")}};
@@ -155,7 +196,8 @@
      {"service", ServiceFrom},
      {"instance", InstanceFrom},
      {"route", RouteFrom},
-     {"outage", OutageFrom}}};
+     {"outage", OutageFrom},
+     {"release", ReleaseFrom}}};
 
 json ToJson(const Object& object) {
   json encoded =
--- /dev/null
+++ b/packages/rollout/include/trefoilbend/rollout/release_id.h
@@ -0,0 +1,37 @@
+#ifndef TREFOILBEND_ROLLOUT_RELEASE_ID_H_
+#define TREFOILBEND_ROLLOUT_RELEASE_ID_H_
+
+#include <chrono>
+#include <compare>
+
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/inventory/objects.h"
+
+namespace trefoilbend::rollout {
+
+/** @brief Identity of a release among all that a service ever has. */
+struct ReleaseId {
+  /** @brief Service whose traffic moves. */
+  core::ServiceName service;
+  /** @brief Version that the traffic moves to. */
+  core::VersionName version;
+  /** @brief Wall-clock time at which operators began the release. */
+  std::chrono::sys_seconds begun{};
+
+  [[nodiscard]] auto operator<=>(const ReleaseId&) const = default;
+};
+
+/**
+ * @brief Returns the identity of a release.
+ * @param release Release to identify.
+ * @return Its identity.
+ */
+[[nodiscard]] inline ReleaseId IdOf(const inventory::Release& release) {
+  return {.service = release.name,
+          .version = release.version,
+          .begun = release.begun};
+}
+
+}  // namespace trefoilbend::rollout
+
+#endif  // TREFOILBEND_ROLLOUT_RELEASE_ID_H_
