Add a bench of the choice of targets, and measure the baselines

Cause: the tail under load is what the choice is judged by, and nothing measured it. Change: bench/balancing drives the real dispatchers, one an entry, with small fake targets under a manual clock; an oracle that sees the targets' true queues and slow periods chooses in the same run.

Ruled out: an oracle that sees only queues, as it would make every ratio look better than it is.

--- /dev/null
+++ b/bench/balancing/main.cc
@@ -0,0 +1,115 @@
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "simulation.h"
+#include "trefoilbend/balancing/strategy.h"
+
+namespace {
+
+using std::chrono::microseconds;
+using trefoilbend::bench::Result;
+using trefoilbend::bench::Scenario;
+
+/** @return The named cases, each one change from the first. */
+std::vector<Scenario> Cases() {
+  using namespace std::chrono_literals;
+  Scenario noisy;
+  Scenario calm{.name = "calm", .slow_for = 0ms};
+  Scenario stale{.name = "stale", .report_lag = 200ms};
+  Scenario lying{.name = "lying", .liars = 5};
+  Scenario unequal{.name = "unequal", .unequal = true};
+  Scenario failing{.name = "fast-failing", .fast_failing = 1};
+  Scenario frozen{.name = "frozen", .frozen = 1};
+  Scenario georgia{.name = "georgia",
+                   .entries = 14,
+                   .targets = 30,
+                   .slots = 4,
+                   .connections = 250,
+                   .network = 250us};
+  return {noisy, calm, stale, lying, unequal, failing, frozen, georgia};
+}
+
+double Milliseconds(std::vector<microseconds>& times, const double part) {
+  if (times.empty()) {
+    return 0;
+  }
+  const auto at = static_cast<std::size_t>(part * (times.size() - 1));
+  std::nth_element(times.begin(), times.begin() + at, times.end());
+  return std::chrono::duration<double, std::milli>(times[at]).count();
+}
+
+void Print(const std::string& name, const double value, const char* unit) {
+  std::printf("figure %s %.2f %s\n", name.c_str(), value, unit);
+}
+
+double Report(const Scenario& scenario, const std::string& strategy,
+              Result& result, const double oracle) {
+  char prefix[128];
+  std::snprintf(prefix, sizeof prefix, "%s_%.0f_%s_seed%llu_",
+                scenario.name.c_str(), scenario.load * 100, strategy.c_str(),
+                static_cast<unsigned long long>(scenario.seed));
+  const std::string name = prefix;
+  const double p99 = Milliseconds(result.times, 0.99);
+  const auto arrived =
+      static_cast<double>(std::max<std::uint64_t>(1, result.arrived));
+  Print(name + "p50", Milliseconds(result.times, 0.5), "ms");
+  Print(name + "p99", p99, "ms");
+  Print(name + "p999", Milliseconds(result.times, 0.999), "ms");
+  Print(name + "urgent_p99", Milliseconds(result.urgent_times, 0.99), "ms");
+  Print(name + "answered", 100 * result.times.size() / arrived, "%");
+  Print(name + "failed", 100 * result.failed / arrived, "%");
+  Print(name + "urgent_refused", static_cast<double>(result.urgent_refused),
+        "calls");
+  Print(name + "exchanges_per_call", result.exchanges / arrived, "");
+  if (oracle > 0) {
+    Print(name + "p99_to_oracle", p99 / oracle, "");
+  }
+  return p99;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  namespace bench = trefoilbend::bench;
+  CLI::App app{
+      "Measures the choice of targets with real dispatchers and fake targets "
+      "under a manual clock."};
+  std::vector<std::string> names{"noisy"};
+  std::vector<std::string> strategies = trefoilbend::balancing::StrategyNames();
+  std::vector<double> loads{50, 70, 85, 95};
+  std::vector<std::uint64_t> seeds{1};
+  double seconds = 10;
+  app.add_option("--case", names, "Cases to run, or all");
+  app.add_option("--strategy", strategies, "Strategies to run");
+  app.add_option("--load", loads, "Loads in percent of what targets can do");
+  app.add_option("--seed", seeds, "Seeds of the random numbers");
+  app.add_option("--seconds", seconds, "Length of each run");
+  CLI11_PARSE(app, argc, argv);
+  strategies.insert(strategies.begin(), bench::kOracle);
+  for (Scenario scenario : Cases()) {
+    if (names.front() != "all" &&
+        std::find(names.begin(), names.end(), scenario.name) == names.end()) {
+      continue;
+    }
+    for (const double load : loads) {
+      for (const std::uint64_t seed : seeds) {
+        scenario.load = load / 100;
+        scenario.seed = seed;
+        scenario.length = std::chrono::milliseconds{
+            static_cast<std::int64_t>(seconds * 1'000)};
+        double oracle = 0;
+        for (const std::string& strategy : strategies) {
+          Result result = bench::Simulation{scenario, strategy}.Run();
+          const double p99 = Report(scenario, strategy, result, oracle);
+          oracle = strategy == bench::kOracle ? p99 : oracle;
+        }
+      }
+    }
+  }
+  return 0;
+}
