Let the first head of a call's exchanges win and cancel the others

Cause: a hedge is a second exchange of one call, and forwarding knew one exchange a call: both answers would have reached the caller. Change: a call has a list of exchanges; the first answer's head gives the others up. An order may name the exchange that it hedges, and is not sent unless that one still waits; balancing learns when a long answer has begun.

Ruled out: letting callers drop the second answer, since the first may be streaming still and a target would do work for nobody.

--- a/packages/forwarding/include/trefoilbend/forwarding/fwd.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/fwd.h
@@ -11,6 +11,7 @@
 struct AnswerContinued;
 struct AnswerBroken;
 struct ExchangeEnded;
+struct ExchangeBegan;
 struct LoadReport;
 
 class ForwardingDuty;
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -26,6 +26,9 @@
   http::Address address;
   /** @brief What is sent. */
   std::shared_ptr<const core::CallRequest> request;
+  /** @brief Exchange of the same call that this one hedges; unless it still
+   * waits for its answer, this one ends as cancelled and nothing is sent. */
+  std::optional<core::ExchangeId> beside{};
 };
 
 /** @brief Order to give up an exchange and to close its connection. */
@@ -127,8 +130,16 @@
   std::optional<LoadReport> load;
 };
 
+/** @brief The head of a long answer came; the rest follows. */
+struct ExchangeBegan {
+  /** @brief Call that is answered. */
+  core::CallId call;
+  /** @brief Identity of the attempt. */
+  core::ExchangeId exchange;
+};
+
 /** @brief Messages to the duty that chooses targets. */
-using ToBalancing = std::variant<std::monostate, ExchangeEnded>;
+using ToBalancing = std::variant<std::monostate, ExchangeEnded, ExchangeBegan>;
 
 }  // namespace trefoilbend::forwarding
 
--- a/packages/forwarding/src/duty.cc
+++ b/packages/forwarding/src/duty.cc
@@ -2,6 +2,7 @@
 
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "internal/exchange.h"
 #include "trefoilbend/core/invariant.h"
@@ -49,6 +50,13 @@
     return this->duty.Context();
   }
 
+  void Begin(const ExchangeBegan began, const bool complete) override {
+    this->ForOthers(began, &internal::Exchange::Cancel);
+    if (!complete) {
+      this->Report(began);
+    }
+  }
+
   void Answer(ToCallers message) override {
     core::CheckInvariant(
         this->outlets.callers->TryPush(std::move(message)),
@@ -57,14 +65,14 @@
 
   void End(ExchangeEnded ended) override {
     this->exchanges.erase(ended.exchange);
-    const auto by_call = this->exchange_of_call.find(ended.call);
-    if (by_call != this->exchange_of_call.end() &&
-        by_call->second == ended.exchange) {
-      this->exchange_of_call.erase(by_call);
+    const auto by_call = this->exchanges_of_call.find(ended.call);
+    if (by_call != this->exchanges_of_call.end()) {
+      std::erase(by_call->second, ended.exchange);
+      if (by_call->second.empty()) {
+        this->exchanges_of_call.erase(by_call);
+      }
     }
-    core::CheckInvariant(
-        this->outlets.balancing->TryPush(std::move(ended)),
-        "the ring to balancing has room for every call's report");
+    this->Report(std::move(ended));
   }
 
   core::Ring<FromBalancing> from_balancing;
@@ -75,7 +83,15 @@
  private:
   void Start(StartExchange order) {
     const core::ExchangeId id = order.exchange;
-    this->exchange_of_call[order.call] = id;
+    if (order.beside && !this->IsAwaited(*order.beside)) {
+      this->Report(ExchangeEnded{.call = order.call,
+                                 .exchange = id,
+                                 .target = order.target,
+                                 .result = ExchangeResult::kCancelled,
+                                 .load = std::nullopt});
+      return;
+    }
+    this->exchanges_of_call[order.call].push_back(id);
     const auto exchange =
         std::make_shared<internal::Exchange>(*this, std::move(order));
     this->exchanges.emplace(id, exchange);
@@ -90,20 +106,42 @@
     }
   }
 
+  [[nodiscard]] bool IsAwaited(const core::ExchangeId id) const {
+    const auto found = this->exchanges.find(id);
+    return found != this->exchanges.end() && !found->second->HasBegun();
+  }
+
+  void Report(ToBalancing message) {
+    core::CheckInvariant(
+        this->outlets.balancing->TryPush(std::move(message)),
+        "the ring to balancing has room for every call's reports");
+  }
+
   void ForCall(const core::CallId call, void (internal::Exchange::*action)()) {
-    const auto id = this->exchange_of_call.find(call);
-    if (id == this->exchange_of_call.end()) {
+    this->ForOthers({call, core::ExchangeId{}}, action);
+  }
+
+  void ForOthers(const ExchangeBegan& but,
+                 void (internal::Exchange::*action)()) {
+    const auto found = this->exchanges_of_call.find(but.call);
+    if (found == this->exchanges_of_call.end()) {
       return;
     }
-    const std::shared_ptr<internal::Exchange> exchange =
-        this->exchanges.at(id->second);
-    (*exchange.*action)();
+    const std::vector<core::ExchangeId> ids = found->second;
+    for (const core::ExchangeId id : ids) {
+      if (id != but.exchange) {
+        const std::shared_ptr<internal::Exchange> exchange =
+            this->exchanges.at(id);
+        (*exchange.*action)();
+      }
+    }
   }
 
   internal::ConnectionPool pool;
   std::unordered_map<core::ExchangeId, std::shared_ptr<internal::Exchange>>
       exchanges;
-  std::unordered_map<core::CallId, core::ExchangeId> exchange_of_call;
+  std::unordered_map<core::CallId, std::vector<core::ExchangeId>>
+      exchanges_of_call;
 };
 
 ForwardingDuty::ForwardingDuty(const std::size_t max_calls)
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -169,6 +169,7 @@
         this->order.call, {.body = std::move(body), .complete = complete}});
   } else if (!this->abandoned) {
     this->head_passed = true;
+    this->owner.Begin({this->order.call, this->order.exchange}, complete);
     const auto& message = this->parser->get();
     core::AnswerHead head{
         .status = static_cast<std::uint16_t>(message.result_int()),
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -25,6 +25,14 @@
   /** @return Event loop of the duty. */
   [[nodiscard]] virtual boost::asio::io_context& Context() noexcept = 0;
 
+  /**
+   * @brief Takes note that an exchange has an answer, before the answer is
+   * passed on; the call's other exchanges are given up.
+   * @param began The exchange.
+   * @param complete Whether the answer is whole.
+   */
+  virtual void Begin(ExchangeBegan began, bool complete) = 0;
+
   /**
    * @brief Passes a part of an answer on.
    * @param message Part of the answer.
@@ -63,6 +71,9 @@
   /** @return Call that is sent. */
   [[nodiscard]] core::CallId Call() const noexcept { return this->order.call; }
 
+  /** @return Whether the answer has begun. */
+  [[nodiscard]] bool HasBegun() const noexcept { return this->head_passed; }
+
  private:
   static constexpr std::size_t kPartSize = 16U << 10U;
 
