--- a/bench/balancing/main.cc
+++ b/bench/balancing/main.cc
@@ -38,9 +38,15 @@
   if (times.empty()) {
     return 0;
   }
-  const auto at = static_cast<std::size_t>(part * (times.size() - 1));
-  std::nth_element(times.begin(), times.begin() + at, times.end());
-  return std::chrono::duration<double, std::milli>(times[at]).count();
+  const auto last = static_cast<double>(times.size() - 1);
+  const auto at = times.begin() + static_cast<std::ptrdiff_t>(part * last);
+  std::nth_element(times.begin(), at, times.end());
+  return std::chrono::duration<double, std::milli>(*at).count();
+}
+
+double PerCall(const std::uint64_t count, const Result& result) {
+  const std::uint64_t calls = std::max<std::uint64_t>(1, result.arrived);
+  return static_cast<double>(count) / static_cast<double>(calls);
 }
 
 void Print(const std::string& name, const double value, const char* unit) {
@@ -55,17 +61,15 @@
                 static_cast<unsigned long long>(scenario.seed));
   const std::string name = prefix;
   const double p99 = Milliseconds(result.times, 0.99);
-  const auto arrived =
-      static_cast<double>(std::max<std::uint64_t>(1, result.arrived));
   Print(name + "p50", Milliseconds(result.times, 0.5), "ms");
   Print(name + "p99", p99, "ms");
   Print(name + "p999", Milliseconds(result.times, 0.999), "ms");
   Print(name + "urgent_p99", Milliseconds(result.urgent_times, 0.99), "ms");
-  Print(name + "answered", 100 * result.times.size() / arrived, "%");
-  Print(name + "failed", 100 * result.failed / arrived, "%");
+  Print(name + "answered", 100 * PerCall(result.times.size(), result), "%");
+  Print(name + "failed", 100 * PerCall(result.failed, result), "%");
   Print(name + "urgent_refused", static_cast<double>(result.urgent_refused),
         "calls");
-  Print(name + "exchanges_per_call", result.exchanges / arrived, "");
+  Print(name + "exchanges_per_call", PerCall(result.exchanges, result), "");
   if (oracle > 0) {
     Print(name + "p99_to_oracle", p99 / oracle, "");
   }
--- a/packages/forwarding/test/hedge_test.cc
+++ b/packages/forwarding/test/hedge_test.cc
@@ -79,15 +79,15 @@
     });
   }
 
+  core::Ring<ToCallers> to_callers{16};
+  core::Ring<ToBalancing> to_balancing{16};
+  ForwardingDuty duty{4};
   boost::asio::io_context context;
   std::vector<http::Respond> kept;
   std::size_t length = 10;
   std::shared_ptr<http::Server> silent;
   std::shared_ptr<http::Server> quick;
   std::thread thread;
-  core::Ring<ToCallers> to_callers{16};
-  core::Ring<ToBalancing> to_balancing{16};
-  ForwardingDuty duty{4};
   std::vector<ExchangeEnded> ended;
   int answers = 0;
 };
