Wait for the head before reading on an abandoned exchange

Cause: a caller that leaves while its call waits for the target's head made Exchange::Abandon start a read beside the one of the head, or, while the connection was being made, on a parser that did not exist yet. In release builds this is undefined behaviour; with assertions Beast stops the process (stream_base.hpp: '! b_').

Change: an abandoned exchange reads on by itself only once its head has been passed on; before, the head's own handler does.

--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -206,7 +206,7 @@
     return;
   }
   this->abandoned = true;
-  if (!this->reading) {
+  if (this->head_passed && !this->reading) {
     this->ReadPart();
   }
 }
