--- a/packages/forwarding/test/hedge_test.cc
+++ b/packages/forwarding/test/hedge_test.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -63,22 +64,30 @@
                       .beside = beside}));
   }
 
-  void AwaitEnds(const std::size_t count) {
-    for (int attempt = 0; attempt < 500 && this->ended.size() < count;
-         ++attempt) {
-      this->to_balancing.Drain([this](ToBalancing&& message) {
-        if (const auto* end = std::get_if<ExchangeEnded>(&message)) {
-          this->ended.push_back(*end);
-        }
-      });
-      std::this_thread::sleep_for(2ms);
-    }
-    BOOST_REQUIRE(this->ended.size() == count);
+  void Drain() {
+    this->to_balancing.Drain([this](ToBalancing&& message) {
+      if (const auto* end = std::get_if<ExchangeEnded>(&message)) {
+        this->ended.push_back(*end);
+      }
+    });
     this->to_callers.Drain([this](ToCallers&& message) {
       this->answers += std::holds_alternative<AnswerStarted>(message) ? 1 : 0;
     });
   }
 
+  void Await(const std::function<bool()>& condition) {
+    const auto limit = std::chrono::steady_clock::now() + 20s;
+    for (this->Drain(); !condition(); this->Drain()) {
+      BOOST_REQUIRE((std::chrono::steady_clock::now() < limit));
+      std::this_thread::sleep_for(2ms);
+    }
+  }
+
+  void AwaitEnds(const std::size_t count) {
+    this->Await([&] { return this->ended.size() >= count; });
+    BOOST_REQUIRE(this->ended.size() == count);
+  }
+
   core::Ring<ToCallers> to_callers{16};
   core::Ring<ToBalancing> to_balancing{16};
   ForwardingDuty duty{4};
@@ -121,7 +130,7 @@
 BOOST_AUTO_TEST_CASE(sends_nothing_while_a_long_answer_is_under_way) {
   length = 1'000'000;
   Send(1, *quick, std::nullopt);
-  std::this_thread::sleep_for(200ms);
+  Await([this] { return answers == 1; });
   Send(2, *quick, ExchangeId{1});
   AwaitEnds(1);
   BOOST_TEST(ended[0].exchange == ExchangeId{2});
