Take data centres out and back; tokens, audit trail and notices

Any client could change the configuration; nothing took a data centre out; the audit trail could not be read. An outage is decided on one revision, so two operators cannot take out the last two data centres at once. A body of the wrong shape ended the process before; it is now status 400. A plain outage of the platform was told as 'may have taken effect'; it is now 'nothing was changed'.

--- a/apps/trefoilctl/commands.h
+++ b/apps/trefoilctl/commands.h
@@ -29,6 +29,8 @@
   http::Address entry;
   /** @brief Whether reads print JSON. */
   bool json{};
+  /** @brief Token that proves who asks for a change. */
+  std::string token;
 };
 
 /** @brief Options of apply. */
@@ -37,7 +39,7 @@
   std::string inventory;
   /** @brief Path of the rules. */
   std::string rules;
-  /** @brief Who asks. */
+  /** @brief Person on whose behalf the token's operator asks; may be empty. */
   std::string who;
   /** @brief Why. */
   std::string why;
--- a/packages/configuration/src/duty.cc
+++ b/packages/configuration/src/duty.cc
@@ -26,6 +26,9 @@
 constexpr const char* kLostMessage =
     "The platform's answer was lost, so the change may have taken effect. "
     "Repeat the command with the same change id.";
+constexpr const char* kUnreachableMessage =
+    "The platform cannot be reached. Nothing was changed; repeat the command "
+    "when it answers again.";
 constexpr const char* kBusyMessage =
     "Other changes came first each time. Nothing was changed; repeat the "
     "command.";
@@ -77,7 +80,7 @@
 
  private:
   void Poll() {
-    this->ReadRevisions([this] {
+    this->ReadRevisions([this](bool) {
       this->platform.ListInstances([this](ListOutcome outcome) {
         this->TakeList(std::move(outcome));
         this->Publish();
@@ -93,7 +96,7 @@
 
   using ListOutcome = platform::ListOutcome;
 
-  void ReadRevisions(std::function<void()> then) {
+  void ReadRevisions(std::function<void(bool)> then) {
     this->platform.ReadRange(
         std::string{inventory::kChangePrefix}, this->follower.After(),
         kRowsAtOnce,
@@ -106,7 +109,7 @@
             this->ReadRevisions(then);
             return;
           }
-          then();
+          then(std::holds_alternative<std::vector<platform::Row>>(outcome));
         });
   }
 
@@ -179,7 +182,13 @@
 
   void Begin(const PendingPtr& pending) {
     ++pending->attempts;
-    this->ReadRevisions([this, pending] { this->Commit(pending); });
+    this->ReadRevisions([this, pending](const bool read) {
+      if (read) {
+        this->Commit(pending);
+      } else {
+        this->RefuseUnreachable(*pending);
+      }
+    });
   }
 
   void Commit(const PendingPtr& pending) {
@@ -199,7 +208,7 @@
         std::get<platform::Transaction>(prepared),
         [this, pending](const platform::TransactOutcome& outcome) {
           std::visit(core::Visitor{[&](const platform::Committed&) {
-                                     this->ReadRevisions([this, pending] {
+                                     this->ReadRevisions([this, pending](bool) {
                                        this->Settle(pending);
                                      });
                                    },
@@ -254,18 +263,18 @@
   void ReadBack(const PendingPtr& pending,
                 const platform::Unavailable& failure) {
     if (failure.effect_unknown) {
-      this->ReadRevisions([this, pending] { this->Settle(pending); });
+      this->ReadRevisions([this, pending](bool) { this->Settle(pending); });
       return;
     }
+    this->RefuseUnreachable(*pending);
+  }
+
+  void RefuseUnreachable(const Pending& pending) {
+    const bool unknown = pending.attempts > 1;
     this->Finish(
-        *pending,
-        ChangeRefused{
-            .effect_unknown = pending->attempts > 1,
-            .message =
-                pending->attempts > 1
-                    ? std::string{kLostMessage}
-                    : "The platform cannot be reached (" + failure.message +
-                          "). Nothing was changed; repeat the command later."});
+        pending,
+        ChangeRefused{.effect_unknown = unknown,
+                      .message = unknown ? kLostMessage : kUnreachableMessage});
   }
 
   void Finish(const Pending& pending, decltype(ChangeResult::result) result) {
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -121,10 +121,34 @@
     options.timeout =
         Milliseconds(section.Time("timeout", {10ms, 1min}, options.timeout));
     options.poll = Milliseconds(section.Time("poll", {10ms, 5s}, options.poll));
+    this->result.operations.platform = options.platform;
+    this->result.operations.platform_timeout = options.timeout;
   }
 
   void ReadOperations(Section& section) {
     this->result.operations.address = section.Address("address");
+    const std::string tokens = section.Text("tokens", "");
+    if (!tokens.empty()) {
+      this->ReadOperators(tokens);
+    }
+  }
+
+  void ReadOperators(const std::string& path) {
+    const auto document = settings::Document::Load(path);
+    if (!core::Succeeded(document)) {
+      this->Add(core::ProblemOf(document));
+      return;
+    }
+    auto operators = operations::Operators::Read(core::ValueOf(document));
+    if (!core::Succeeded(operators)) {
+      this->Add(core::ProblemOf(operators));
+      return;
+    }
+    this->result.operations.operators = std::get<0>(std::move(operators));
+  }
+
+  void Add(const Mistakes& more) {
+    this->mistakes.insert(this->mistakes.end(), more.begin(), more.end());
   }
 
   void ReadLog(Section& section) {
--- a/packages/operations/include/trefoilbend/operations/duty.h
+++ b/packages/operations/include/trefoilbend/operations/duty.h
@@ -1,6 +1,7 @@
 #ifndef TREFOILBEND_OPERATIONS_DUTY_H_
 #define TREFOILBEND_OPERATIONS_DUTY_H_
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <variant>
@@ -10,6 +11,7 @@
 #include "trefoilbend/core/outcome.h"
 #include "trefoilbend/core/ring.h"
 #include "trefoilbend/http/address.h"
+#include "trefoilbend/operations/operators.h"
 
 namespace prometheus {
 class Registry;
@@ -23,6 +25,12 @@
   core::InstanceName self;
   /** @brief Address that serves operators. */
   http::Address address;
+  /** @brief Who may change the configuration. */
+  Operators operators;
+  /** @brief Address of the platform, which keeps the audit trail. */
+  http::Address platform;
+  /** @brief Longest wait for an answer of the platform. */
+  std::chrono::milliseconds platform_timeout{1'000};
 };
 
 /** @brief Rings that the operations duty writes to. */
--- a/packages/operations/include/trefoilbend/operations/fwd.h
+++ b/packages/operations/include/trefoilbend/operations/fwd.h
@@ -5,6 +5,11 @@
 
 struct Options;
 
+struct Operator;
+struct AuditFilter;
+struct RemainingService;
+
+class Operators;
 class OperationsDuty;
 
 }  // namespace trefoilbend::operations
--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -3,8 +3,11 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -13,6 +16,9 @@
 #include "trefoilbend/http/server.h"
 #include "trefoilbend/inventory/codec.h"
 #include "trefoilbend/inventory/files.h"
+#include "trefoilbend/operations/audit_filter.h"
+#include "trefoilbend/operations/outage_check.h"
+#include "trefoilbend/platform/client.h"
 
 namespace trefoilbend::operations {
 
@@ -24,9 +30,15 @@
 constexpr std::size_t kRequestsAtOnce = 64;
 constexpr std::size_t kConfigurations = 64;
 constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kClash = 409;
+constexpr std::uint16_t kOverload = 422;
 constexpr std::uint16_t kUnavailable = 503;
+constexpr std::size_t kRowsAtOnce = 256;
+constexpr std::uint64_t kMostAuditEntries = 1'000;
+constexpr std::uint64_t kAuditEntries = 100;
+constexpr int kDecimal = 10;
 
 http::Response Answer(const std::uint16_t status, const json& body) {
   return {.status = status, .fields = {}, .body = body.dump()};
@@ -70,6 +82,8 @@
       : results(kResults),
         updates(kConfigurations),
         options(std::move(options)),
+        platform(http::Client::Create(this->duty.Context()),
+                 this->options.platform, this->options.platform_timeout),
         registry(registry) {
     this->duty.Read(this->results,
                     [this](const configuration::ChangeResult& result) {
@@ -103,13 +117,23 @@
   core::Duty duty{"operations"};
 
  private:
-  using Method = void (Loop::*)(const http::Request&, const http::Respond&);
+  /** A request with who sent it. */
+  struct Command {
+    const http::Request& request;
+    /** Name of the operator; empty for a read. */
+    std::string who;
+    const http::Respond& respond;
+  };
+
+  using Method = void (Loop::*)(const Command&);
 
   void Handle(const http::Request& request, const http::Respond& respond) {
     static const std::map<std::pair<std::string_view, std::string_view>, Method>
         kMethods{{{"GET", "/v1/status"}, &Loop::ShowStatus},
                  {{"GET", "/v1/configuration"}, &Loop::ShowConfiguration},
+                 {{"GET", "/v1/audit"}, &Loop::ShowAudit},
                  {{"POST", "/v1/apply"}, &Loop::Apply},
+                 {{"POST", "/v1/data-centre"}, &Loop::ChangeDataCentre},
                  {{"GET", "/metrics"}, &Loop::ShowMetrics}};
     const auto method =
         kMethods.find({request.method, http::PathOf(request.target)});
@@ -117,11 +141,33 @@
       respond(Problem(kNotFound, "no such command"));
       return;
     }
-    (this->*method->second)(request, respond);
+    std::string who;
+    if (request.method != "GET") {
+      const auto name = this->Authenticate(request);
+      if (!name) {
+        this->log.Warn("Refused {}: missing or unknown token.", request.target);
+        respond(Problem(kUnauthorized,
+                        "The token is missing or unknown. Give the file with "
+                        "your token by --token-file; nothing was changed."));
+        return;
+      }
+      who = *name;
+    }
+    try {
+      (this->*method->second)(
+          {.request = request, .who = std::move(who), .respond = respond});
+    } catch (const json::exception&) {
+      respond(Problem(kBadRequest, "a member of the body has the wrong type"));
+    }
   }
 
-  void ShowStatus(const http::Request& /*request*/,
-                  const http::Respond& respond) {
+  [[nodiscard]] std::optional<std::string> Authenticate(
+      const http::Request& request) const {
+    return this->options.operators.Authenticate(
+        http::FindField(request.fields, "Authorization").value_or(""));
+  }
+
+  void ShowStatus(const Command& command) {
     json entries = json::array();
     std::uint64_t revision = 0;
     if (this->update.configuration != nullptr) {
@@ -135,13 +181,23 @@
                            {"operations", operations}});
       }
     }
-    respond(Answer(200, {{"name", this->options.self.Text()},
-                         {"revision", revision},
-                         {"entries", std::move(entries)}}));
+    command.respond(Answer(200, {{"name", this->options.self.Text()},
+                                 {"revision", revision},
+                                 {"calls_in_progress", this->CallsInProgress()},
+                                 {"entries", std::move(entries)}}));
+  }
+
+  [[nodiscard]] std::uint64_t CallsInProgress() const {
+    for (const prometheus::MetricFamily& family : this->registry.Collect()) {
+      if (family.name == "trefoilbend_calls_in_progress" &&
+          !family.metric.empty()) {
+        return static_cast<std::uint64_t>(family.metric.front().gauge.value);
+      }
+    }
+    return 0;
   }
 
-  void ShowConfiguration(const http::Request& /*request*/,
-                         const http::Respond& respond) {
+  void ShowConfiguration(const Command& command) {
     json objects = json::array();
     std::uint64_t revision = 0;
     if (this->update.configuration != nullptr) {
@@ -150,21 +206,163 @@
         objects.push_back(json::parse(inventory::Encode(object)));
       }
     }
-    respond(
+    command.respond(
         Answer(200, {{"revision", revision}, {"objects", std::move(objects)}}));
   }
 
-  void ShowMetrics(const http::Request& /*request*/,
-                   const http::Respond& respond) {
-    respond({.status = 200,
-             .content_type = "text/plain; version=0.0.4",
-             .fields = {},
-             .body = prometheus::TextSerializer{}.Serialize(
-                 this->registry.Collect())});
+  void ShowMetrics(const Command& command) {
+    command.respond({.status = 200,
+                     .content_type = "text/plain; version=0.0.4",
+                     .fields = {},
+                     .body = prometheus::TextSerializer{}.Serialize(
+                         this->registry.Collect())});
+  }
+
+  /** A look through the audit trail that takes several reads. */
+  struct AuditSearch {
+    AuditFilter filter;
+    std::uint64_t limit = kAuditEntries;
+    core::Revision after;
+    json found = json::array();
+    http::Respond respond;
+  };
+
+  void ShowAudit(const Command& command) {
+    auto query = http::QueryOf(command.request.target);
+    const auto number = [&](const char* name, const std::uint64_t fallback) {
+      return query[name].empty() ? fallback
+                                 : std::uint64_t{std::strtoull(
+                                       query[name].c_str(), nullptr, kDecimal)};
+    };
+    auto search = std::make_shared<AuditSearch>();
+    search->filter = {.who = query["who"],
+                      .object = query["object"],
+                      .by = query["by"],
+                      .change_id = query["id"],
+                      .since = query["since"],
+                      .until = query["until"]};
+    search->after = core::Revision{number("after", 0)};
+    search->limit = std::min(number("limit", kAuditEntries), kMostAuditEntries);
+    search->respond = command.respond;
+    this->Search(search);
+  }
+
+  void Search(const std::shared_ptr<AuditSearch>& search) {
+    this->platform.ReadRange(
+        std::string{inventory::kChangePrefix},
+        inventory::ChangeKey(search->after), kRowsAtOnce,
+        [this, search](const platform::RangeOutcome& outcome) {
+          if (const auto* failure =
+                  std::get_if<platform::Unavailable>(&outcome)) {
+            search->respond(
+                Problem(kUnavailable,
+                        "The platform, which keeps the audit trail, "
+                        "cannot be read (" +
+                            failure->message + "). Repeat the command later."));
+            return;
+          }
+          this->Take(search, std::get<0>(outcome));
+        });
+  }
+
+  void Take(const std::shared_ptr<AuditSearch>& search,
+            const std::vector<platform::Row>& rows) {
+    for (const platform::Row& row : rows) {
+      const auto revised = inventory::DecodeRevised(row.value);
+      if (!revised || search->found.size() >= search->limit) {
+        break;
+      }
+      search->after = revised->revision;
+      if (search->filter.Matches(*revised)) {
+        search->found.push_back(json::parse(row.value));
+      }
+    }
+    const bool ended = rows.size() < kRowsAtOnce ||
+                       inventory::ChangeKey(search->after) != rows.back().key;
+    if (!ended) {
+      this->Search(search);
+      return;
+    }
+    search->respond(Answer(200, {{"entries", std::move(search->found)},
+                                 {"after", search->after.Value()}}));
+  }
+
+  void ChangeDataCentre(const Command& command) {
+    const json body = json::parse(command.request.body, nullptr, false);
+    if (!body.is_object() || this->update.configuration == nullptr) {
+      command.respond(Problem(kBadRequest,
+                              "the body is not a JSON object, or this entry "
+                              "has no configuration yet"));
+      return;
+    }
+    const core::DataCentreName name{body.value("name", "")};
+    const bool out = body.value("out", false);
+    if (this->update.configuration->Find<inventory::DataCentre>(name.Text()) ==
+        nullptr) {
+      command.respond(
+          Problem(kBadRequest, "no data centre is named '" + name.Text() +
+                                   "'; trefoilctl show lists them"));
+      return;
+    }
+    if (out && !this->MayLeave(name, body, command.respond)) {
+      return;
+    }
+    const std::optional<inventory::Object> outage{inventory::Outage{name}};
+    const bool is_out = this->update.configuration->IsOut(name);
+    configuration::ChangeRequest request{
+        .request = {},
+        .change_id = body.value("id", ""),
+        .who = Name(command, body),
+        .why = body.value("why", ""),
+        .changes = {},
+        .based_on = this->update.configuration->Revision(),
+        .fences = {}};
+    if (is_out != out) {
+      request.changes.push_back({.before = is_out ? outage : std::nullopt,
+                                 .after = out ? outage : std::nullopt});
+    }
+    this->Change(std::move(request), command.respond);
+  }
+
+  bool MayLeave(const core::DataCentreName& name, const json& body,
+                const http::Respond& respond) {
+    std::optional<std::uint64_t> calls;
+    if (body.contains("calls")) {
+      calls = body["calls"].get<std::uint64_t>();
+    }
+    json lacking = json::array();
+    for (const RemainingService& service :
+         AssessOutage(this->update, name, calls)) {
+      if (!service.Bears()) {
+        lacking.push_back("service " + service.service.Text() + ": " +
+                          std::to_string(service.slots_left) + " of " +
+                          std::to_string(service.slots_now) +
+                          " slots remain, " +
+                          std::to_string(service.slots_needed) + " are needed");
+      }
+    }
+    if (lacking.empty() || body.value("force", false)) {
+      return true;
+    }
+    respond(Answer(kOverload,
+                   {{"error",
+                     "The other data centres cannot bear the load. Nothing was "
+                     "changed; use --force to take " +
+                         name.Text() + " out all the same."},
+                    {"mistakes", std::move(lacking)}}));
+    return false;
+  }
+
+  static std::string Name(const Command& command, const json& body) {
+    const std::string person = body.value("who", "");
+    return person.empty() || person == command.who
+               ? command.who
+               : command.who + " for " + person;
   }
 
-  void Apply(const http::Request& request, const http::Respond& respond) {
-    const json body = json::parse(request.body, nullptr, false);
+  void Apply(const Command& command) {
+    const http::Respond& respond = command.respond;
+    const json body = json::parse(command.request.body, nullptr, false);
     if (!body.is_object()) {
       respond(Problem(kBadRequest, "the body is not a JSON object"));
       return;
@@ -190,9 +388,11 @@
     }
     this->Change({.request = {},
                   .change_id = body.value("id", ""),
-                  .who = body.value("who", ""),
+                  .who = Name(command, body),
                   .why = body.value("why", ""),
-                  .changes = this->ChangesTo(*core::ValueOf(wanted))},
+                  .changes = this->ChangesTo(*core::ValueOf(wanted)),
+                  .based_on = std::nullopt,
+                  .fences = {}},
                  respond);
   }
 
@@ -246,6 +446,7 @@
   }
 
   Options options;
+  platform::Client platform;
   const prometheus::Registry& registry;
   Outlets outlets;
   configuration::Update update;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -12,6 +12,9 @@
   fleet_host=127.$(($$ / 250 % 250 + 1)).$(($$ % 250)).1
   declare -gA fleet_pids=()
   mkdir -p "$fleet_directory"
+  printf 'token-of-the-local-operator\n' >"$fleet_directory/token"
+  printf '[operator local]\ntoken = token-of-the-local-operator\n' >"$fleet_directory/operators.ini"
+  export TREFOILCTL_TOKEN_FILE=$fleet_directory/token
 }
 
 fleet_start() {
@@ -109,6 +112,7 @@
 poll = 200ms
 [operations]
 address = $(fleet_operations "$1")
+tokens = $fleet_directory/operators.ini
 SETTINGS
   echo "$path"
 }
@@ -144,5 +148,5 @@
   done
   "$fleet_build/apps/trefoilctl/trefoilctl" apply --entry "$(fleet_operations 1)" \
     --inventory "$fleet_directory/inventory.ini" --rules "$fleet_directory/rules.ini" \
-    --who "${USER:-operator}" --why "first configuration"
+    --why "first configuration"
 }
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -6,6 +6,7 @@
 #include <boost/filesystem.hpp>
 #include <boost/process.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -25,6 +26,8 @@
 constexpr std::uint16_t kPeersPort = 7200;
 constexpr std::uint16_t kRelayPort = 7300;
 constexpr std::uint16_t kRolloutPort = 7400;
+constexpr const char* kToken = "token-of-the-test-operator";
+constexpr const char* kSecondToken = "token-of-the-second-operator";
 constexpr std::chrono::milliseconds kPoll{20};
 constexpr std::chrono::seconds kTimeout{10};
 
@@ -118,6 +121,14 @@
     }
   }
 
+  void WriteOperators() const {
+    std::ofstream{this->folder + "/operators.ini"}
+        << "[operator test]\ntoken = " << kToken
+        << "\n[operator second]\ntoken = " << kSecondToken << '\n';
+    std::ofstream{this->folder + "/token"} << kToken << '\n';
+    std::ofstream{this->folder + "/second-token"} << kSecondToken << '\n';
+  }
+
   void WriteRules() const {
     std::ofstream out{this->folder + "/rules.ini"};
     out << "[route lookup]\nservice = stock\npath = /lookup\nmethod = GET\n"
@@ -136,7 +147,8 @@
         << "\nkeep = 1s\n[platform]\naddress = "
         << ToString(this->Address("platform", kServicePort))
         << "\npoll = 200ms\n[operations]\naddress = "
-        << ToString(this->Address(entry, kOperationsPort)) << '\n';
+        << ToString(this->Address(entry, kOperationsPort))
+        << "\ntokens = " << this->folder << "/operators.ini\n";
     return path;
   }
 
@@ -304,6 +316,8 @@
   boost::filesystem::create_directories(state->folder);
   state->WriteInventory();
   state->WriteRules();
+  state->WriteOperators();
+  setenv("TREFOILCTL_TOKEN_FILE", (state->folder + "/token").c_str(), 1);
   std::unique_ptr<Fleet> fleet{new Fleet(std::move(state))};
   fleet->Start("platform");
   for (std::size_t i = 1; i <= this->targets; ++i) {
@@ -312,10 +326,10 @@
   for (std::size_t i = 1; i <= this->entries; ++i) {
     fleet->Start("entry-" + std::to_string(i));
   }
-  const CommandResult applied = Control(
-      {"apply", "--entry", ToString(fleet->OperationsOf("entry-1")),
-       "--inventory", fleet->Folder() + "/inventory.ini", "--rules",
-       fleet->Folder() + "/rules.ini", "--who", "test", "--why", "set up"});
+  const CommandResult applied =
+      Control({"apply", "--entry", ToString(fleet->OperationsOf("entry-1")),
+               "--inventory", fleet->Folder() + "/inventory.ini", "--rules",
+               fleet->Folder() + "/rules.ini", "--why", "set up"});
   if (applied.exit_code != 0) {
     throw std::runtime_error("the configuration is not in force: " +
                              applied.output);
