--- a/packages/entry/test/path_test.cc
+++ b/packages/entry/test/path_test.cc
@@ -24,6 +24,7 @@
 using nlohmann::json;
 
 constexpr std::size_t kTargets = 3;
+constexpr const char* kToken = "token-of-the-test-operator";
 constexpr std::chrono::seconds kTimeout{10};
 constexpr std::chrono::milliseconds kPoll{10};
 
@@ -121,15 +122,19 @@
       this->targets.push_back(std::make_unique<fakes::Target>(
           this->loop.Context(), this->TargetAddress(i)));
     }
-    const auto settings = ReadSettings(core::ValueOf(settings::Document::Parse(
+    auto settings = ReadSettings(core::ValueOf(settings::Document::Parse(
         "entry.ini",
         "[entry]\nname = entry-1\n[callers]\naddress = " +
             ToString(this->At(1)) + "\nkeep = 100ms\n[platform]\naddress = " +
             ToString(this->At(3)) + "\npoll = 50ms\n[operations]\naddress = " +
             ToString(this->At(2)) + "\n[log]\nlevel = off\n")));
     BOOST_REQUIRE(core::Succeeded(settings));
-    this->entry =
-        Entry::Builder{}.WithSettings(core::ValueOf(settings)).Build();
+    Settings& checked = std::get<0>(settings);
+    checked.operations.operators = core::ValueOf(
+        operations::Operators::Read(core::ValueOf(settings::Document::Parse(
+            "operators.ini",
+            "[operator test]\ntoken = " + std::string{kToken}))));
+    this->entry = Entry::Builder{}.WithSettings(std::move(checked)).Build();
     BOOST_REQUIRE(core::Succeeded(this->entry->Start()));
     BOOST_REQUIRE(this->Apply(kTargets) == 200);
     BOOST_REQUIRE(Await([this] { return this->IsServing(); }));
@@ -176,12 +181,13 @@
                     {"why", "story"},
                     {"inventory", inventory},
                     {"rules", rules}};
-    const auto outcome = http::SendAndWait(this->At(2),
-                                           {.method = "POST",
-                                            .target = "/v1/apply",
-                                            .fields = {},
-                                            .body = body.dump()},
-                                           kTimeout);
+    const auto outcome = http::SendAndWait(
+        this->At(2),
+        {.method = "POST",
+         .target = "/v1/apply",
+         .fields = {{"Authorization", std::string{"Bearer "} + kToken}},
+         .body = body.dump()},
+        kTimeout);
     return core::Succeeded(outcome) ? core::ValueOf(outcome).status : 0;
   }
 
