Decide about releases by a sequential test, and plan steps from the deadline

Cause: a release had a share, but nothing that proves a version or takes it back. Change: Evidence counts calls by route, data centre and target, and measures "slow" against the old version's 95th percentile. FaultDetector compares the versions within a route, a data centre and a short time by a conditional likelihood ratio with a restarting sum. ReleasePlan takes the most careful ladder that fits the deadline.

Ruled out: a mean over windows of the old version's past as its rate, since a burst of bad requests would then brake good versions at great shares.

--- a/packages/rollout/include/trefoilbend/rollout/fwd.h
+++ b/packages/rollout/include/trefoilbend/rollout/fwd.h
@@ -4,8 +4,26 @@
 namespace trefoilbend::rollout {
 
 struct ReleaseId;
+struct Comparison;
+struct Observation;
+struct Tally;
+struct StratumKey;
+struct Stratum;
+struct Finding;
+struct Traffic;
+struct PlanInput;
+struct PlannedStep;
+struct ReleasePlan;
+struct Capacity;
+struct Situation;
+struct Verdict;
 
 class VersionChooser;
+class SequentialTest;
+class Evidence;
+class FaultDetector;
+class Controller;
+class Brakes;
 
 }  // namespace trefoilbend::rollout
 
--- /dev/null
+++ b/packages/rollout/src/controller.cc
@@ -0,0 +1,183 @@
+#include "trefoilbend/rollout/controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilbend::rollout {
+
+namespace {
+
+using inventory::ReleaseState;
+using std::chrono::seconds;
+
+constexpr double kDoubtStrength = 3;
+constexpr seconds kColdStart{10};
+constexpr seconds kFirstLook{10};
+constexpr seconds kVanishTime{30};
+
+bool IsOver(const inventory::Release& release) noexcept {
+  return release.state == ReleaseState::kDone ||
+         release.state == ReleaseState::kTakenBack;
+}
+
+std::string InSeconds(const seconds time) {
+  return std::to_string(time.count()) + " s";
+}
+
+}  // namespace
+
+Controller::Controller(inventory::Release release, const std::uint64_t epoch,
+                       const core::TimePoint now)
+    : release(std::move(release)),
+      epoch(epoch),
+      since(now),
+      step_since(now),
+      target_seen(now) {}
+
+void Controller::Accept(const inventory::Release& release,
+                        const core::TimePoint now) {
+  if (release.share != this->release.share ||
+      release.state != this->release.state) {
+    this->step_since = now;
+    this->step_calls.clear();
+  }
+  this->release = release;
+}
+
+void Controller::Observe(const Window& window, const core::TimePoint now) {
+  this->detector.Observe(window, now);
+  for (const auto& [key, stratum] : window) {
+    std::uint64_t& all = this->traffic.calls[key.route];
+    for (const auto& [target, tally] : stratum.old_targets) {
+      all += tally.calls;
+    }
+    for (const auto& [target, tally] : stratum.new_targets) {
+      all += tally.calls;
+      this->step_calls[key.route] += tally.calls;
+    }
+  }
+}
+
+void Controller::Brake(std::string why) {
+  if (this->braked.empty()) {
+    this->braked = std::move(why);
+  }
+}
+
+std::optional<Verdict> Controller::Decide(const Situation& situation) {
+  this->concerns.clear();
+  if (IsOver(this->release) || this->release.epoch > this->epoch) {
+    return std::nullopt;
+  }
+  if (situation.capacity.new_slots > 0) {
+    this->target_seen = situation.now;
+  }
+  if (auto verdict = this->TakeBack(situation)) {
+    return verdict;
+  }
+  if (this->release.epoch < this->epoch) {
+    return this->Next("another entry controls the release");
+  }
+  this->Replan(situation);
+  if (this->release.state == ReleaseState::kPaused) {
+    this->concerns.emplace_back("operators have paused the release");
+    return std::nullopt;
+  }
+  return this->Advance(situation);
+}
+
+std::optional<Verdict> Controller::TakeBack(const Situation& situation) {
+  if (const auto finding = this->detector.Strongest();
+      finding && finding->strength >= kBrakeStrength) {
+    this->Brake(ToString(*finding));
+  }
+  if (this->release.share > 0 &&
+      situation.now - this->target_seen >= kVanishTime) {
+    this->Brake("the new version has no usable target");
+  }
+  if (this->braked.empty()) {
+    return std::nullopt;
+  }
+  Verdict verdict = this->Next(this->braked);
+  verdict.after.state = ReleaseState::kTakenBack;
+  verdict.after.share = 0;
+  return verdict;
+}
+
+std::optional<Verdict> Controller::Advance(const Situation& situation) {
+  if (this->plan.steps.empty() || !this->IsStepProved(situation.now)) {
+    return std::nullopt;
+  }
+  const auto next =
+      std::find_if(this->plan.steps.begin(), this->plan.steps.end(),
+                   [&](const PlannedStep& step) {
+                     return step.share > this->release.share;
+                   });
+  const bool is_last = next == this->plan.steps.end();
+  const std::uint32_t share = is_last ? inventory::kWholeShare : next->share;
+  if (situation.capacity.new_slots * inventory::kWholeShare <
+      situation.capacity.old_slots * share) {
+    this->concerns.emplace_back(
+        "the new version has too few usable targets for its next step");
+    return std::nullopt;
+  }
+  Verdict verdict =
+      this->Next(is_last ? "every step is proved" : "the step is proved");
+  ++verdict.after.step;
+  verdict.after.share = share;
+  if (is_last) {
+    verdict.after.state = ReleaseState::kDone;
+  }
+  return verdict;
+}
+
+bool Controller::IsStepProved(const core::TimePoint now) const {
+  if (this->release.share == 0) {
+    return now - this->since >= kFirstLook;
+  }
+  if (now - this->step_since < this->plan.steps.front().planned) {
+    return false;
+  }
+  const auto finding = this->detector.Strongest();
+  if (finding && finding->strength >= kDoubtStrength) {
+    return false;
+  }
+  const auto routes = RoutesToProve(this->traffic);
+  return std::all_of(routes.begin(), routes.end(),
+                     [&](const core::RouteName& route) {
+                       const auto calls = this->step_calls.find(route);
+                       return calls != this->step_calls.end() &&
+                              calls->second >= this->plan.calls;
+                     });
+}
+
+Verdict Controller::Next(std::string why) const {
+  Verdict verdict{.after = this->release, .why = std::move(why)};
+  verdict.after.epoch = this->epoch;
+  return verdict;
+}
+
+void Controller::Replan(const Situation& situation) {
+  const auto spent =
+      std::chrono::duration_cast<seconds>(situation.now - this->step_since);
+  this->traffic.time = std::max(seconds{1}, std::chrono::duration_cast<seconds>(
+                                                situation.now - this->since));
+  const seconds left = this->release.deadline - situation.wall;
+  this->plan =
+      MakePlan({.left = left + (this->release.share == 0 ? seconds{} : spent),
+                .share = this->release.share,
+                .traffic = this->traffic,
+                .cold_start = kColdStart});
+  if (!this->plan.feasible && situation.now - this->since >= kFirstLook) {
+    this->concerns.push_back(
+        "the deadline cannot be met: the steps need " +
+        InSeconds(this->plan.shortest) + " at the present traffic, and " +
+        InSeconds(std::max(left, seconds{})) + " are left");
+  }
+  if (situation.capacity.old_slots * 2 < situation.capacity.new_slots) {
+    this->concerns.emplace_back(
+        "the old version's targets could not bear a take-back");
+  }
+}
+
+}  // namespace trefoilbend::rollout
