Decide which requests with a key may run

Cause: a reservation that its caller repeats through another entry ran again; nothing knew the key. Ruled out: a platform row for each call (writes, outages), a hash of the key over live entries (two lists, two homes), a replicated table; see docs/design/at-most-once.md.

--- a/packages/callers/src/refusal_text.cc
+++ b/packages/callers/src/refusal_text.cc
@@ -15,14 +15,20 @@
 };
 
 const ReasonText& TextOf(const core::RefusalReason reason) noexcept {
-  static constexpr std::array<ReasonText, 7> kTexts{
+  static constexpr std::array<ReasonText, 13> kTexts{
       {{"unknown-service", 404, "The Host field names no service."},
        {"no-target", 503, "No target of the service may take calls."},
        {"busy", 503, "The service has no room for the call."},
        {"deadline", 504, "The deadline passed."},
        {"target-failed", 502, "The target failed."},
        {"stopping", 503, "This entry is stopping."},
-       {"not-ready", 503, "This entry has no current configuration."}}};
+       {"not-ready", 503, "This entry has no current configuration."},
+       {"key-reused", 422, "The key came before with another request."},
+       {"key-expired", 409, "The key's home no longer remembers it."},
+       {"key-not-yet-valid", 409, "The key was issued in the future."},
+       {"answer-not-kept", 409, "The request ran; its answer was not kept."},
+       {"home-unreachable", 503, "The key's home cannot be reached."},
+       {"key-not-claimed", 503, "The platform did not record the key."}}};
   return kTexts.at(static_cast<std::size_t>(reason));
 }
 
--- a/packages/core/include/trefoilbend/core/call.h
+++ b/packages/core/include/trefoilbend/core/call.h
@@ -81,6 +81,12 @@
   kTargetFailed,
   kStopping,
   kNotReady,
+  kKeyReused,
+  kKeyExpired,
+  kKeyNotYetValid,
+  kAnswerNotKept,
+  kHomeUnreachable,
+  kKeyNotClaimed,
 };
 
 /** @brief An answer that trefoilbend gives in place of a target. */
