Run each key at most once, through whichever entry it comes

Change: discovery gives a key prefix and leaves out peers that membership reports as leaving, suspect or dead; callers' duty holds the key table, claims own keys, passes others on to the home and collects keyed answers whole; the run goes on when its caller leaves. An entry that is not current refuses. A graceful stop waits for leave-notice more, closes idle connections and waits for every connection. Conclusion: the usual call still crosses three rings. Ruled out: not-run when the platform is down for an own key: an earlier attempt may have run elsewhere.

--- a/packages/callers/include/trefoilbend/callers/duty.h
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -12,10 +12,14 @@
 #include "trefoilbend/balancing/messages.h"
 #include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/name.h"
+#include "trefoilbend/core/number.h"
 #include "trefoilbend/core/outcome.h"
 #include "trefoilbend/core/ring.h"
 #include "trefoilbend/forwarding/messages.h"
 #include "trefoilbend/http/address.h"
+#include "trefoilbend/idempotency/key_table.h"
+#include "trefoilbend/membership/messages.h"
+#include "trefoilbend/relay/messages.h"
 
 namespace prometheus {
 class Registry;
@@ -41,15 +45,37 @@
   std::chrono::milliseconds idle{60'000};
 };
 
+/** @brief Bounds of calls with a key. */
+struct KeyLimits {
+  /** @brief Time after a key's issue for which it may be used. */
+  std::chrono::milliseconds retention{std::chrono::minutes{10}};
+  /** @brief Greatest number of keys that are remembered. */
+  std::size_t keys = 65'536;
+  /** @brief Greatest length of all kept answers together in bytes. */
+  std::size_t answers = 16U << 20U;
+  /** @brief Longest answer that is kept for repeats in bytes. */
+  std::size_t answer = 256U << 10U;
+};
+
 /** @brief Options of the callers' duty. */
 struct Options {
   /** @brief Name of this entry. */
   core::InstanceName self;
+  /** @brief Run of this entry's process. */
+  core::Incarnation incarnation;
   /** @brief Address that serves callers. */
   http::Address address;
   /** @brief Longest time for which callers keep an answer that names entries.
    */
   std::chrono::milliseconds keep{2'000};
+  /** @brief Time that peers may need to learn that this entry leaves. */
+  std::chrono::milliseconds leave_notice{1'500};
+  /** @brief Address of the platform, whose table records callers' own keys. */
+  http::Address platform;
+  /** @brief Longest wait for an answer of the platform. */
+  std::chrono::milliseconds platform_timeout{1'000};
+  /** @brief Bounds of calls with a key. */
+  KeyLimits keys;
   /** @brief Seed of the random numbers. */
   std::uint64_t seed = 1;
   /** @brief Bounds of what callers may send. */
@@ -62,6 +88,8 @@
   core::Ring<balancing::FromCallers>* balancing{};
   /** @brief Messages for the duty that carries exchanges. */
   core::Ring<forwarding::FromCallers>* forwarding{};
+  /** @brief Messages for the duty that passes calls on to peers. */
+  core::Ring<relay::FromCallers>* relay{};
 };
 
 /** @brief Duty that talks to callers. */
@@ -88,6 +116,12 @@
   [[nodiscard]] core::Ring<configuration::Update>&
   ConfigurationInlet() noexcept;
 
+  /** @return Ring for what this entry knows of its peers. */
+  [[nodiscard]] core::Ring<membership::View>& MembershipInlet() noexcept;
+
+  /** @return Ring for calls of peers and results of calls passed on. */
+  [[nodiscard]] core::Ring<relay::ToCallers>& RelayInlet() noexcept;
+
   /**
    * @brief Starts the duty.
    * @param outlets Rings to write to.
@@ -97,8 +131,8 @@
       Outlets outlets);
 
   /**
-   * @brief Begins a graceful stop: serves until answers that name this entry
-   * have expired and every call has ended.
+   * @brief Begins a graceful stop: serves until peers know of it, answers that
+   * name this entry have expired and every call has ended.
    * @param done Called once, from the duty's thread.
    */
   void Drain(std::function<void()> done);
--- a/packages/callers/include/trefoilbend/callers/fwd.h
+++ b/packages/callers/include/trefoilbend/callers/fwd.h
@@ -4,6 +4,7 @@
 namespace trefoilbend::callers {
 
 struct Limits;
+struct KeyLimits;
 struct Options;
 struct Outlets;
 
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -4,16 +4,20 @@
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "internal/keyed_calls.h"
 #include "internal/session.h"
 #include "trefoilbend/callers/refusal_text.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/log.h"
+#include "trefoilbend/http/client.h"
+#include "trefoilbend/platform/client.h"
 
 namespace trefoilbend::callers {
 
@@ -23,20 +27,41 @@
 
 constexpr std::size_t kMessagesPerCall = 4;
 constexpr std::size_t kConfigurations = 64;
+constexpr std::size_t kViews = 64;
 constexpr std::chrono::milliseconds kDrainPoll{20};
+constexpr std::chrono::milliseconds kExpirePeriod{1'000};
+constexpr std::string_view kKeyField = "Idempotency-Key";
+
+idempotency::KeyTableOptions TableOptions(const Options& options) {
+  return {.self = options.self,
+          .incarnation = options.incarnation,
+          .retention = options.keys.retention,
+          .keys = options.keys.keys,
+          .answer_bytes = options.keys.answers};
+}
 
 }  // namespace
 
-class CallersDuty::Loop final : public internal::SessionOwner {
+class CallersDuty::Loop final : public internal::SessionOwner,
+                                public internal::KeyedCallsOwner {
  public:
   Loop(Options options, prometheus::Registry& registry)
       : from_balancing(options.limits.calls * kMessagesPerCall),
         from_forwarding(options.limits.calls * kMessagesPerCall),
         from_configuration(kConfigurations),
+        from_membership(kViews),
+        from_relay(options.limits.calls * kMessagesPerCall),
         options(std::move(options)),
-        directory(this->options.keep, this->options.seed),
+        directory({.self = this->options.self,
+                   .incarnation = this->options.incarnation,
+                   .keep = this->options.keep,
+                   .seed = this->options.seed}),
+        keyed(*this, TableOptions(this->options), this->options.keys.answer),
+        platform(http::Client::Create(this->duty.Context()),
+                 this->options.platform, this->options.platform_timeout),
         acceptor(this->duty.Context()),
         drain_timer(this->duty.Context()),
+        expire_timer(this->duty.Context()),
         answered(prometheus::BuildCounter()
                      .Name("trefoilbend_calls_answered_total")
                      .Help("Calls whose answer came from a target.")
@@ -51,7 +76,22 @@
                         .Name("trefoilbend_calls_in_progress")
                         .Help("Calls that wait or are in flight.")
                         .Register(registry)
-                        .Add({})) {
+                        .Add({})),
+        passed_on(prometheus::BuildCounter()
+                      .Name("trefoilbend_calls_passed_on_total")
+                      .Help("Calls passed on to the home of their key.")
+                      .Register(registry)
+                      .Add({})),
+        keys(prometheus::BuildGauge()
+                 .Name("trefoilbend_keys")
+                 .Help("Keys that this entry remembers.")
+                 .Register(registry)
+                 .Add({})),
+        key_answer_bytes(prometheus::BuildGauge()
+                             .Name("trefoilbend_key_answer_bytes")
+                             .Help("Length of the answers kept for repeats.")
+                             .Register(registry)
+                             .Add({})) {
     this->duty.Read(this->from_balancing,
                     [this](const balancing::ToCallers& message) {
                       if (const auto* call =
@@ -65,9 +105,26 @@
         });
     this->duty.Read(this->from_configuration,
                     [this](const configuration::Update& update) {
-                      this->configuration = update.configuration;
-                      this->directory.Configure(update);
+                      this->Configure(update);
                     });
+    this->duty.Read(
+        this->from_membership, [this](const membership::View& view) {
+          core::CheckInvariant(view.self == this->options.incarnation,
+                               "all duties know the same incarnation");
+          this->current = view.current;
+          this->directory.Learn(view);
+        });
+    this->duty.Read(this->from_relay, [this](relay::ToCallers&& message) {
+      std::visit(core::Visitor{[](std::monostate) {},
+                               [this](const relay::CallReceived& call) {
+                                 this->OnReceived(call);
+                               },
+                               [this](const relay::CallReturned& call) {
+                                 --this->passes;
+                                 this->Deliver(call.call, call.result);
+                               }},
+                 message);
+    });
   }
 
   core::Outcome<std::monostate, std::string> Start(const Outlets writes) {
@@ -90,6 +147,7 @@
     this->log.Info("Serves callers on {}.",
                    http::ToString(this->options.address));
     this->Accept();
+    this->AwaitExpiry();
     this->duty.Start();
     return std::monostate{};
   }
@@ -97,11 +155,12 @@
   void Drain(std::function<void()> done) {
     boost::asio::post(this->duty.Context(), [this,
                                              done = std::move(done)]() mutable {
+      const auto serve = this->options.leave_notice + this->options.keep;
       this->log.Info("Stops: serves for {} ms more, then finishes {} calls.",
-                     this->options.keep.count(), this->calls.size());
+                     serve.count(), this->calls.size());
       this->draining = true;
-      this->directory.Exclude(this->options.self);
-      this->drain_timer.expires_after(this->options.keep);
+      this->directory.Leave();
+      this->drain_timer.expires_after(serve);
       this->drain_timer.async_wait(
           [this, done = std::move(done)](auto) mutable {
             boost::system::error_code ignored;
@@ -121,16 +180,18 @@
 
   [[nodiscard]] discovery::Answer Ask(
       const discovery::Question& question) override {
-    return this->directory.Ask(question);
+    return this->directory.Ask(question, this->WallNow());
   }
 
   [[nodiscard]] core::Outcome<core::CallId, core::Refusal> Submit(
       const std::shared_ptr<internal::Session>& session,
       core::CallRequest request, const Wishes& wishes) override {
-    if (this->configuration == nullptr) {
-      return this->CountRefusal({.run = core::RunState::kNotRun,
-                                 .reason = core::RefusalReason::kNotReady,
-                                 .retry_after = kRetryAfter});
+    const auto key = http::FindField(request.fields, kKeyField);
+    if (!this->IsReady()) {
+      return this->CountRefusal(
+          {.run = key ? core::RunState::kUnknown : core::RunState::kNotRun,
+           .reason = core::RefusalReason::kNotReady,
+           .retry_after = kRetryAfter});
     }
     const auto view = this->configuration->Services().find(request.service);
     if (view == this->configuration->Services().end()) {
@@ -139,18 +200,26 @@
            .reason = core::RefusalReason::kUnknownService});
     }
     ApplyRules(view->second, wishes, std::chrono::steady_clock::now(), request);
-    const core::CallId id = this->last_call.Next();
-    if (this->calls.size() >= this->options.limits.calls ||
-        !this->outlets.balancing->TryPush(balancing::SubmitCall{
-            id,
-            std::make_shared<const core::CallRequest>(std::move(request))})) {
-      return this->CountRefusal({.run = core::RunState::kNotRun,
+    const bool keyed_call = !request.idempotent && key && !key->empty();
+    const std::string text{keyed_call ? *key : ""};
+    const core::CallId id = this->NextCall();
+    const auto shared =
+        std::make_shared<const core::CallRequest>(std::move(request));
+    if (keyed_call ? !this->HasRoom() : !this->Run(id, shared)) {
+      return this->CountRefusal({.run = keyed_call ? core::RunState::kUnknown
+                                                   : core::RunState::kNotRun,
                                  .reason = core::RefusalReason::kBusy,
                                  .retry_after = kRetryAfter});
     }
-    this->last_call = id;
-    this->calls.emplace(id, session);
+    this->calls.emplace(id, OpenCall{.session = session, .keyed = keyed_call});
     this->in_progress.Set(static_cast<double>(this->calls.size()));
+    if (keyed_call) {
+      boost::asio::post(this->duty.Context(), [this, id, shared, text] {
+        if (this->calls.contains(id)) {
+          this->keyed.Begin(id, shared, text);
+        }
+      });
+    }
     return id;
   }
 
@@ -158,13 +227,103 @@
     this->Forward(forwarding::ContinueAnswer{call});
   }
 
+  void DropRest(const core::CallId run) override {
+    this->Forward(forwarding::AbandonAnswer{run});
+  }
+
+  [[nodiscard]] core::CallId NextCall() override {
+    this->last_call = this->last_call.Next();
+    return this->last_call;
+  }
+
+  [[nodiscard]] bool Run(const core::CallId run,
+                         internal::SharedRequest request) override {
+    return this->HasRoom() &&
+           this->outlets.balancing->TryPush(
+               balancing::SubmitCall{run, std::move(request)});
+  }
+
+  [[nodiscard]] bool PassOn(relay::PassCall call) override {
+    if (this->passes >= this->options.limits.calls ||
+        !this->outlets.relay->TryPush(std::move(call))) {
+      return false;
+    }
+    ++this->passes;
+    this->passed_on.Increment();
+    return true;
+  }
+
+  void Claim(const std::string& row, const idempotency::Home& home,
+             std::function<void(const idempotency::ClaimStep&)> done) override {
+    this->platform.Transact(
+        idempotency::MakeClaim(row, home),
+        [this, row, home,
+         done = std::move(done)](const platform::TransactOutcome& outcome) {
+          const auto step = idempotency::Settle(outcome, home);
+          if (!std::holds_alternative<idempotency::ReadClaimBack>(step)) {
+            done(step);
+            return;
+          }
+          this->platform.Read(row, [done](const platform::ReadOutcome& read) {
+            done(idempotency::Settle(read));
+          });
+        });
+  }
+
+  void Deliver(const core::CallId waiter,
+               const idempotency::Result& result) override {
+    const auto received = this->received.find(waiter);
+    if (received != this->received.end()) {
+      this->Reply(received->second, result);
+      this->received.erase(received);
+      return;
+    }
+    const std::shared_ptr<internal::Session> session = this->Find(waiter);
+    if (session == nullptr) {
+      return;
+    }
+    if (const auto* refusal = std::get_if<core::Refusal>(&result)) {
+      this->CountRefusal(*refusal);
+      this->Close(waiter);
+      session->Refuse(*refusal);
+      return;
+    }
+    this->answered.Increment();
+    session->Answer(*std::get<idempotency::KeptAnswer>(result));
+  }
+
+  [[nodiscard]] bool Stream(const core::CallId waiter, const core::CallId run,
+                            core::AnswerHead& head) override {
+    const std::shared_ptr<internal::Session> session = this->Find(waiter);
+    if (session == nullptr) {
+      return false;
+    }
+    this->calls.erase(waiter);
+    this->calls.emplace(run, OpenCall{.session = session, .keyed = false});
+    session->Continue(run);
+    session->Answer(std::move(head));
+    return true;
+  }
+
+  [[nodiscard]] idempotency::IssueTime WallNow() const override {
+    return this->wall_start +
+           std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now() - this->steady_start);
+  }
+
   void Close(const core::CallId call) override {
     this->calls.erase(call);
     this->in_progress.Set(static_cast<double>(this->calls.size()));
   }
 
   void Abandon(const core::CallId call) override {
+    const auto found = this->calls.find(call);
+    const bool keyed_call = found != this->calls.end() && found->second.keyed;
     this->Close(call);
+    if (keyed_call) {
+      this->keyed.Leave(call);
+      return;
+    }
     core::CheckInvariant(
         this->outlets.balancing->TryPush(balancing::CancelCall{call}),
         "the ring to balancing has room for every call's end");
@@ -174,11 +333,74 @@
   core::Ring<balancing::ToCallers> from_balancing;
   core::Ring<forwarding::ToCallers> from_forwarding;
   core::Ring<configuration::Update> from_configuration;
+  core::Ring<membership::View> from_membership;
+  core::Ring<relay::ToCallers> from_relay;
   core::Duty duty{"callers"};
 
  private:
   static constexpr std::chrono::milliseconds kRetryAfter{1'000};
 
+  struct OpenCall {
+    std::weak_ptr<internal::Session> session;
+    bool keyed{};
+  };
+
+  void Configure(const configuration::Update& update) {
+    this->configuration = update.configuration;
+    this->directory.Configure(update);
+    this->keyed.Configure(update.configuration);
+    const auto* self = update.configuration->Find<inventory::Instance>(
+        this->options.self.Text());
+    if (self != nullptr && self->relay) {
+      core::CheckInvariant(
+          this->outlets.relay->TryPush(relay::Listen{*self->relay}),
+          "the ring to the relay has room for every configuration");
+    }
+  }
+
+  [[nodiscard]] bool IsReady() const noexcept {
+    return this->configuration != nullptr && this->current;
+  }
+
+  [[nodiscard]] bool HasRoom() const noexcept {
+    return this->calls.size() + this->keyed.Runs() < this->options.limits.calls;
+  }
+
+  void OnReceived(const relay::CallReceived& call) {
+    if (!this->IsReady()) {
+      this->Reply(call.received,
+                  core::Refusal{.run = core::RunState::kUnknown,
+                                .reason = core::RefusalReason::kNotReady,
+                                .retry_after = kRetryAfter});
+      return;
+    }
+    const core::CallId waiter = this->NextCall();
+    this->received.emplace(waiter, call.received);
+    this->keyed.Admit(waiter, call.key, call.request);
+  }
+
+  void Reply(const relay::ReceivedId received,
+             const idempotency::Result& result) {
+    core::CheckInvariant(
+        this->outlets.relay->TryPush(relay::ReplyCall{received, result}),
+        "the ring to the relay has room for every call's result");
+  }
+
+  void AwaitExpiry() {
+    this->expire_timer.expires_after(kExpirePeriod);
+    this->expire_timer.async_wait(
+        [this](const boost::system::error_code error) {
+          if (error) {
+            return;
+          }
+          this->keyed.Expire();
+          this->keys.Set(static_cast<double>(this->keyed.Table().Size()));
+          this->key_answer_bytes.Set(
+              static_cast<double>(this->keyed.Table().AnswerBytes()));
+          this->AwaitExpiry();
+        });
+  }
+
   void Accept() {
     this->acceptor.async_accept(
         [this](const boost::system::error_code error, tcp::socket socket) {
@@ -188,16 +410,40 @@
           const auto open =
               static_cast<std::size_t>(this->session_token.use_count());
           if (!error && open <= this->options.limits.connections) {
-            std::make_shared<internal::Session>(*this, std::move(socket),
-                                                this->session_token)
-                ->Read();
+            const auto session = std::make_shared<internal::Session>(
+                *this, std::move(socket), this->session_token);
+            this->Remember(session);
+            session->Read();
           }
           this->Accept();
         });
   }
 
+  void Remember(const std::shared_ptr<internal::Session>& session) {
+    if (this->sessions.size() >=
+        2 * static_cast<std::size_t>(this->session_token.use_count())) {
+      std::erase_if(this->sessions,
+                    [](const auto& one) { return one.expired(); });
+    }
+    this->sessions.push_back(session);
+  }
+
+  void CloseIdleSessions() {
+    for (const std::weak_ptr<internal::Session>& weak : this->sessions) {
+      if (const auto session = weak.lock()) {
+        session->CloseIfIdle();
+      }
+    }
+  }
+
+  [[nodiscard]] bool IsIdle() const noexcept {
+    return this->calls.empty() && this->keyed.Runs() == 0 &&
+           this->received.empty() && this->session_token.use_count() == 1;
+  }
+
   void AwaitLastCall(std::function<void()> done) {
-    if (this->calls.empty()) {
+    this->CloseIdleSessions();
+    if (this->IsIdle()) {
       this->log.Info("Has finished all calls.");
       done();
       return;
@@ -219,6 +465,9 @@
   }
 
   void OnRefused(const balancing::CallRefused& call) {
+    if (this->keyed.Refused(call.call, call.refusal)) {
+      return;
+    }
     const std::shared_ptr<internal::Session> session = this->Find(call.call);
     if (session == nullptr) {
       return;
@@ -231,6 +480,9 @@
   void OnAnswer(std::monostate /*none*/) {}
 
   void OnAnswer(forwarding::AnswerStarted& answer) {
+    if (this->keyed.Answer(answer.call, answer.head)) {
+      return;
+    }
     const std::shared_ptr<internal::Session> session = this->Find(answer.call);
     if (session == nullptr) {
       this->Forward(forwarding::AbandonAnswer{answer.call});
@@ -241,6 +493,9 @@
   }
 
   void OnAnswer(forwarding::AnswerContinued& answer) {
+    if (this->keyed.Answer(answer.call, answer.part)) {
+      return;
+    }
     const std::shared_ptr<internal::Session> session = this->Find(answer.call);
     if (session != nullptr) {
       session->Answer(std::move(answer.part));
@@ -248,6 +503,11 @@
   }
 
   void OnAnswer(const forwarding::AnswerBroken& answer) {
+    if (this->keyed.Refused(answer.call,
+                            {.run = core::RunState::kUnknown,
+                             .reason = core::RefusalReason::kTargetFailed})) {
+      return;
+    }
     const std::shared_ptr<internal::Session> session = this->Find(answer.call);
     if (session != nullptr) {
       session->Break();
@@ -257,7 +517,7 @@
   [[nodiscard]] std::shared_ptr<internal::Session> Find(
       const core::CallId call) const {
     const auto found = this->calls.find(call);
-    return found == this->calls.end() ? nullptr : found->second.lock();
+    return found == this->calls.end() ? nullptr : found->second.session.lock();
   }
 
   void Forward(const forwarding::FromCallers& message) {
@@ -270,15 +530,29 @@
   Outlets outlets;
   inventory::ConfigurationPtr configuration;
   discovery::Directory directory;
+  internal::KeyedCalls keyed;
+  platform::Client platform;
   tcp::acceptor acceptor;
   boost::asio::steady_timer drain_timer;
-  std::unordered_map<core::CallId, std::weak_ptr<internal::Session>> calls;
+  boost::asio::steady_timer expire_timer;
+  std::unordered_map<core::CallId, OpenCall> calls;
+  std::unordered_map<core::CallId, relay::ReceivedId> received;
+  std::vector<std::weak_ptr<internal::Session>> sessions;
+  std::size_t passes{};
   core::CallId last_call;
+  idempotency::IssueTime wall_start =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now());
+  core::TimePoint steady_start = std::chrono::steady_clock::now();
+  bool current = true;
   std::shared_ptr<const void> session_token = std::make_shared<int>();
   bool draining = false;
   prometheus::Counter& answered;
   prometheus::Family<prometheus::Counter>& refused;
   prometheus::Gauge& in_progress;
+  prometheus::Counter& passed_on;
+  prometheus::Gauge& keys;
+  prometheus::Gauge& key_answer_bytes;
   core::Log log{"callers"};
 };
 
@@ -299,6 +573,14 @@
   return this->loop->from_configuration;
 }
 
+core::Ring<membership::View>& CallersDuty::MembershipInlet() noexcept {
+  return this->loop->from_membership;
+}
+
+core::Ring<relay::ToCallers>& CallersDuty::RelayInlet() noexcept {
+  return this->loop->from_relay;
+}
+
 core::Outcome<std::monostate, std::string> CallersDuty::Start(
     const Outlets outlets) {
   return this->loop->Start(outlets);
--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -109,6 +109,12 @@
   /** @brief Closes the connection so that the answer cannot look whole. */
   void Break();
 
+  /**
+   * @brief Goes on with another identity of the call.
+   * @param other Identity under which the rest of the answer comes.
+   */
+  void Continue(core::CallId other) noexcept { this->call = other; }
+
   /** @brief Closes the connection if no request is under way. */
   void CloseIfIdle();
 
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -138,6 +138,9 @@
   for (const http::Address& entry : answer.entries) {
     body["entries"].push_back(http::ToString(entry));
   }
+  if (answer.home) {
+    body["key_prefix"] = idempotency::FormatPrefix(*answer.home);
+  }
   this->Send({.status = 200, .fields = {}, .body = body.dump()});
 }
 
@@ -319,7 +322,9 @@
 }
 
 void Session::CloseIfIdle() {
-  if (this->waiting_for_request && !this->parser->got_some()) {
+  boost::system::error_code error;
+  if (this->waiting_for_request && !this->parser->got_some() &&
+      this->buffer.size() == 0 && this->stream.socket().available(error) == 0) {
     this->stream.close();
   }
 }
--- a/packages/discovery/include/trefoilbend/discovery/directory.h
+++ b/packages/discovery/include/trefoilbend/discovery/directory.h
@@ -3,6 +3,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -11,6 +13,8 @@
 #include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/http/address.h"
+#include "trefoilbend/idempotency/key.h"
+#include "trefoilbend/membership/messages.h"
 
 namespace trefoilbend::discovery {
 
@@ -28,6 +32,20 @@
   std::vector<http::Address> entries;
   /** @brief Time for which the caller may keep the answer. */
   std::chrono::milliseconds keep{};
+  /** @brief Home of the keys that the caller makes meanwhile. */
+  std::optional<idempotency::Home> home;
+};
+
+/** @brief Options of a directory. */
+struct DirectoryOptions {
+  /** @brief Name of this entry. */
+  core::InstanceName self;
+  /** @brief Run of this entry. */
+  core::Incarnation incarnation;
+  /** @brief Longest time for which callers keep an answer. */
+  std::chrono::milliseconds keep{2'000};
+  /** @brief Seed of the jitter. */
+  std::uint64_t seed = 1;
 };
 
 /** @brief Decides which entries a caller uses. */
@@ -35,11 +53,10 @@
  public:
   /**
    * @brief Makes a directory that knows no entries yet.
-   * @param keep Longest time for which callers keep an answer.
-   * @param seed Seed of the jitter.
+   * @param options Options of the directory.
    */
-  Directory(std::chrono::milliseconds keep, std::uint64_t seed)
-      : keep(keep), random(seed) {}
+  explicit Directory(DirectoryOptions options)
+      : options(std::move(options)), random(this->options.seed) {}
 
   /**
    * @brief Takes note of a configuration and a list of instances.
@@ -50,26 +67,37 @@
   }
 
   /**
-   * @brief Leaves an entry out of the answers from now on.
-   * @param entry Entry that is about to stop.
+   * @brief Takes note of what this entry knows of its peers.
+   * @param view Peers with their states and incarnations.
    */
-  void Exclude(const core::InstanceName& entry) {
-    this->excluded.push_back(entry);
-  }
+  void Learn(const membership::View& view);
+
+  /** @brief Leaves this entry out of the answers from now on. */
+  void Leave() noexcept { this->leaving = true; }
 
   /**
    * @brief Answers a caller.
    * @param question Question of the caller.
+   * @param now Current time.
    * @return Usable entries: near ones first, spread evenly by a hash of the
-   * caller.
+   * caller; and the home of the caller's keys, the first of them if its
+   * incarnation is known.
    */
-  [[nodiscard]] Answer Ask(const Question& question);
+  [[nodiscard]] Answer Ask(const Question& question,
+                           idempotency::IssueTime now);
 
  private:
-  std::chrono::milliseconds keep;
+  [[nodiscard]] bool IsUsable(const inventory::Instance& entry) const;
+  [[nodiscard]] bool IsUsablePeer(const core::InstanceName& name) const;
+  [[nodiscard]] std::optional<idempotency::Home> HomeFor(
+      const core::InstanceName& first, idempotency::IssueTime now) const;
+
+  DirectoryOptions options;
   std::mt19937_64 random;
   configuration::Update update;
-  std::vector<core::InstanceName> excluded;
+  std::map<core::InstanceName, membership::Peer> peers;
+  bool current = true;
+  bool leaving = false;
 };
 
 }  // namespace trefoilbend::discovery
--- a/packages/discovery/include/trefoilbend/discovery/fwd.h
+++ b/packages/discovery/include/trefoilbend/discovery/fwd.h
@@ -5,6 +5,7 @@
 
 struct Question;
 struct Answer;
+struct DirectoryOptions;
 
 class Directory;
 
--- a/packages/discovery/src/directory.cc
+++ b/packages/discovery/src/directory.cc
@@ -22,25 +22,23 @@
 
 }  // namespace
 
-Answer Directory::Ask(const Question& question) {
+void Directory::Learn(const membership::View& view) {
+  this->current = view.current;
+  this->peers.clear();
+  for (const membership::Peer& peer : view.peers) {
+    this->peers.emplace(peer.name, peer);
+  }
+}
+
+Answer Directory::Ask(const Question& question,
+                      const idempotency::IssueTime now) {
   std::vector<Ranked> ranked;
   if (this->update.configuration == nullptr) {
     return {};
   }
-  const auto is_listed_live = [&](const core::InstanceName& name) {
-    return std::any_of(this->update.listed->begin(), this->update.listed->end(),
-                       [&](const platform::ListedInstance& listed) {
-                         return listed.name == name &&
-                                listed.state == platform::InstanceState::kLive;
-                       });
-  };
   for (const inventory::Instance* entry :
        this->update.configuration->Entries()) {
-    const bool stopping =
-        std::find(this->excluded.begin(), this->excluded.end(), entry->name) !=
-        this->excluded.end();
-    if (!stopping && is_listed_live(entry->name) &&
-        !this->update.configuration->IsOut(entry->data_centre)) {
+    if (this->IsUsable(*entry)) {
       ranked.push_back(
           {.entry = entry,
            .far = entry->data_centre != question.near,
@@ -54,10 +52,54 @@
   for (const Ranked& one : ranked) {
     answer.entries.push_back(one.entry->address);
   }
-  std::uniform_int_distribution<std::int64_t> jitter{this->keep.count() / 2,
-                                                     this->keep.count()};
+  if (!ranked.empty()) {
+    answer.home = this->HomeFor(ranked.front().entry->name, now);
+  }
+  const std::int64_t longest = this->options.keep.count();
+  std::uniform_int_distribution<std::int64_t> jitter{longest / 2, longest};
   answer.keep = std::chrono::milliseconds{jitter(this->random)};
   return answer;
 }
 
+bool Directory::IsUsable(const inventory::Instance& entry) const {
+  if (this->update.configuration->IsOut(entry.data_centre)) {
+    return false;
+  }
+  const auto listed =
+      std::find_if(this->update.listed->begin(), this->update.listed->end(),
+                   [&](const platform::ListedInstance& one) {
+                     return one.name == entry.name;
+                   });
+  if (listed == this->update.listed->end() ||
+      listed->state != platform::InstanceState::kLive) {
+    return false;
+  }
+  if (entry.name == this->options.self) {
+    return this->current && !this->leaving;
+  }
+  return this->IsUsablePeer(entry.name);
+}
+
+bool Directory::IsUsablePeer(const core::InstanceName& name) const {
+  const auto peer = this->peers.find(name);
+  return peer == this->peers.end() ||
+         peer->second.state == membership::PeerState::kAlive;
+}
+
+std::optional<idempotency::Home> Directory::HomeFor(
+    const core::InstanceName& first, const idempotency::IssueTime now) const {
+  const auto peer = this->peers.find(first);
+  if (first != this->options.self && peer != this->peers.end() &&
+      peer->second.incarnation != core::Incarnation{}) {
+    return idempotency::Home{
+        .entry = first, .incarnation = peer->second.incarnation, .issued = now};
+  }
+  if (this->leaving || !this->current) {
+    return std::nullopt;
+  }
+  return idempotency::Home{.entry = this->options.self,
+                           .incarnation = this->options.incarnation,
+                           .issued = now};
+}
+
 }  // namespace trefoilbend::discovery
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -4,6 +4,7 @@
 
 #include "trefoilbend/balancing/duty.h"
 #include "trefoilbend/forwarding/duty.h"
+#include "trefoilbend/relay/duty.h"
 
 namespace trefoilbend::entry {
 
@@ -11,6 +12,7 @@
   explicit Duties(const Settings& settings)
       : forwarding(settings.callers.limits.calls),
         balancing(settings.balancing, settings.callers.limits.calls),
+        relay(settings.callers.limits.calls),
         callers(settings.callers, this->registry),
         operations(settings.operations, this->registry),
         configuration(settings.configuration) {}
@@ -18,6 +20,7 @@
   prometheus::Registry registry;
   forwarding::ForwardingDuty forwarding;
   balancing::BalancingDuty balancing;
+  relay::RelayDuty relay;
   callers::CallersDuty callers;
   operations::OperationsDuty operations;
   configuration::ConfigurationDuty configuration;
@@ -30,6 +33,7 @@
   this->duties->configuration.Stop();
   this->duties->operations.Stop();
   this->duties->callers.Stop();
+  this->duties->relay.Stop();
   this->duties->balancing.Stop();
   this->duties->forwarding.Stop();
 }
@@ -40,9 +44,11 @@
                         .balancing = &all.balancing.ForwardingInlet()});
   all.balancing.Start({.callers = &all.callers.BalancingInlet(),
                        .forwarding = &all.forwarding.BalancingInlet()});
+  all.relay.Start(all.callers.RelayInlet());
   auto serving =
       all.callers.Start({.balancing = &all.balancing.CallersInlet(),
-                         .forwarding = &all.forwarding.CallersInlet()});
+                         .forwarding = &all.forwarding.CallersInlet(),
+                         .relay = &all.relay.CallersInlet()});
   if (!core::Succeeded(serving)) {
     return serving;
   }
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -17,12 +17,22 @@
 constexpr std::uint64_t kMostCalls = 1'000'000;
 constexpr std::uint64_t kMostHeader = 1U << 20U;
 constexpr std::uint64_t kMostBody = 64U << 20U;
+constexpr std::uint64_t kMostKeys = 10'000'000;
+constexpr std::uint64_t kMostAnswers = 1U << 30U;
 constexpr std::uint64_t kMostAttempts = 10;
 
 std::chrono::milliseconds Milliseconds(const std::chrono::microseconds time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
+/** Two runs of one entry never begin within the same microsecond. */
+core::Incarnation NewIncarnation() {
+  const auto now = std::chrono::time_point_cast<std::chrono::microseconds>(
+      std::chrono::system_clock::now());
+  return core::Incarnation{
+      static_cast<std::uint64_t>(now.time_since_epoch().count())};
+}
+
 class Reader {
  public:
   explicit Reader(const settings::Document& document) : document(document) {}
@@ -31,6 +41,7 @@
     const std::vector<std::pair<std::string, void (Reader::*)(Section&)>>
         readers{{"entry", &Reader::ReadEntry},
                 {"callers", &Reader::ReadCallers},
+                {"keys", &Reader::ReadKeys},
                 {"balancing", &Reader::ReadBalancing},
                 {"platform", &Reader::ReadPlatform},
                 {"operations", &Reader::ReadOperations},
@@ -81,6 +92,7 @@
   void ReadEntry(Section& section) {
     const core::InstanceName self{section.Text("name")};
     this->result.callers.self = self;
+    this->result.callers.incarnation = NewIncarnation();
     this->result.configuration.self = self;
     this->result.operations.self = self;
   }
@@ -91,6 +103,8 @@
     options.address = section.Address("address");
     options.keep =
         Milliseconds(section.Time("keep", {100ms, 1min}, options.keep));
+    options.leave_notice = Milliseconds(
+        section.Time("leave-notice", {0ms, 1min}, options.leave_notice));
     limits.calls = section.Integer("max-calls", {1, kMostCalls}, limits.calls);
     limits.connections =
         section.Integer("max-connections", {1, kMostCalls}, limits.connections);
@@ -105,6 +119,16 @@
         Milliseconds(section.Time("idle-timeout", {10ms, 1h}, limits.idle));
   }
 
+  void ReadKeys(Section& section) {
+    callers::KeyLimits& limits = this->result.callers.keys;
+    limits.retention =
+        Milliseconds(section.Time("retention", {1s, 24h}, limits.retention));
+    limits.keys = section.Integer("max-keys", {1, kMostKeys}, limits.keys);
+    limits.answers =
+        section.Bytes("max-answers", {0, kMostAnswers}, limits.answers);
+    limits.answer = section.Bytes("max-answer", {0, kMostBody}, limits.answer);
+  }
+
   void ReadBalancing(Section& section) {
     balancing::DispatcherOptions& options = this->result.balancing;
     options.strategy =
@@ -121,6 +145,8 @@
     options.timeout =
         Milliseconds(section.Time("timeout", {10ms, 1min}, options.timeout));
     options.poll = Milliseconds(section.Time("poll", {10ms, 5s}, options.poll));
+    this->result.callers.platform = options.platform;
+    this->result.callers.platform_timeout = options.timeout;
     this->result.operations.platform = options.platform;
     this->result.operations.platform_timeout = options.timeout;
   }
@@ -157,7 +183,7 @@
     this->result.log_level =
         section.Word("level", kLevels, this->result.log_level);
     for (const char* part :
-         {"callers", "configuration", "operations", "entry"}) {
+         {"callers", "relay", "configuration", "operations", "entry"}) {
       this->result.log_levels[part] =
           section.Word(part, kLevels, this->result.log_level);
     }
