Test at most once on real processes, with retries through other entries

Cause: the claim needs runs counted at the target, under faults. The driver learns prefix, own keys and attempts with the same key.

--- a/stand_ins/caller/driver.cc
+++ b/stand_ins/caller/driver.cc
@@ -12,12 +12,14 @@
 
 constexpr std::chrono::seconds kTimeout{30};
 constexpr std::chrono::milliseconds kPause{20};
+constexpr std::chrono::milliseconds kFirstRetry{50};
 constexpr std::uint32_t kPercent = 100;
 
 struct PlannedCall {
   std::string id;
   http::Request request;
   std::string expected;
+  std::uint32_t attempts = 0;
 };
 
 CallOutcome Judge(const PlannedCall& call,
@@ -109,13 +111,14 @@
         }
         this->known_until = Clock::now() + std::chrono::milliseconds{body.value(
                                                "keep_ms", std::int64_t{0})};
+        this->key_prefix = body.value("key_prefix", std::string{});
       }
     }
     if (!this->known.empty()) {
       this->Call(this->known.front());
       return;
     }
-    if (Clock::now() >= this->end) {
+    if (Clock::now() >= this->end && this->planned == nullptr) {
       return;
     }
     this->timer.expires_after(kPause);
@@ -124,20 +127,32 @@
   }
 
   void Call(const http::Address& entry) {
-    auto call = std::make_shared<PlannedCall>(this->Plan());
-    this->http->Send(
-        entry, call->request, kTimeout,
-        [self = this->shared_from_this(), call](const auto& outcome) {
-          self->OnAnswer(*call, outcome);
-        });
+    if (this->planned == nullptr) {
+      this->planned = std::make_shared<PlannedCall>(this->Plan());
+    }
+    ++this->planned->attempts;
+    this->http->Send(entry, this->planned->request, kTimeout,
+                     [self = this->shared_from_this()](const auto& outcome) {
+                       self->OnAnswer(outcome);
+                     });
   }
 
-  void OnAnswer(const PlannedCall& call, const http::ResponseOutcome& outcome) {
-    const CallOutcome judged = Judge(call, outcome);
-    this->driver.tally.Add(judged, Clock::now() - this->due, call.id);
-    if (judged == CallOutcome::kBroken && !this->known.empty()) {
+  void OnAnswer(const http::ResponseOutcome& outcome) {
+    const CallOutcome judged = Judge(*this->planned, outcome);
+    if (judged != CallOutcome::kAnswered && !this->known.empty()) {
       this->known.erase(this->known.begin());
     }
+    const bool final = judged == CallOutcome::kAnswered ||
+                       judged == CallOutcome::kFailed ||
+                       judged == CallOutcome::kWrong;
+    if (!final && this->planned->attempts < this->driver.options.attempts) {
+      this->timer.expires_after(kFirstRetry * this->planned->attempts);
+      this->timer.async_wait(
+          [self = this->shared_from_this()](auto) { self->FindEntry(); });
+      return;
+    }
+    this->driver.tally.Add(judged, Clock::now() - this->due, this->planned->id);
+    this->planned.reset();
     this->due +=
         this->driver.options.rate > 0 ? this->DrawGap() : Clock::duration{};
     this->Next();
@@ -153,7 +168,8 @@
     if (draw < options.reserve_percent) {
       call.request.method = "POST";
       call.request.target = "/reserve";
-      call.request.fields.emplace_back("Idempotency-Key", call.id);
+      const std::string prefix = options.own_keys ? "" : this->key_prefix;
+      call.request.fields.emplace_back("Idempotency-Key", prefix + call.id);
       call.request.body = "glass for " + call.id;
       call.expected = MakeContent(call.id, 200);
       return call;
@@ -192,6 +208,8 @@
   boost::asio::steady_timer timer;
   std::mt19937_64 random;
   std::vector<http::Address> known;
+  std::string key_prefix;
+  std::shared_ptr<PlannedCall> planned;
   Clock::time_point known_until;
   Clock::time_point due;
   Clock::time_point end;
--- a/stand_ins/caller/driver.h
+++ b/stand_ins/caller/driver.h
@@ -45,6 +45,11 @@
   std::size_t sheet_bytes = 100'000;
   /** @brief Seed of the mix. */
   std::uint64_t seed = 1;
+  /** @brief Attempts that one call may take, each through another entry and
+   * with the same key. */
+  std::uint32_t attempts = 1;
+  /** @brief Whether reservations have keys without an entry's prefix. */
+  bool own_keys = false;
   /** @brief Name that tells this driver's calls from those of others. */
   std::string name = "driver";
 };
--- a/stand_ins/caller/main.cc
+++ b/stand_ins/caller/main.cc
@@ -34,6 +34,10 @@
                  "Length of a lookup's answer");
   app.add_option("--sheet-bytes", options.sheet_bytes, "Length of a download");
   app.add_option("--seed", options.seed, "Seed of the mix");
+  app.add_option("--attempts", options.attempts,
+                 "Attempts that one call may take");
+  app.add_flag("--own-keys", options.own_keys,
+               "Keys of reservations have no prefix");
   app.add_option("--name", options.name,
                  "Name that tells this driver's calls apart");
   app.add_flag("--list-not-run", list_not_run,
