--- a/packages/relay/test/relay_test.cc
+++ b/packages/relay/test/relay_test.cc
@@ -1,5 +1,7 @@
 #include <unistd.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
@@ -92,7 +94,18 @@
   return std::get<core::Refusal>(result);
 }
 
-void AwaitListening() { std::this_thread::sleep_for(100ms); }
+void AwaitListening() {
+  const boost::asio::ip::tcp::endpoint home{
+      boost::asio::ip::make_address(kHome.host), kHome.port};
+  boost::system::error_code error = boost::asio::error::not_connected;
+  for (int attempt = 0; attempt < 1'000 && error; ++attempt) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket{context};
+    socket.connect(home, error);
+    std::this_thread::sleep_for(10ms);
+  }
+  BOOST_REQUIRE(!error);
+}
 
 }  // namespace
 
