Hedge late idempotent calls from a budget that retries share

Change: an idempotent call whose answer is later than the service's running 92% quantile goes to a second target; the first head wins. One budget (10% of the calls, one a second, ten at most) pays for hedges and retries. Hedges stop while calls wait at the entry, for 500 ms after a target shed, and while more than 0.6 requests wait at targets for each slot. Targets keep which answers they owe, so that an age can be told.

--- a/bench/balancing/main.cc
+++ b/bench/balancing/main.cc
@@ -64,6 +64,8 @@
   Print(name + "p50", Milliseconds(result.times, 0.5), "ms");
   Print(name + "p99", p99, "ms");
   Print(name + "p999", Milliseconds(result.times, 0.999), "ms");
+  Print(name + "idempotent_p99", Milliseconds(result.idempotent_times, 0.99),
+        "ms");
   Print(name + "urgent_p99", Milliseconds(result.urgent_times, 0.99), "ms");
   Print(name + "answered", 100 * PerCall(result.times.size(), result), "%");
   Print(name + "failed", 100 * PerCall(result.failed, result), "%");
@@ -88,11 +90,14 @@
   std::vector<double> loads{50, 70, 85, 95};
   std::vector<std::uint64_t> seeds{1};
   double seconds = 10;
+  std::uint32_t hedge_percent = Scenario{}.hedge_percent;
   app.add_option("--case", names, "Cases to run, or all");
   app.add_option("--strategy", strategies, "Strategies to run");
   app.add_option("--load", loads, "Loads in percent of what targets can do");
   app.add_option("--seed", seeds, "Seeds of the random numbers");
   app.add_option("--seconds", seconds, "Length of each run");
+  app.add_option("--hedge-percent", hedge_percent,
+                 "Part of the idempotent calls that are hedged");
   CLI11_PARSE(app, argc, argv);
   strategies.insert(strategies.begin(), bench::kOracle);
   for (Scenario scenario : Cases()) {
@@ -103,6 +108,7 @@
     for (const double load : loads) {
       for (const std::uint64_t seed : seeds) {
         scenario.load = load / 100;
+        scenario.hedge_percent = hedge_percent;
         scenario.seed = seed;
         scenario.length = std::chrono::milliseconds{
             static_cast<std::int64_t>(seconds * 1'000)};
--- a/bench/balancing/scenario.h
+++ b/bench/balancing/scenario.h
@@ -55,6 +55,8 @@
   double non_idempotent = 0.1;
   /** @brief Longest time that a caller waits. */
   std::chrono::milliseconds timeout{2'000};
+  /** @brief Part of the idempotent calls that entries hedge, in percent. */
+  std::uint32_t hedge_percent = 8;
   /** @brief Length of the run after its warm-up. */
   std::chrono::milliseconds length{10'000};
   /** @brief Seed of the random numbers. */
--- a/bench/balancing/simulation.cc
+++ b/bench/balancing/simulation.cc
@@ -45,6 +45,7 @@
   for (std::uint32_t entry = 0; entry < scenario.entries; ++entry) {
     balancing::DispatcherOptions options;
     options.seed = scenario.seed * 100 + entry;
+    options.hedge_percent = scenario.hedge_percent;
     if (!this->oracle) {
       options.strategy = strategy;
     }
@@ -133,6 +134,7 @@
                          .flights = {}});
   this->result.arrived += this->calls.back().measured ? 1 : 0;
   const bool idempotent = share(this->random) >= this->scenario.non_idempotent;
+  this->calls.back().idempotent = idempotent;
   if (this->oracle) {
     this->Send(entry, call, core::ExchangeId{}, this->ChooseAsOracle());
     return;
@@ -217,6 +219,9 @@
   if (call.urgent) {
     this->result.urgent_times.push_back(time);
   }
+  if (call.idempotent) {
+    this->result.idempotent_times.push_back(time);
+  }
 }
 
 void Simulation::End(const std::size_t flight, const ExchangeResult result) {
@@ -287,7 +292,7 @@
       std::max<std::size_t>(by_exchange.size(), exchange.Value() + 1));
   by_exchange[exchange.Value()] = flight;
   ++this->under_way[target];
-  ++this->result.exchanges;
+  this->result.exchanges += this->calls[call].measured ? 1 : 0;
   this->Schedule(this->scenario.network, Kind::kAtTarget, flight);
 }
 
--- a/bench/balancing/simulation.h
+++ b/bench/balancing/simulation.h
@@ -25,6 +25,8 @@
   std::vector<std::chrono::microseconds> times;
   /** @brief Times of answered urgent calls. */
   std::vector<std::chrono::microseconds> urgent_times;
+  /** @brief Times of answered idempotent calls, which may be hedged. */
+  std::vector<std::chrono::microseconds> idempotent_times;
   /** @brief Calls that arrived after the warm-up. */
   std::uint64_t arrived = 0;
   /** @brief Calls that were refused. */
@@ -33,7 +35,7 @@
   std::uint64_t urgent_refused = 0;
   /** @brief Calls that got a failure of a target as their answer. */
   std::uint64_t failed = 0;
-  /** @brief Exchanges that were started. */
+  /** @brief Exchanges of those calls that were started. */
   std::uint64_t exchanges = 0;
 };
 
@@ -76,6 +78,7 @@
     std::size_t entry{};
     bool urgent{};
     bool measured{};
+    bool idempotent{};
     bool over{};
     std::vector<std::size_t> flights;
   };
--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -2,16 +2,20 @@
 #define TREFOILBEND_BALANCING_DISPATCHER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <queue>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "trefoilbend/admission/queue.h"
+#include "trefoilbend/balancing/attempt_budget.h"
 #include "trefoilbend/balancing/messages.h"
+#include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/target_table.h"
 #include "trefoilbend/rollout/version_chooser.h"
 
@@ -27,6 +31,12 @@
   std::uint64_t seed = 1;
   /** @brief Attempts that one call may take. */
   std::uint32_t attempts = 3;
+  /** @brief Hedges and retries that an idempotent call adds to its service's
+   * budget, in percent; 0 allows none but retries of what was not sent. */
+  std::uint32_t further_attempts_percent = 10;
+  /** @brief Part of the idempotent calls that are hedged, in percent; 0 for
+   * none. */
+  std::uint32_t hedge_percent = 8;
 };
 
 /**
@@ -81,13 +91,27 @@
                                 core::TimePoint now);
 
   /**
-   * @brief Refuses waiting calls whose deadline has passed and serves those
+   * @brief Takes note that the head of a long answer came.
+   * @param began Report of the exchange.
+   */
+  void Began(const forwarding::ExchangeBegan& began);
+
+  /**
+   * @brief Hedges calls whose answers are late, refuses waiting calls whose
+   * deadline has passed and serves those
    * that can be.
    * @param now Current time.
    * @return Decisions that follow.
    */
   [[nodiscard]] Decisions Tick(core::TimePoint now);
 
+  /**
+   * @brief Tells when the next hedge may be due.
+   * @param latest Time to return if none is due before.
+   * @return Time of the next Tick.
+   */
+  [[nodiscard]] core::TimePoint NextTick(core::TimePoint latest) const;
+
   /** @return Number of calls that wait or are in flight. */
   [[nodiscard]] std::size_t Calls() const noexcept {
     return this->calls.size();
@@ -97,20 +121,41 @@
   struct ServiceState {
     TargetTable targets;
     admission::Queue queue;
+    AttemptBudget budget;
+    Quantile hedge_delay;
+    core::TimePoint overloaded_until{};
   };
 
   struct CallState {
     std::shared_ptr<const core::CallRequest> request;
     std::vector<core::InstanceName> tried;
     core::VersionName version;
-    std::optional<core::ExchangeId> exchange;
+    std::vector<core::ExchangeId> exchanges;
+    bool began{};
     bool cancelled{};
     bool perhaps_run{};
   };
 
+  struct Hedge {
+    core::TimePoint due;
+    core::CallId call;
+    core::ExchangeId exchange;
+
+    [[nodiscard]] bool operator>(const Hedge& other) const noexcept {
+      return this->due > other.due;
+    }
+  };
+
   void Serve(ServiceState& service, core::TimePoint now, Decisions& decisions);
   [[nodiscard]] bool TryStart(ServiceState& service, core::CallId id,
+                              std::optional<core::ExchangeId> beside,
                               core::TimePoint now, Decisions& decisions);
+  void ScheduleHedge(const ServiceState& service, const CallState& call,
+                     core::CallId id, core::TimePoint now);
+  void HedgeLateCalls(core::TimePoint now, Decisions& decisions);
+  void NoteOverload(ServiceState& service,
+                    const forwarding::ExchangeEnded& ended,
+                    core::TimePoint now) const;
   [[nodiscard]] const inventory::Instance* ChooseTarget(ServiceState& service,
                                                         CallState& call,
                                                         core::TimePoint now);
@@ -124,6 +169,7 @@
   std::map<core::ServiceName, ServiceState> services;
   rollout::VersionChooser versions;
   std::unordered_map<core::CallId, CallState> calls;
+  std::priority_queue<Hedge, std::vector<Hedge>, std::greater<>> hedges;
   core::ExchangeId last_exchange;
 };
 
--- a/packages/balancing/include/trefoilbend/balancing/fwd.h
+++ b/packages/balancing/include/trefoilbend/balancing/fwd.h
@@ -8,6 +8,8 @@
 struct CancelCall;
 struct CallRefused;
 
+class Quantile;
+class AttemptBudget;
 class Strategy;
 class TargetTable;
 class Dispatcher;
--- /dev/null
+++ b/packages/balancing/include/trefoilbend/balancing/quantile.h
@@ -0,0 +1,68 @@
+#ifndef TREFOILBEND_BALANCING_QUANTILE_H_
+#define TREFOILBEND_BALANCING_QUANTILE_H_
+
+#include <chrono>
+
+#include "trefoilbend/core/clock.h"
+
+namespace trefoilbend::balancing {
+
+/**
+ * @brief Running estimate of a quantile of latencies, in constant memory.
+ *
+ * Stochastic approximation (Robbins and Monro, 1951) on a logarithmic scale:
+ * each sample moves the estimate by a fixed ratio, so that in balance the given
+ * part of the samples lies below it.
+ */
+class Quantile {
+ public:
+  /**
+   * @brief Makes an estimate.
+   * @param part Part of the samples that lies below the quantile, within 0 to
+   * 1.
+   * @param initial Estimate before the first sample.
+   */
+  Quantile(double part, core::Duration initial) noexcept
+      : part(part), estimate(std::chrono::duration<double>(initial)) {}
+
+  /** @brief Takes a sample that lies above the estimate. */
+  void Above() noexcept { this->Move(1 + kStep * this->part); }
+
+  /** @brief Takes a sample that lies below the estimate. */
+  void Below() noexcept { this->Move(1 - kStep * (1 - this->part)); }
+
+  /**
+   * @brief Takes a sample.
+   * @param sample Latency.
+   */
+  void Add(const core::Duration sample) noexcept {
+    sample > this->Value() ? this->Above() : this->Below();
+  }
+
+  /** @return The estimate. */
+  [[nodiscard]] core::Duration Value() const noexcept {
+    return std::chrono::duration_cast<core::Duration>(this->estimate);
+  }
+
+ private:
+  static constexpr double kStep = 0.05;
+  static constexpr std::chrono::duration<double> kLeast{0.0002};
+  static constexpr std::chrono::duration<double> kMost{10};
+
+  void Move(const double ratio) noexcept {
+    this->estimate *= ratio;
+    if (this->estimate < kLeast) {
+      this->estimate = kLeast;
+    }
+    if (this->estimate > kMost) {
+      this->estimate = kMost;
+    }
+  }
+
+  double part;
+  std::chrono::duration<double> estimate;
+};
+
+}  // namespace trefoilbend::balancing
+
+#endif  // TREFOILBEND_BALANCING_QUANTILE_H_
--- a/packages/balancing/include/trefoilbend/balancing/strategy.h
+++ b/packages/balancing/include/trefoilbend/balancing/strategy.h
@@ -27,6 +27,15 @@
   std::uint32_t slots{};
   /** @brief Requests at the target by its last report. */
   std::uint32_t reported{};
+  /** @brief Whether the target has reported and its reports are trusted. */
+  bool trusted{};
+  /** @brief Age of the last report. */
+  core::Duration report_age{};
+  /** @brief Calls that this entry has sent there since the last report. */
+  std::uint32_t sent_since_report{};
+  /** @brief Age of the oldest answer that the target owes this entry, in the
+   * service's median latencies. */
+  double owed{};
 };
 
 /** @brief Way of choosing a target. */
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/strategy.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/name.h"
@@ -16,6 +17,14 @@
 
 namespace trefoilbend::balancing {
 
+/** @brief An exchange that waits for the head of its answer. */
+struct Owed {
+  /** @brief The exchange. */
+  core::ExchangeId exchange;
+  /** @brief Time at which it was started. */
+  core::TimePoint since;
+};
+
 /** @brief What this entry knows of one target. */
 struct TargetState {
   /** @brief The target as the asset register has it. */
@@ -28,13 +37,20 @@
   std::uint32_t limit{};
   /** @brief Last load that the target told. */
   forwarding::LoadReport report;
-  /** @brief Time of the last report. */
+  /** @brief Time of the last report; the epoch before the first one. */
   core::TimePoint reported_at{};
+  /** @brief Calls that this entry has sent there since the last report. */
+  std::uint32_t sent_since_report{};
+  /** @brief Exchanges that wait for the head of their answer, oldest first. */
+  std::vector<Owed> owed;
   /** @brief Time until which the target is left out because connecting to it
    * failed. */
   core::TimePoint avoided_until{};
 };
 
+/** @brief Median latency of a service before its first answer. */
+inline constexpr std::chrono::milliseconds kFirstMedian{20};
+
 /** @brief The targets of one service and the way of choosing among them. */
 class TargetTable {
  public:
@@ -66,12 +82,21 @@
    * @brief Chooses a target and counts the call as in flight there.
    * @param excluded Targets that already had the call.
    * @param version Version that the target must run.
+   * @param exchange Exchange that takes the call there.
    * @param now Current time.
    * @return The target, or null if none may take a call.
    */
   [[nodiscard]] const inventory::Instance* Choose(
       const std::vector<core::InstanceName>& excluded,
-      const core::VersionName& version, core::TimePoint now);
+      const core::VersionName& version, core::ExchangeId exchange,
+      core::TimePoint now);
+
+  /**
+   * @brief Takes note that the head of a long answer came.
+   * @param exchange Exchange that has its answer.
+   * @param target Target that answers.
+   */
+  void Began(core::ExchangeId exchange, const core::InstanceName& target);
 
   /**
    * @brief Takes note of an exchange that ended.
@@ -88,13 +113,21 @@
    */
   [[nodiscard]] bool HasUsable(const core::VersionName& version) const noexcept;
 
+  /** @return Requests that wait at a target for each of its slots, by the
+   * reports of the recent answers. */
+  [[nodiscard]] double Crowding() const noexcept { return this->crowding; }
+
   /** @return All targets. */
   [[nodiscard]] const std::vector<TargetState>& Targets() const noexcept {
     return this->targets;
   }
 
  private:
+  [[nodiscard]] Candidate Describe(std::size_t at, core::TimePoint now) const;
+
   std::unique_ptr<Strategy> strategy;
+  Quantile median{0.5, kFirstMedian};
+  double crowding = 0;
   std::vector<TargetState> targets;
   std::unordered_map<core::InstanceName, std::size_t> positions;
   std::vector<Candidate> candidates;
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -11,6 +11,13 @@
 using forwarding::ExchangeResult;
 
 constexpr std::chrono::milliseconds kRetryAfter{1'000};
+constexpr std::chrono::milliseconds kFirstHedgeDelay{100};
+constexpr std::chrono::milliseconds kLeastHedgeDelay{5};
+constexpr std::chrono::milliseconds kOverload{500};
+constexpr std::uint16_t kShed = 503;
+constexpr double kPercent = 100;
+/** Requests that wait at targets for each slot, above which hedges stop. */
+constexpr double kMostCrowding = 0.6;
 
 std::uint32_t ShareOf(const std::uint32_t whole,
                       const std::size_t entries) noexcept {
@@ -43,7 +50,10 @@
     if (known == this->services.end()) {
       ServiceState state{
           TargetTable{MakeStrategy(this->options.strategy, this->options.seed)},
-          admission::Queue{this->options.queue}};
+          admission::Queue{this->options.queue},
+          AttemptBudget{this->options.further_attempts_percent / kPercent},
+          Quantile{1 - this->options.hedge_percent / kPercent,
+                   kFirstHedgeDelay}};
       known = this->services.emplace(name, std::move(state)).first;
     }
     std::vector<TargetTable::Member> members;
@@ -67,12 +77,11 @@
 Decisions Dispatcher::Submit(const SubmitCall& call,
                              const core::TimePoint now) {
   Decisions decisions;
-  const bool fresh =
-      this->calls
-          .emplace(call.call, CallState{.request = call.request,
-                                        .tried = {},
-                                        .exchange = std::nullopt})
-          .second;
+  const bool fresh = this->calls
+                         .emplace(call.call, CallState{.request = call.request,
+                                                       .tried = {},
+                                                       .exchanges = {}})
+                         .second;
   core::CheckInvariant(fresh, "a call is submitted once");
   const auto service = this->services.find(call.request->service);
   if (service == this->services.end()) {
@@ -90,6 +99,9 @@
     this->Refuse(call.call, core::RefusalReason::kBusy, decisions);
     return decisions;
   }
+  if (call.request->idempotent) {
+    state.budget.PayIn();
+  }
   this->Serve(state, now, decisions);
   return decisions;
 }
@@ -101,7 +113,7 @@
     return {};
   }
   CallState& state = found->second;
-  if (!state.exchange) {
+  if (state.exchanges.empty()) {
     this->services.at(state.request->service).queue.Remove(call.call);
     this->calls.erase(found);
     return {};
@@ -110,7 +122,11 @@
   if (!state.request->idempotent) {
     return {};
   }
-  return {forwarding::CancelExchange{*state.exchange}};
+  Decisions decisions;
+  for (const core::ExchangeId exchange : state.exchanges) {
+    decisions.emplace_back(forwarding::CancelExchange{exchange});
+  }
+  return decisions;
 }
 
 Decisions Dispatcher::Ended(const forwarding::ExchangeEnded& ended,
@@ -118,24 +134,46 @@
   Decisions decisions;
   const auto found = this->calls.find(ended.call);
   core::CheckInvariant(
-      found != this->calls.end() && found->second.exchange == ended.exchange,
+      found != this->calls.end() &&
+          std::erase(found->second.exchanges, ended.exchange) == 1,
       "an exchange that ended belongs to a call in flight");
-  ServiceState& service = this->services.at(found->second.request->service);
+  CallState& call = found->second;
+  ServiceState& service = this->services.at(call.request->service);
   service.targets.Ended(ended, now);
-  found->second.exchange.reset();
-  const bool answer_began = ended.result == ExchangeResult::kAnswered ||
-                            ended.result == ExchangeResult::kBrokenWithinAnswer;
-  if (answer_began || found->second.cancelled) {
-    this->calls.erase(found);
-  } else {
-    this->RetryOrRefuse(service, ended, now, decisions);
+  this->NoteOverload(service, ended, now);
+  call.began = call.began || ended.result == ExchangeResult::kAnswered ||
+               ended.result == ExchangeResult::kBrokenWithinAnswer;
+  call.perhaps_run =
+      call.perhaps_run || ended.result != ExchangeResult::kNotSent;
+  if (call.exchanges.empty()) {
+    if (call.began || call.cancelled) {
+      this->calls.erase(found);
+    } else {
+      this->RetryOrRefuse(service, ended, now, decisions);
+    }
   }
   this->Serve(service, now, decisions);
   return decisions;
 }
 
+void Dispatcher::Began(const forwarding::ExchangeBegan& began) {
+  const auto call = this->calls.find(began.call);
+  if (call == this->calls.end()) {
+    return;
+  }
+  call->second.began = true;
+  this->services.at(call->second.request->service)
+      .targets.Began(began.exchange, call->second.tried.back());
+}
+
+core::TimePoint Dispatcher::NextTick(const core::TimePoint latest) const {
+  return this->hedges.empty() ? latest
+                              : std::min(latest, this->hedges.top().due);
+}
+
 Decisions Dispatcher::Tick(const core::TimePoint now) {
   Decisions decisions;
+  this->HedgeLateCalls(now, decisions);
   for (auto& [name, service] : this->services) {
     for (const core::CallId id : service.queue.Expire(now)) {
       this->Refuse(id, core::RefusalReason::kDeadline, decisions);
@@ -148,14 +186,16 @@
 void Dispatcher::Serve(ServiceState& service, const core::TimePoint now,
                        Decisions& decisions) {
   for (auto next = service.queue.Next(); next; next = service.queue.Next()) {
-    if (!this->TryStart(service, *next, now, decisions)) {
+    if (!this->TryStart(service, *next, std::nullopt, now, decisions)) {
       return;
     }
     service.queue.Remove(*next);
+    this->ScheduleHedge(service, this->calls.at(*next), *next, now);
   }
 }
 
 bool Dispatcher::TryStart(ServiceState& service, const core::CallId id,
+                          const std::optional<core::ExchangeId> beside,
                           const core::TimePoint now, Decisions& decisions) {
   CallState& call = this->calls.at(id);
   const inventory::Instance* target = this->ChooseTarget(service, call, now);
@@ -163,16 +203,62 @@
     return false;
   }
   this->last_exchange = this->last_exchange.Next();
-  call.exchange = this->last_exchange;
+  call.exchanges.push_back(this->last_exchange);
   call.tried.push_back(target->name);
   decisions.push_back(forwarding::StartExchange{.call = id,
                                                 .exchange = this->last_exchange,
                                                 .target = target->name,
                                                 .address = target->address,
-                                                .request = call.request});
+                                                .request = call.request,
+                                                .beside = beside});
   return true;
 }
 
+void Dispatcher::ScheduleHedge(const ServiceState& service,
+                               const CallState& call, const core::CallId id,
+                               const core::TimePoint now) {
+  if (!call.request->idempotent || this->options.hedge_percent == 0) {
+    return;
+  }
+  const core::Duration delay =
+      std::max<core::Duration>(kLeastHedgeDelay, service.hedge_delay.Value());
+  this->hedges.push(
+      {.due = now + delay, .call = id, .exchange = call.exchanges.back()});
+}
+
+void Dispatcher::HedgeLateCalls(const core::TimePoint now,
+                                Decisions& decisions) {
+  while (!this->hedges.empty() && this->hedges.top().due <= now) {
+    const Hedge hedge = this->hedges.top();
+    this->hedges.pop();
+    const auto found = this->calls.find(hedge.call);
+    if (found == this->calls.end() || found->second.began ||
+        found->second.cancelled || found->second.exchanges.empty() ||
+        found->second.exchanges.front() != hedge.exchange) {
+      continue;
+    }
+    ServiceState& service = this->services.at(found->second.request->service);
+    service.hedge_delay.Above();
+    if (service.queue.Size() == 0 && service.overloaded_until <= now &&
+        service.targets.Crowding() < kMostCrowding &&
+        service.budget.Take(now)) {
+      (void)this->TryStart(service, hedge.call, hedge.exchange, now, decisions);
+    }
+  }
+}
+
+void Dispatcher::NoteOverload(ServiceState& service,
+                              const forwarding::ExchangeEnded& ended,
+                              const core::TimePoint now) const {
+  const bool answered = ended.result == ExchangeResult::kAnswered;
+  if (answered && ended.status == kShed) {
+    service.overloaded_until = now + kOverload;
+  }
+  if (answered && ended.latency < service.hedge_delay.Value()) {
+    service.hedge_delay.Below();
+  }
+}
+
 const inventory::Instance* Dispatcher::ChooseTarget(ServiceState& service,
                                                     CallState& call,
                                                     const core::TimePoint now) {
@@ -184,12 +270,13 @@
   const bool prefers_new = call.tried.empty() && call.version != stable &&
                            this->versions.Serves(name, call.version);
   if (prefers_new) {
-    if (const auto* target =
-            service.targets.Choose(call.tried, call.version, now)) {
+    if (const auto* target = service.targets.Choose(
+            call.tried, call.version, this->last_exchange.Next(), now)) {
       return target;
     }
   }
-  return service.targets.Choose(call.tried, stable, now);
+  return service.targets.Choose(call.tried, stable, this->last_exchange.Next(),
+                                now);
 }
 
 void Dispatcher::RetryOrRefuse(ServiceState& service,
@@ -198,15 +285,16 @@
                                Decisions& decisions) {
   CallState& call = this->calls.at(ended.call);
   const bool not_run = ended.result == ExchangeResult::kNotSent;
-  call.perhaps_run = call.perhaps_run || !not_run;
   if (ended.result == ExchangeResult::kTimedOut ||
       now >= call.request->deadline) {
     this->Refuse(ended.call, core::RefusalReason::kDeadline, decisions);
     return;
   }
-  const bool may_retry = (not_run || call.request->idempotent) &&
-                         call.tried.size() < this->options.attempts;
-  if (!may_retry || !this->TryStart(service, ended.call, now, decisions)) {
+  const bool may_retry =
+      call.tried.size() < this->options.attempts &&
+      (not_run || (call.request->idempotent && service.budget.Take(now)));
+  if (!may_retry ||
+      !this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
     this->Refuse(ended.call, core::RefusalReason::kTargetFailed, decisions);
   }
 }
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -42,6 +42,9 @@
           if (const auto* ended =
                   std::get_if<forwarding::ExchangeEnded>(&message)) {
             this->Carry(this->dispatcher.Ended(*ended, Now()));
+          } else if (const auto* began =
+                         std::get_if<forwarding::ExchangeBegan>(&message)) {
+            this->dispatcher.Began(*began);
           }
         });
     this->duty.Read(this->from_configuration,
@@ -67,7 +70,7 @@
   }
 
   void Wait() {
-    this->timer.expires_after(kTick);
+    this->timer.expires_at(this->dispatcher.NextTick(Now() + kTick));
     this->timer.async_wait([this](const boost::system::error_code error) {
       if (error) {
         return;
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAvoidance{500};
+constexpr double kSampleWeight = 0.02;
 
 }  // namespace
 
@@ -36,7 +37,8 @@
 
 const inventory::Instance* TargetTable::Choose(
     const std::vector<core::InstanceName>& excluded,
-    const core::VersionName& version, const core::TimePoint now) {
+    const core::VersionName& version, const core::ExchangeId exchange,
+    const core::TimePoint now) {
   this->candidates.clear();
   for (std::size_t at = 0; at < this->targets.size(); ++at) {
     const TargetState& target = this->targets[at];
@@ -44,11 +46,7 @@
                                  target.instance.name) != excluded.end();
     if (target.usable && target.instance.version == version && !tried &&
         target.in_flight < target.limit && target.avoided_until <= now) {
-      this->candidates.push_back(
-          {.target = at,
-           .in_flight = target.in_flight,
-           .slots = target.instance.slots,
-           .reported = target.report.in_flight + target.report.queued});
+      this->candidates.push_back(this->Describe(at, now));
     }
   }
   if (this->candidates.empty()) {
@@ -57,9 +55,36 @@
   const std::size_t chosen = this->strategy->Choose(this->candidates, now);
   TargetState& target = this->targets[this->candidates.at(chosen).target];
   ++target.in_flight;
+  ++target.sent_since_report;
+  target.owed.push_back({exchange, now});
   return &target.instance;
 }
 
+Candidate TargetTable::Describe(const std::size_t at,
+                                const core::TimePoint now) const {
+  const TargetState& target = this->targets[at];
+  const std::chrono::duration<double> median = this->median.Value();
+  const core::Duration owed =
+      target.owed.empty() ? core::Duration{} : now - target.owed.front().since;
+  return {.target = at,
+          .in_flight = target.in_flight,
+          .slots = target.instance.slots,
+          .reported = target.report.in_flight + target.report.queued,
+          .trusted = target.reported_at != core::TimePoint{},
+          .report_age = now - target.reported_at,
+          .sent_since_report = target.sent_since_report,
+          .owed = owed / median};
+}
+
+void TargetTable::Began(const core::ExchangeId exchange,
+                        const core::InstanceName& target) {
+  const auto position = this->positions.find(target);
+  if (position != this->positions.end()) {
+    std::erase_if(this->targets[position->second].owed,
+                  [&](const Owed& owed) { return owed.exchange == exchange; });
+  }
+}
+
 void TargetTable::Ended(const forwarding::ExchangeEnded& ended,
                         const core::TimePoint now) {
   const auto position = this->positions.find(ended.target);
@@ -70,9 +95,17 @@
   if (target.in_flight > 0) {
     --target.in_flight;
   }
+  this->Began(ended.exchange, ended.target);
   if (ended.load) {
     target.report = *ended.load;
     target.reported_at = now;
+    target.sent_since_report = 0;
+    const double queued = ended.load->queued;
+    this->crowding +=
+        kSampleWeight * (queued / target.instance.slots - this->crowding);
+  }
+  if (ended.result == forwarding::ExchangeResult::kAnswered) {
+    this->median.Add(ended.latency);
   }
   if (ended.result == forwarding::ExchangeResult::kNotSent ||
       ended.result == forwarding::ExchangeResult::kBrokenBeforeAnswer) {
