Choose by own calls in flight, fading reports and owed answers

Cause: least in flight sees neither what other entries sent nor that a target has become slow. Change: strategy adaptive, the default: own calls in flight first; trusted reports as their distance from the mean with a light weight that fades within 10 ms; calls sent since the report; and the age of the oldest owed answer above two median latencies.

--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -24,7 +24,7 @@
 /** @brief Options of a dispatcher. */
 struct DispatcherOptions {
   /** @brief Name of the strategy that chooses targets. */
-  std::string strategy = "least-in-flight";
+  std::string strategy = "adaptive";
   /** @brief Bounds of each service's queue. */
   admission::QueueLimits queue;
   /** @brief Seed of the random numbers. */
--- a/packages/balancing/src/strategy.cc
+++ b/packages/balancing/src/strategy.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <cmath>
 
 namespace trefoilbend::balancing {
 
@@ -78,6 +80,68 @@
   Random random;
 };
 
+/** Own calls in flight first; reports weigh little and fade quickly, since
+ * other entries act on the same ones; a target that owes an answer for long is
+ * taken for slow. */
+class Adaptive final : public Strategy {
+ public:
+  explicit Adaptive(const std::uint64_t seed) : random(seed) {}
+
+  [[nodiscard]] std::size_t Choose(const std::span<const Candidate> candidates,
+                                   core::TimePoint /*now*/) override {
+    const double mean = MeanReport(candidates);
+    const std::size_t start = Draw(this->random, candidates.size());
+    std::size_t best = start;
+    double least = Cost(candidates[start], mean);
+    for (std::size_t step = 1; step < candidates.size(); ++step) {
+      const std::size_t at = (start + step) % candidates.size();
+      const double cost = Cost(candidates[at], mean);
+      if (cost < least) {
+        best = at;
+        least = cost;
+      }
+    }
+    return best;
+  }
+
+ private:
+  static constexpr double kReportWeight = 0.15;
+  static constexpr double kSentWeight = 0.3;
+  static constexpr double kOwedWeight = 0.2;
+  /** Age of an owed answer, in median latencies, that is not yet suspicious. */
+  static constexpr double kUsualAge = 2;
+  /** Time in which a report loses all but 1/e of its weight. */
+  static constexpr std::chrono::duration<double> kFading{0.010};
+
+  /** Mean of the trusted reports, in requests a slot. */
+  static double MeanReport(
+      const std::span<const Candidate> candidates) noexcept {
+    double requests = 0;
+    double slots = 0;
+    for (const Candidate& candidate : candidates) {
+      if (candidate.trusted) {
+        requests += candidate.reported;
+        slots += candidate.slots;
+      }
+    }
+    return slots > 0 ? requests / slots : 0;
+  }
+
+  static double Cost(const Candidate& candidate, const double mean) noexcept {
+    const double slots = candidate.slots;
+    double cost = candidate.in_flight / slots;
+    cost += kSentWeight * candidate.sent_since_report / slots;
+    cost += kOwedWeight * std::max(0.0, candidate.owed - kUsualAge);
+    if (candidate.trusted) {
+      const double weight = std::exp(-(candidate.report_age / kFading));
+      cost += kReportWeight * weight * (candidate.reported / slots - mean);
+    }
+    return cost;
+  }
+
+  Random random;
+};
+
 template <typename Concrete>
 std::unique_ptr<Strategy> Make(const std::uint64_t seed) {
   return std::make_unique<Concrete>(seed);
@@ -88,11 +152,12 @@
   std::unique_ptr<Strategy> (*make)(std::uint64_t);
 };
 
-constexpr std::array<NamedStrategy, 4> kStrategies{
+constexpr std::array<NamedStrategy, 5> kStrategies{
     {{"round-robin", Make<RoundRobin>},
      {"random", Make<Uniform>},
      {"least-in-flight", Make<LeastInFlight>},
-     {"two-choices", Make<TwoChoices>}}};
+     {"two-choices", Make<TwoChoices>},
+     {"adaptive", Make<Adaptive>}}};
 
 }  // namespace
 
