--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -41,10 +41,14 @@
   core::TimePoint reported_at{};
   /** @brief Calls that this entry has sent there since the last report. */
   std::uint32_t sent_since_report{};
+  /** @brief Trust in the reports, from 0 to 1. */
+  double trust = 1;
+  /** @brief Answers in sequence that were failures of the target. */
+  std::uint32_t failures{};
   /** @brief Exchanges that wait for the head of their answer, oldest first. */
   std::vector<Owed> owed;
-  /** @brief Time until which the target is left out because connecting to it
-   * failed. */
+  /** @brief Time until which the target is left out because it failed, unless
+   * all others are left out too. */
   core::TimePoint avoided_until{};
 };
 
@@ -123,6 +127,13 @@
   }
 
  private:
+  void Collect(const std::vector<core::InstanceName>& excluded,
+               const core::VersionName& version, core::TimePoint now,
+               bool with_avoided);
+  void TakeReport(TargetState& target, const forwarding::LoadReport& report,
+                  core::TimePoint now);
+  void NoteFailures(TargetState& target, const forwarding::ExchangeEnded& ended,
+                    core::TimePoint now) const;
   [[nodiscard]] Candidate Describe(std::size_t at, core::TimePoint now) const;
 
   std::unique_ptr<Strategy> strategy;
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -11,7 +11,17 @@
 namespace {
 
 constexpr std::chrono::milliseconds kAvoidance{500};
+constexpr std::chrono::milliseconds kFirstAvoidance{100};
+constexpr std::uint32_t kMostDoublings = 4;
+constexpr std::uint32_t kFailuresToAvoid = 3;
+constexpr std::uint16_t kServerError = 500;
 constexpr double kSampleWeight = 0.02;
+/** Factor of the trust for a report that tells less than this entry's own
+ * calls. */
+constexpr double kDistrust = 0.8;
+/** Trust that a report without contradiction gives back. */
+constexpr double kTrust = 0.002;
+constexpr double kLeastTrust = 0.5;
 
 }  // namespace
 
@@ -39,15 +49,9 @@
     const std::vector<core::InstanceName>& excluded,
     const core::VersionName& version, const core::ExchangeId exchange,
     const core::TimePoint now) {
-  this->candidates.clear();
-  for (std::size_t at = 0; at < this->targets.size(); ++at) {
-    const TargetState& target = this->targets[at];
-    const bool tried = std::find(excluded.begin(), excluded.end(),
-                                 target.instance.name) != excluded.end();
-    if (target.usable && target.instance.version == version && !tried &&
-        target.in_flight < target.limit && target.avoided_until <= now) {
-      this->candidates.push_back(this->Describe(at, now));
-    }
+  this->Collect(excluded, version, now, false);
+  if (this->candidates.empty()) {
+    this->Collect(excluded, version, now, true);
   }
   if (this->candidates.empty()) {
     return nullptr;
@@ -60,6 +64,22 @@
   return &target.instance;
 }
 
+void TargetTable::Collect(const std::vector<core::InstanceName>& excluded,
+                          const core::VersionName& version,
+                          const core::TimePoint now, const bool with_avoided) {
+  this->candidates.clear();
+  for (std::size_t at = 0; at < this->targets.size(); ++at) {
+    const TargetState& target = this->targets[at];
+    const bool tried = std::find(excluded.begin(), excluded.end(),
+                                 target.instance.name) != excluded.end();
+    const bool avoided = target.avoided_until > now && !with_avoided;
+    if (target.usable && target.instance.version == version && !tried &&
+        !avoided && target.in_flight < target.limit) {
+      this->candidates.push_back(this->Describe(at, now));
+    }
+  }
+}
+
 Candidate TargetTable::Describe(const std::size_t at,
                                 const core::TimePoint now) const {
   const TargetState& target = this->targets[at];
@@ -70,7 +90,8 @@
           .in_flight = target.in_flight,
           .slots = target.instance.slots,
           .reported = target.report.in_flight + target.report.queued,
-          .trusted = target.reported_at != core::TimePoint{},
+          .trusted = target.reported_at != core::TimePoint{} &&
+                     target.trust >= kLeastTrust,
           .report_age = now - target.reported_at,
           .sent_since_report = target.sent_since_report,
           .owed = owed / median};
@@ -97,20 +118,56 @@
   }
   this->Began(ended.exchange, ended.target);
   if (ended.load) {
-    target.report = *ended.load;
-    target.reported_at = now;
-    target.sent_since_report = 0;
-    const double queued = ended.load->queued;
-    this->crowding +=
-        kSampleWeight * (queued / target.instance.slots - this->crowding);
+    this->TakeReport(target, *ended.load, now);
   }
   if (ended.result == forwarding::ExchangeResult::kAnswered) {
     this->median.Add(ended.latency);
   }
-  if (ended.result == forwarding::ExchangeResult::kNotSent ||
-      ended.result == forwarding::ExchangeResult::kBrokenBeforeAnswer) {
+  this->NoteFailures(target, ended, now);
+}
+
+void TargetTable::TakeReport(TargetState& target,
+                             const forwarding::LoadReport& report,
+                             const core::TimePoint now) {
+  const std::uint32_t requests = report.in_flight + report.queued;
+  const core::TimePoint arrived = now - this->median.Value() / 2;
+  const auto owed =
+      std::count_if(target.owed.begin(), target.owed.end(),
+                    [&](const Owed& one) { return one.since <= arrived; });
+  if (requests < owed) {
+    target.trust *= kDistrust;
+  } else {
+    target.trust = std::min(1.0, target.trust + kTrust);
+  }
+  target.report = report;
+  target.reported_at = now;
+  target.sent_since_report = 0;
+  const double queued = report.queued;
+  this->crowding +=
+      kSampleWeight * (queued / target.instance.slots - this->crowding);
+}
+
+void TargetTable::NoteFailures(TargetState& target,
+                               const forwarding::ExchangeEnded& ended,
+                               const core::TimePoint now) const {
+  using forwarding::ExchangeResult;
+  if (ended.result == ExchangeResult::kNotSent ||
+      ended.result == ExchangeResult::kBrokenBeforeAnswer) {
     target.avoided_until = now + kAvoidance;
   }
+  if (ended.result != ExchangeResult::kAnswered) {
+    return;
+  }
+  if (ended.status < kServerError) {
+    target.failures = 0;
+    return;
+  }
+  ++target.failures;
+  if (target.failures >= kFailuresToAvoid) {
+    const std::uint32_t doublings =
+        std::min(target.failures - kFailuresToAvoid, kMostDoublings);
+    target.avoided_until = now + kFirstAvoidance * (1U << doublings);
+  }
 }
 
 bool TargetTable::HasUsable(const core::VersionName& version) const noexcept {
