Use reports only while they agree with latencies

Cause: reports 200 ms old pull calls to targets that were free once, and no single report shows its age. Change: a table keeps how often a report above or below the mean comes with a latency above or below the median, from -1 to 1 over about 1,400 answers; below 0.03 reports are not used.

Ruled out: a weight of 0.002, where the estimate's noise hides the difference.

--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -55,6 +55,10 @@
 /** @brief Median latency of a service before its first answer. */
 inline constexpr std::chrono::milliseconds kFirstMedian{20};
 
+/** @brief How far a service's reports agree with latencies before its first
+ * answer. */
+inline constexpr double kFirstAgreement = 0.05;
+
 /** @brief The targets of one service and the way of choosing among them. */
 class TargetTable {
  public:
@@ -132,6 +136,9 @@
                bool with_avoided);
   void TakeReport(TargetState& target, const forwarding::LoadReport& report,
                   core::TimePoint now);
+  void CompareReport(const TargetState& target,
+                     const forwarding::LoadReport& report,
+                     core::Duration latency);
   void NoteFailures(TargetState& target, const forwarding::ExchangeEnded& ended,
                     core::TimePoint now) const;
   [[nodiscard]] Candidate Describe(std::size_t at, core::TimePoint now) const;
@@ -139,6 +146,8 @@
   std::unique_ptr<Strategy> strategy;
   Quantile median{0.5, kFirstMedian};
   double crowding = 0;
+  double mean_report = 0;
+  double agreement = kFirstAgreement;
   std::vector<TargetState> targets;
   std::unordered_map<core::InstanceName, std::size_t> positions;
   std::vector<Candidate> candidates;
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -22,6 +22,10 @@
 /** Trust that a report without contradiction gives back. */
 constexpr double kTrust = 0.002;
 constexpr double kLeastTrust = 0.5;
+/** Weight of one answer in how far reports agree with latencies, from -1 to 1.
+ */
+constexpr double kAgreementWeight = 0.0007;
+constexpr double kLeastAgreement = 0.03;
 
 }  // namespace
 
@@ -91,7 +95,8 @@
           .slots = target.instance.slots,
           .reported = target.report.in_flight + target.report.queued,
           .trusted = target.reported_at != core::TimePoint{} &&
-                     target.trust >= kLeastTrust,
+                     target.trust >= kLeastTrust &&
+                     this->agreement >= kLeastAgreement,
           .report_age = now - target.reported_at,
           .sent_since_report = target.sent_since_report,
           .owed = owed / median};
@@ -117,10 +122,14 @@
     --target.in_flight;
   }
   this->Began(ended.exchange, ended.target);
+  const bool answered = ended.result == forwarding::ExchangeResult::kAnswered;
   if (ended.load) {
     this->TakeReport(target, *ended.load, now);
   }
-  if (ended.result == forwarding::ExchangeResult::kAnswered) {
+  if (ended.load && answered) {
+    this->CompareReport(target, *ended.load, ended.latency);
+  }
+  if (answered) {
     this->median.Add(ended.latency);
   }
   this->NoteFailures(target, ended, now);
@@ -147,6 +156,17 @@
       kSampleWeight * (queued / target.instance.slots - this->crowding);
 }
 
+void TargetTable::CompareReport(const TargetState& target,
+                                const forwarding::LoadReport& report,
+                                const core::Duration latency) {
+  const double load = static_cast<double>(report.in_flight + report.queued) /
+                      target.instance.slots;
+  const bool agrees =
+      (load > this->mean_report) == (latency > this->median.Value());
+  this->mean_report += kSampleWeight * (load - this->mean_report);
+  this->agreement += kAgreementWeight * ((agrees ? 1 : -1) - this->agreement);
+}
+
 void TargetTable::NoteFailures(TargetState& target,
                                const forwarding::ExchangeEnded& ended,
                                const core::TimePoint now) const {
--- /dev/null
+++ b/packages/balancing/test/target_table_test.cc
@@ -0,0 +1,124 @@
+#include "trefoilbend/balancing/target_table.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace trefoilbend::balancing {
+
+using namespace std::chrono_literals;
+using forwarding::ExchangeResult;
+using forwarding::LoadReport;
+
+namespace {
+
+/** A table of the targets a and b. */
+class Fixture {
+ public:
+  Fixture() {
+    std::vector<TargetTable::Member> members;
+    for (const std::string name : {"a", "b"}) {
+      inventory::Instance target;
+      target.name = core::InstanceName{name};
+      target.slots = 6;
+      members.push_back({.instance = target, .usable = true, .limit = 100});
+    }
+    this->table.SetMembers(std::move(members));
+  }
+
+  std::string Choose() {
+    this->exchange = this->exchange.Next();
+    const auto* target =
+        this->table.Choose({}, core::VersionName{}, this->exchange, this->now);
+    return target == nullptr ? "" : target->name.Text();
+  }
+
+  void Answer(const std::string& target, const std::uint16_t status,
+              const std::optional<LoadReport> load = std::nullopt) {
+    this->table.Ended({.exchange = this->exchange,
+                       .target = core::InstanceName{target},
+                       .result = ExchangeResult::kAnswered,
+                       .status = status,
+                       .latency = 10ms,
+                       .load = load},
+                      this->now);
+  }
+
+  TargetTable table{MakeStrategy("adaptive", 1)};
+  core::ExchangeId exchange;
+  core::TimePoint now{10s};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_table_of_targets, Fixture)
+
+BOOST_AUTO_TEST_SUITE(one_of_which_fails_at_once)
+
+BOOST_AUTO_TEST_CASE(sends_it_three_calls_and_then_leaves_it_out) {
+  int failed = 0;
+  for (int call = 0; call < 200; ++call) {
+    const bool fails = Choose() == "a";
+    failed += fails ? 1 : 0;
+    Answer(fails ? "a" : "b", fails ? 500 : 200);
+  }
+  BOOST_TEST(failed == 3);
+}
+
+BOOST_AUTO_TEST_CASE(tries_it_again_after_a_while) {
+  for (int failure = 0; failure < 3; ++failure) {
+    Answer("a", 500);
+  }
+  now += 101ms;
+  bool tried = false;
+  for (int call = 0; call < 20; ++call) {
+    tried = tried || Choose() == "a";
+  }
+  BOOST_TEST(tried);
+}
+
+BOOST_AUTO_TEST_CASE(uses_it_when_all_others_are_left_out_too) {
+  for (int failure = 0; failure < 3; ++failure) {
+    Answer("a", 500);
+    Answer("b", 500);
+  }
+  BOOST_TEST(Choose() != "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(one_of_which_reports_less_than_this_entry_sent)
+
+BOOST_AUTO_TEST_CASE(loses_trust_in_its_reports) {
+  for (int call = 0; call < 40; ++call) {
+    (void)Choose();
+  }
+  now += 1s;
+  for (int answer = 0; answer < 5; ++answer) {
+    Answer("a", 200, LoadReport{});
+    Answer("b", 200, LoadReport{.in_flight = 6, .queued = 20});
+  }
+  BOOST_TEST(table.Targets()[0].trust < 0.5);
+  BOOST_TEST(table.Targets()[1].trust == 1.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_owes_an_answer_for_long)
+
+BOOST_AUTO_TEST_CASE(gets_fewer_calls_than_the_other) {
+  const std::string late = Choose();
+  now += 500ms;
+  int other = 0;
+  for (int call = 0; call < 6; ++call) {
+    other += Choose() != late ? 1 : 0;
+  }
+  BOOST_TEST(other == 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::balancing
