Make the share of hedges and further attempts settings

Cause: operators must be able to switch hedges off. Change: balancing hedge-percent (0 to 50) and further-attempts-percent (0 to 100).

--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -18,6 +18,8 @@
 constexpr std::uint64_t kMostHeader = 1U << 20U;
 constexpr std::uint64_t kMostBody = 64U << 20U;
 constexpr std::uint64_t kMostAttempts = 10;
+constexpr std::uint64_t kMostHedgePercent = 50;
+constexpr std::uint64_t kWholePercent = 100;
 
 std::chrono::milliseconds Milliseconds(const std::chrono::microseconds time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time);
@@ -113,6 +115,11 @@
         section.Integer("queue", {1, kMostCalls}, options.queue.length);
     options.attempts = static_cast<std::uint32_t>(
         section.Integer("attempts", {1, kMostAttempts}, options.attempts));
+    options.hedge_percent = static_cast<std::uint32_t>(section.Integer(
+        "hedge-percent", {0, kMostHedgePercent}, options.hedge_percent));
+    options.further_attempts_percent = static_cast<std::uint32_t>(
+        section.Integer("further-attempts-percent", {0, kWholePercent},
+                        options.further_attempts_percent));
   }
 
   void ReadPlatform(Section& section) {
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -35,7 +35,7 @@
   BOOST_REQUIRE(core::Succeeded(outcome));
   const Settings& settings = core::ValueOf(outcome);
   BOOST_TEST((settings.callers.keep == std::chrono::seconds{3}));
-  BOOST_TEST(settings.balancing.strategy == "least-in-flight");
+  BOOST_TEST(settings.balancing.strategy == "adaptive");
   BOOST_TEST(settings.log_levels.at("callers") == "debug");
   BOOST_TEST(settings.log_levels.at("operations") == "warn");
 }
