--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -228,6 +228,10 @@
   return child.exit_code();
 }
 
+bool Fleet::IsRunning(const std::string& instance) {
+  return this->state->children.at(instance).running();
+}
+
 void Fleet::List(const std::string& instance, const std::string& state) {
   (void)Send(this->AddressOf("platform"),
              MakeRequest("PUT", "/control/instance?name=" + instance +
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -83,6 +83,13 @@
    */
   [[nodiscard]] int AwaitExit(const std::string& instance);
 
+  /**
+   * @brief Tells whether an instance's process has not ended yet.
+   * @param instance Name of the instance.
+   * @return True while it runs, also when it is frozen.
+   */
+  [[nodiscard]] bool IsRunning(const std::string& instance);
+
   /**
    * @brief Sets an instance's state in the platform's list.
    * @param instance Name of the instance.
