Pass over only the tests that KNOWN-RED.txt names, case by case

Change: ctest writes a JUnit report; scripts/known_red.py passes a failed test over only if each of its failed cases, or the test itself, is listed, prints it, and refuses a malformed list. A crash or another failed case in the same program still fails the run. The thread step names the path test by its new name.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,6 +5,7 @@
 
 passed=0
 failed=0
+known_red=0
 
 # check NAME COMMAND... runs a check and counts it.
 check() {
@@ -19,19 +20,29 @@
   fi
 }
 
-# run_tests PRESET [ARGUMENTS...] builds a preset, runs its tests and counts each.
+# run_tests PRESET [ARGUMENTS...] builds a preset, runs its tests and counts each. Tests that
+# KNOWN-RED.txt names are run and printed, and do not fail the run.
 run_tests() {
-  local preset=$1
+  local preset=$1 report counts
   shift
-  local log="build/$preset-tests.log"
+  report="$PWD/build/$preset-tests.xml"
   if ! (cmake --preset "$preset" >/dev/null && cmake --build --preset "$preset"); then
     echo "FAILED: build of $preset"
     failed=$((failed + 1))
     return
   fi
-  ctest --preset "$preset" "$@" | tee "$log"
-  passed=$((passed + $(grep -cE ' +Passed +[0-9.]+ sec' "$log")))
-  failed=$((failed + $(grep -cE '\*\*\*(Failed|Timeout|Exception|Not Run)' "$log")))
+  rm -f "$report"
+  ctest --preset "$preset" --output-junit "$report" "$@"
+  if ! counts=$(scripts/known_red.py "$report" KNOWN-RED.txt); then
+    echo "FAILED: report of $preset"
+    failed=$((failed + 1))
+    return
+  fi
+  head -n -1 <<<"$counts"
+  read -r now_passed now_failed now_red < <(tail -n 1 <<<"$counts")
+  passed=$((passed + now_passed))
+  failed=$((failed + now_failed))
+  known_red=$((known_red + now_red))
 }
 
 check_format() {
@@ -48,7 +59,7 @@
 step_release() { run_tests release; }
 step_lint() { check "lint" check_lint; }
 step_address() { run_tests address; }
-step_thread() { run_tests thread -R '^(core|entry|forwarding|path)$'; }
+step_thread() { run_tests thread -R '^(core|entry|forwarding|path_fleet)$'; }
 
 scripts/install_dependencies.sh || exit 1
 steps=("$@")
@@ -57,5 +68,6 @@
   echo "== $step"
   "step_$step"
 done
+((known_red == 0)) || echo "$known_red known red, passed over (KNOWN-RED.txt)"
 echo "$passed passed, $failed failed"
 ((failed == 0))
