Judge refused changes in the soak

Cause: operators' changes need a token now. The soak's changes were refused with 401 and the run was judged good with 0 changes accepted: a check that could not fail.

Change: the soak sends its operator's token, and a refusal with a status of 4xx other than a clash is a violation.

--- a/tests/soak/runner.cc
+++ b/tests/soak/runner.cc
@@ -21,6 +21,14 @@
 constexpr std::chrono::seconds kRecovery{5};
 constexpr std::chrono::seconds kGracefulStop{40};
 
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kBadRequest = 400;
+constexpr std::uint16_t kClash = 409;
+constexpr std::uint16_t kServerError = 500;
+
+/** Token of the first operator of a fleet. */
+constexpr const char* kToken = "Bearer token-of-the-test-operator";
+
 std::string NumberedName(const char* prefix, const std::size_t number) {
   return prefix + std::to_string(number);
 }
@@ -60,11 +68,7 @@
   const auto quiet = std::chrono::steady_clock::now();
   this->callers = driver->Report();
   this->judge.AddCallers(this->callers);
-  for (auto& [entry, change] : this->changes) {
-    if (const std::uint64_t revision = change.get(); revision != 0) {
-      this->judge.AddAccepted(entry, revision);
-    }
-  }
+  this->SettleChanges();
   std::this_thread::sleep_until(quiet + kRecovery);
   this->AwaitRecovery();
   this->CheckProcesses();
@@ -166,22 +170,39 @@
                     std::to_string(number) + "\nmethod = GET\n"}};
   this->changes.emplace_back(
       entry, std::async(std::launch::async, [this, entry, body] {
-        const auto outcome =
-            Fleet::Send(this->fleet.OperationsOf(entry), {.method = "POST",
-                                                          .target = "/v1/apply",
-                                                          .fields = {},
-                                                          .body = body.dump()});
-        if (!core::Succeeded(outcome) || core::ValueOf(outcome).status != 200) {
-          return std::uint64_t{0};
+        const auto outcome = Fleet::Send(this->fleet.OperationsOf(entry),
+                                         {.method = "POST",
+                                          .target = "/v1/apply",
+                                          .fields = {{"Authorization", kToken}},
+                                          .body = body.dump()});
+        if (!core::Succeeded(outcome)) {
+          return ChangeOutcome{};
+        }
+        const http::Response& response = core::ValueOf(outcome);
+        const json answer = json::parse(response.body, nullptr, false);
+        if (response.status != kOk || answer.contains("unchanged")) {
+          return ChangeOutcome{.status = response.status};
         }
-        const json answer =
-            json::parse(core::ValueOf(outcome).body, nullptr, false);
-        return answer.contains("unchanged")
-                   ? std::uint64_t{0}
-                   : answer.value("revision", std::uint64_t{0});
+        return ChangeOutcome{
+            .status = response.status,
+            .revision = answer.value("revision", std::uint64_t{0})};
       }));
 }
 
+void Runner::SettleChanges() {
+  for (auto& [entry, change] : this->changes) {
+    const ChangeOutcome outcome = change.get();
+    if (outcome.revision != 0) {
+      this->judge.AddAccepted(entry, outcome.revision);
+    }
+    if (outcome.status >= kBadRequest && outcome.status < kServerError &&
+        outcome.status != kClash) {
+      this->judge.AddViolation("a good change was refused with status " +
+                               std::to_string(outcome.status));
+    }
+  }
+}
+
 void Runner::AwaitRecovery() {
   const bool in_force = Fleet::Await(
       [this] {
--- a/tests/soak/runner.h
+++ b/tests/soak/runner.h
@@ -42,6 +42,12 @@
   }
 
  private:
+  /** What an entry made of a change. */
+  struct ChangeOutcome {
+    std::uint16_t status{};
+    std::uint64_t revision{};
+  };
+
   struct Event {
     std::chrono::milliseconds at{};
     const Disturbance* disturbance{};
@@ -54,6 +60,7 @@
   void Restart(const std::string& instance);
   void CollectRuns(const std::string& target);
   void Change(const std::string& entry, std::int64_t number);
+  void SettleChanges();
   void AwaitRecovery();
   void CheckProcesses();
 
@@ -63,7 +70,7 @@
   nlohmann::json callers;
   Judge judge;
   std::map<std::string, int> restarts;
-  std::vector<std::pair<std::string, std::future<std::uint64_t>>> changes;
+  std::vector<std::pair<std::string, std::future<ChangeOutcome>>> changes;
 };
 
 }  // namespace trefoilbend::soak
