--- a/bench/capacity/capacity.cc
+++ b/bench/capacity/capacity.cc
@@ -113,7 +113,7 @@
 void MeasureDirectory(const std::size_t entries) {
   constexpr std::size_t kAnswers = 2'000;
   const Size size{.targets = 100, .services = 10, .entries = entries};
-  discovery::Directory directory{std::chrono::seconds{2}, 1};
+  discovery::Directory directory{discovery::DirectoryOptions{}};
   directory.Configure({Describe(size).Build(), ListAll(size)});
   Figure("discovery_answer_" + std::to_string(entries) + "_entries",
          MedianTime(kAnswers,
@@ -121,7 +121,8 @@
                       for (std::size_t i = 0; i < kAnswers; ++i) {
                         Keep(directory.Ask(
                             {.caller = std::to_string(i),
-                             .near = core::DataCentreName{"data-centre-1"}}));
+                             .near = core::DataCentreName{"data-centre-1"}},
+                            idempotency::IssueTime{}));
                       }
                     }) /
              1'000,
--- a/tests/soak/runner.cc
+++ b/tests/soak/runner.cc
@@ -51,11 +51,7 @@
     : fleet(fleet), options(options), plan(DrawPlan(options)) {}
 
 void Runner::Run() {
-  auto driver = this->fleet.Drive(
-      {"--callers", "16", "--rate", "200", "--seconds",
-       Seconds(this->options.duration), "--reserve-percent", "20",
-       "--sheet-percent", "5", "--urgent-percent", "20", "--seed",
-       std::to_string(this->options.seed), "--name", "soak", "--list-not-run"});
+  const auto drivers = this->StartCallers();
   const auto start = std::chrono::steady_clock::now();
   for (const Event& event : this->Timeline()) {
     std::this_thread::sleep_until(start + event.at);
@@ -66,8 +62,9 @@
     }
   }
   const auto quiet = std::chrono::steady_clock::now();
-  this->callers = driver->Report();
-  this->judge.AddCallers(this->callers);
+  for (const auto& driver : drivers) {
+    this->AddReport(driver->Report());
+  }
   this->SettleChanges();
   std::this_thread::sleep_until(quiet + kRecovery);
   this->AwaitRecovery();
@@ -77,6 +74,37 @@
   }
 }
 
+std::vector<std::unique_ptr<tests::Driver>> Runner::StartCallers() const {
+  const std::vector<std::vector<std::string>> mixes{
+      {"--name", "mixed", "--callers", "16", "--rate", "200",
+       "--reserve-percent", "20", "--sheet-percent", "5", "--urgent-percent",
+       "20"},
+      {"--name", "repeated", "--callers", "8", "--rate", "50",
+       "--reserve-percent", "100", "--attempts", "6"},
+      {"--name", "own-keys", "--callers", "8", "--rate", "20",
+       "--reserve-percent", "100", "--attempts", "6", "--own-keys"}};
+  std::vector<std::unique_ptr<tests::Driver>> drivers;
+  for (std::vector<std::string> arguments : mixes) {
+    arguments.insert(arguments.end(),
+                     {"--seconds", Seconds(this->options.duration), "--seed",
+                      std::to_string(this->options.seed), "--list-not-run"});
+    drivers.push_back(this->fleet.Drive(arguments));
+  }
+  return drivers;
+}
+
+void Runner::AddReport(const json& report) {
+  this->judge.AddCallers(report);
+  if (!report.is_object()) {
+    return;
+  }
+  for (const char* outcome :
+       {"answered", "not_run", "unknown", "broken", "failed", "wrong"}) {
+    this->callers[outcome] =
+        this->callers.value(outcome, 0) + report.value(outcome, 0);
+  }
+}
+
 std::vector<Runner::Event> Runner::Timeline() const {
   std::vector<Event> events;
   for (const Disturbance& one : this->plan) {
@@ -92,6 +120,9 @@
 
 void Runner::Begin(const Disturbance& disturbance) {
   const std::string& instance = disturbance.instance;
+  if (instance.starts_with("entry") && !this->fleet.IsRunning(instance)) {
+    this->judge.AddViolation(instance + " had ended by itself");
+  }
   switch (disturbance.action) {
     case Action::kKill:
       if (instance.starts_with("stock")) {
--- a/tests/soak/runner.h
+++ b/tests/soak/runner.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <future>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -54,6 +55,9 @@
     bool begins{};
   };
 
+  [[nodiscard]] std::vector<std::unique_ptr<tests::Driver>> StartCallers()
+      const;
+  void AddReport(const nlohmann::json& report);
   [[nodiscard]] std::vector<Event> Timeline() const;
   void Begin(const Disturbance& disturbance);
   void End(const Disturbance& disturbance);
@@ -67,7 +71,7 @@
   tests::Fleet& fleet;
   PlanOptions options;
   std::vector<Disturbance> plan;
-  nlohmann::json callers;
+  nlohmann::json callers = nlohmann::json::object();
   Judge judge;
   std::map<std::string, int> restarts;
   std::vector<std::pair<std::string, std::future<ChangeOutcome>>> changes;
