--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -13,6 +13,7 @@
 #include "trefoilbend/admission/queue.h"
 #include "trefoilbend/balancing/messages.h"
 #include "trefoilbend/balancing/target_table.h"
+#include "trefoilbend/rollout/evidence_book.h"
 #include "trefoilbend/rollout/version_chooser.h"
 
 namespace trefoilbend::balancing {
@@ -88,6 +89,19 @@
    */
   [[nodiscard]] Decisions Tick(core::TimePoint now);
 
+  /**
+   * @brief Gives a release's version no more calls.
+   * @param release Release to stop.
+   */
+  void Brake(const rollout::ReleaseId& release) {
+    this->versions.Brake(release);
+  }
+
+  /** @return Counts of the releases under way since the last call. */
+  [[nodiscard]] rollout::Windows TakeEvidence() {
+    return this->evidence.Take();
+  }
+
   /** @return Number of calls that wait or are in flight. */
   [[nodiscard]] std::size_t Calls() const noexcept {
     return this->calls.size();
@@ -123,6 +137,7 @@
   DispatcherOptions options;
   std::map<core::ServiceName, ServiceState> services;
   rollout::VersionChooser versions;
+  rollout::EvidenceBook evidence;
   std::unordered_map<core::CallId, CallState> calls;
   core::ExchangeId last_exchange;
 };
--- a/packages/balancing/include/trefoilbend/balancing/duty.h
+++ b/packages/balancing/include/trefoilbend/balancing/duty.h
@@ -7,6 +7,7 @@
 #include "trefoilbend/balancing/dispatcher.h"
 #include "trefoilbend/balancing/messages.h"
 #include "trefoilbend/core/ring.h"
+#include "trefoilbend/rollout/messages.h"
 
 namespace trefoilbend::balancing {
 
@@ -16,6 +17,8 @@
   core::Ring<ToCallers>* callers{};
   /** @brief Orders for the duty that carries exchanges. */
   core::Ring<forwarding::FromBalancing>* forwarding{};
+  /** @brief Counts for the duty that decides about releases; may be null. */
+  core::Ring<rollout::EvidenceReport>* rollout{};
 };
 
 /** @brief Duty that decides which call goes to which target. */
@@ -42,6 +45,9 @@
   [[nodiscard]] core::Ring<configuration::Update>&
   ConfigurationInlet() noexcept;
 
+  /** @return Ring for brakes. */
+  [[nodiscard]] core::Ring<rollout::BrakeOrder>& RolloutInlet() noexcept;
+
   /**
    * @brief Starts the duty.
    * @param outlets Rings to write to.
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -11,6 +11,7 @@
 using forwarding::ExchangeResult;
 
 constexpr std::chrono::milliseconds kRetryAfter{1'000};
+constexpr std::uint16_t kFirstServerError = 500;
 
 std::uint32_t ShareOf(const std::uint32_t whole,
                       const std::size_t entries) noexcept {
@@ -18,6 +19,17 @@
       1, whole / static_cast<std::uint32_t>(std::max<std::size_t>(1, entries)));
 }
 
+rollout::ExchangeSummary SummaryOf(const forwarding::ExchangeEnded& ended,
+                                   const core::RouteName& route) {
+  const bool spared = ended.result == ExchangeResult::kAnswered ||
+                      ended.result == ExchangeResult::kCancelled;
+  return {.target = ended.target,
+          .route = route,
+          .failed = !spared || ended.status >= kFirstServerError,
+          .cold = ended.load && ended.load->cold,
+          .latency = ended.latency};
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
@@ -37,6 +49,7 @@
            !configuration.IsOut(target.data_centre);
   };
   this->versions.Configure(configuration);
+  this->evidence.Configure(update.configuration);
   Decisions decisions;
   for (const auto& [name, view] : configuration.Services()) {
     auto known = this->services.find(name);
@@ -122,6 +135,7 @@
       "an exchange that ended belongs to a call in flight");
   ServiceState& service = this->services.at(found->second.request->service);
   service.targets.Ended(ended, now);
+  this->evidence.Add(SummaryOf(ended, found->second.request->route));
   found->second.exchange.reset();
   const bool answer_began = ended.result == ExchangeResult::kAnswered ||
                             ended.result == ExchangeResult::kBrokenWithinAnswer;
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -14,7 +14,9 @@
 
 constexpr std::size_t kMessagesPerCall = 4;
 constexpr std::size_t kConfigurations = 64;
+constexpr std::size_t kBrakes = 1'024;
 constexpr std::chrono::milliseconds kTick{5};
+constexpr std::chrono::milliseconds kReport{250};
 
 }  // namespace
 
@@ -24,6 +26,7 @@
       : from_callers(max_calls * kMessagesPerCall),
         from_forwarding(max_calls * kMessagesPerCall),
         from_configuration(kConfigurations),
+        from_rollout(kBrakes),
         dispatcher(std::move(options)),
         timer(this->duty.Context()) {
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
@@ -48,6 +51,10 @@
                     [this](const configuration::Update& update) {
                       this->Carry(this->dispatcher.Configure(update, Now()));
                     });
+    this->duty.Read(this->from_rollout,
+                    [this](const rollout::BrakeOrder& order) {
+                      this->dispatcher.Brake(order.release);
+                    });
   }
 
   void Start(const Outlets writes) {
@@ -59,6 +66,7 @@
   core::Ring<FromCallers> from_callers;
   core::Ring<forwarding::ToBalancing> from_forwarding;
   core::Ring<configuration::Update> from_configuration;
+  core::Ring<rollout::BrakeOrder> from_rollout;
   core::Duty duty{"balancing"};
 
  private:
@@ -73,10 +81,22 @@
         return;
       }
       this->Carry(this->dispatcher.Tick(Now()));
+      this->ReportEvidence(Now());
       this->Wait();
     });
   }
 
+  void ReportEvidence(const core::TimePoint now) {
+    if (this->outlets.rollout == nullptr || now - this->reported < kReport) {
+      return;
+    }
+    this->reported = now;
+    if (auto windows = this->dispatcher.TakeEvidence(); !windows.empty()) {
+      // A report that finds the ring full is lost; evidence is only late.
+      (void)this->outlets.rollout->TryPush({std::move(windows)});
+    }
+  }
+
   void Carry(Decisions decisions) {
     for (Decision& decision : decisions) {
       const bool pushed = std::visit(
@@ -95,6 +115,7 @@
 
   Dispatcher dispatcher;
   Outlets outlets;
+  core::TimePoint reported{};
   boost::asio::steady_timer timer;
 };
 
@@ -117,6 +138,10 @@
   return this->loop->from_configuration;
 }
 
+core::Ring<rollout::BrakeOrder>& BalancingDuty::RolloutInlet() noexcept {
+  return this->loop->from_rollout;
+}
+
 void BalancingDuty::Start(const Outlets outlets) { this->loop->Start(outlets); }
 
 void BalancingDuty::Stop() { this->loop->duty.Stop(); }
--- a/packages/rollout/include/trefoilbend/rollout/fwd.h
+++ b/packages/rollout/include/trefoilbend/rollout/fwd.h
@@ -17,6 +17,11 @@
 struct Capacity;
 struct Situation;
 struct Verdict;
+struct ExchangeSummary;
+struct EvidenceReport;
+struct BrakeOrder;
+struct HeldLease;
+struct Orders;
 
 class VersionChooser;
 class SequentialTest;
@@ -24,6 +29,9 @@
 class FaultDetector;
 class Controller;
 class Brakes;
+class EvidenceBook;
+class Coordinator;
+class RolloutDuty;
 
 }  // namespace trefoilbend::rollout
 
--- a/packages/rollout/include/trefoilbend/rollout/release_id.h
+++ b/packages/rollout/include/trefoilbend/rollout/release_id.h
@@ -32,6 +32,17 @@
           .begun = release.begun};
 }
 
+/**
+ * @brief Tells whether a release is neither done nor taken back.
+ * @param release Release to look at.
+ * @return True while its version may have a share.
+ */
+[[nodiscard]] inline bool IsUnderWay(
+    const inventory::Release& release) noexcept {
+  return release.state == inventory::ReleaseState::kMoving ||
+         release.state == inventory::ReleaseState::kPaused;
+}
+
 }  // namespace trefoilbend::rollout
 
 #endif  // TREFOILBEND_ROLLOUT_RELEASE_ID_H_
--- a/packages/rollout/src/version_chooser.cc
+++ b/packages/rollout/src/version_chooser.cc
@@ -4,21 +4,12 @@
 
 namespace trefoilbend::rollout {
 
-namespace {
-
-bool GivesTraffic(const inventory::Release& release) noexcept {
-  return release.state == inventory::ReleaseState::kMoving ||
-         release.state == inventory::ReleaseState::kPaused;
-}
-
-}  // namespace
-
 void VersionChooser::Configure(const inventory::Configuration& configuration) {
   std::map<core::ServiceName, Split> next;
   for (const auto& [name, view] : configuration.Services()) {
     Split split{.stable = view.service->version, .release = {}};
     const auto* release = configuration.Find<inventory::Release>(name.Text());
-    if (release != nullptr && GivesTraffic(*release)) {
+    if (release != nullptr && IsUnderWay(*release)) {
       split.release = IdOf(*release);
       split.share = release->share;
       if (this->braked.contains(split.release)) {
