Move releases from the entries: commands, a duty, and fenced changes

Cause: the decision objects were not wired; nobody could begin a release and no entry gathered evidence. Change: the dispatcher sums each exchange of a release under way; balancing hands the sums over four times a second. The rollout duty brakes on them at once, with the platform down too, competes for lease/rollout and, as its holder, commits steps through the configuration duty's automation ring, fenced by the lease's row. The last step and the service's version are one change. trefoilctl release begin, pause, resume, take-back, status; take-back repeats itself when another change came first. Ruled out: the detector on balancing's thread, since one look costs up to thousands of likelihood ratios, against a budget of 0.32 ms a call. Not there yet: evidence and brakes do not travel between entries; the holder decides on its own calls, and its take-back reaches others as a revision.

--- a/apps/trefoilctl/main.cc
+++ b/apps/trefoilctl/main.cc
@@ -8,6 +8,7 @@
 #include "audit.h"
 #include "commands.h"
 #include "data_centre.h"
+#include "release.h"
 
 namespace {
 
@@ -97,6 +98,7 @@
   }
   out->add_flag("--force", data_centre.force,
                 "Even if the others cannot bear the load");
+  const ctl::ReleaseCommands release{app, add_common, add_change};
   ctl::AuditOptions audit;
   std::size_t watch_seconds = 0;
   CLI::App* audit_command =
@@ -158,6 +160,9 @@
     data_centre.change = change;
     return ctl::ChangeDataCentre(common, data_centre);
   }
+  if (release.Parsed()) {
+    return release.Run(common, change);
+  }
   if (audit_command->parsed()) {
     return ctl::Audit(common, audit);
   }
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -2,17 +2,38 @@
 
 #include <prometheus/registry.h>
 
+#include <chrono>
+#include <cstdint>
+
 #include "trefoilbend/balancing/duty.h"
 #include "trefoilbend/forwarding/duty.h"
+#include "trefoilbend/rollout/duty.h"
 
 namespace trefoilbend::entry {
 
+namespace {
+
+core::Incarnation DrawIncarnation() noexcept {
+  return core::Incarnation{static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count())};
+}
+
+rollout::Options RolloutOptions(const configuration::Options& options) {
+  return {.self = options.self,
+          .incarnation = DrawIncarnation(),
+          .platform = options.platform,
+          .timeout = options.timeout};
+}
+
+}  // namespace
+
 struct Entry::Duties {
   explicit Duties(const Settings& settings)
       : forwarding(settings.callers.limits.calls),
         balancing(settings.balancing, settings.callers.limits.calls),
         callers(settings.callers, this->registry),
         operations(settings.operations, this->registry),
+        rollout(RolloutOptions(settings.configuration)),
         configuration(settings.configuration) {}
 
   prometheus::Registry registry;
@@ -20,6 +41,7 @@
   balancing::BalancingDuty balancing;
   callers::CallersDuty callers;
   operations::OperationsDuty operations;
+  rollout::RolloutDuty rollout;
   configuration::ConfigurationDuty configuration;
 };
 
@@ -28,6 +50,7 @@
 
 Entry::~Entry() {
   this->duties->configuration.Stop();
+  this->duties->rollout.Stop();
   this->duties->operations.Stop();
   this->duties->callers.Stop();
   this->duties->balancing.Stop();
@@ -39,7 +62,8 @@
   all.forwarding.Start({.callers = &all.callers.ForwardingInlet(),
                         .balancing = &all.balancing.ForwardingInlet()});
   all.balancing.Start({.callers = &all.callers.BalancingInlet(),
-                       .forwarding = &all.forwarding.BalancingInlet()});
+                       .forwarding = &all.forwarding.BalancingInlet(),
+                       .rollout = &all.rollout.BalancingInlet()});
   auto serving =
       all.callers.Start({.balancing = &all.balancing.CallersInlet(),
                          .forwarding = &all.forwarding.CallersInlet()});
@@ -53,8 +77,12 @@
   }
   all.configuration.Start({.followers = {&all.callers.ConfigurationInlet(),
                                          &all.balancing.ConfigurationInlet(),
-                                         &all.operations.ConfigurationInlet()},
-                           .operations = &all.operations.ResultInlet()});
+                                         &all.operations.ConfigurationInlet(),
+                                         &all.rollout.ConfigurationInlet()},
+                           .operations = &all.operations.ResultInlet(),
+                           .automation = &all.rollout.ResultInlet()});
+  all.rollout.Start({.balancing = &all.balancing.RolloutInlet(),
+                     .configuration = &all.configuration.AutomationInlet()});
   return std::monostate{};
 }
 
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -157,7 +157,7 @@
     this->result.log_level =
         section.Word("level", kLevels, this->result.log_level);
     for (const char* part :
-         {"callers", "configuration", "operations", "entry"}) {
+         {"callers", "configuration", "operations", "rollout", "entry"}) {
       this->result.log_levels[part] =
           section.Word(part, kLevels, this->result.log_level);
     }
--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -19,6 +19,7 @@
 #include "trefoilbend/operations/audit_filter.h"
 #include "trefoilbend/operations/outage_check.h"
 #include "trefoilbend/platform/client.h"
+#include "trefoilbend/rollout/release_command.h"
 
 namespace trefoilbend::operations {
 
@@ -134,6 +135,7 @@
                  {{"GET", "/v1/audit"}, &Loop::ShowAudit},
                  {{"POST", "/v1/apply"}, &Loop::Apply},
                  {{"POST", "/v1/data-centre"}, &Loop::ChangeDataCentre},
+                 {{"POST", "/v1/release"}, &Loop::ChangeRelease},
                  {{"GET", "/metrics"}, &Loop::ShowMetrics}};
     const auto method =
         kMethods.find({request.method, http::PathOf(request.target)});
@@ -324,6 +326,38 @@
     this->Change(std::move(request), command.respond);
   }
 
+  void ChangeRelease(const Command& command) {
+    const json body = json::parse(command.request.body, nullptr, false);
+    if (!body.is_object() || this->update.configuration == nullptr) {
+      command.respond(Problem(kBadRequest,
+                              "the body is not a JSON object, or this entry "
+                              "has no configuration yet"));
+      return;
+    }
+    const std::chrono::seconds deadline{
+        body.value("deadline_s", std::int64_t{0})};
+    auto prepared = rollout::PrepareCommand(
+        *this->update.configuration,
+        {.action = body.value("action", ""),
+         .service = core::ServiceName{body.value("service", "")},
+         .version = core::VersionName{body.value("version", "")},
+         .deadline = std::chrono::sys_seconds{deadline}},
+        std::chrono::floor<std::chrono::seconds>(
+            std::chrono::system_clock::now()));
+    if (!core::Succeeded(prepared)) {
+      command.respond(Problem(kBadRequest, core::ProblemOf(prepared)));
+      return;
+    }
+    this->Change({.request = {},
+                  .change_id = body.value("id", ""),
+                  .who = Name(command, body),
+                  .why = body.value("why", ""),
+                  .changes = core::ValueOf(std::move(prepared)),
+                  .based_on = std::nullopt,
+                  .fences = {}},
+                 command.respond);
+  }
+
   bool MayLeave(const core::DataCentreName& name, const json& body,
                 const http::Respond& respond) {
     std::optional<std::uint64_t> calls;
