--- a/packages/rollout/include/trefoilbend/rollout/duty.h
+++ b/packages/rollout/include/trefoilbend/rollout/duty.h
@@ -41,7 +41,7 @@
    * @brief Makes the duty; it runs after Start.
    * @param options Options of the duty.
    */
-  explicit RolloutDuty(Options options);
+  explicit RolloutDuty(const Options& options);
   ~RolloutDuty();
 
   RolloutDuty(const RolloutDuty&) = delete;
--- a/packages/rollout/src/duty.cc
+++ b/packages/rollout/src/duty.cc
@@ -25,7 +25,7 @@
 
 class RolloutDuty::Loop {
  public:
-  explicit Loop(Options options)
+  explicit Loop(const Options& options)
       : reports(kReports),
         updates(kConfigurations),
         results(kResults),
@@ -169,8 +169,8 @@
   core::Log log{"rollout"};
 };
 
-RolloutDuty::RolloutDuty(Options options)
-    : loop(std::make_unique<Loop>(std::move(options))) {}
+RolloutDuty::RolloutDuty(const Options& options)
+    : loop(std::make_unique<Loop>(options)) {}
 
 RolloutDuty::~RolloutDuty() { this->Stop(); }
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -188,6 +188,16 @@
     return *this;
   }
 
+  /**
+   * @brief Sets how many of the last targets run version 2.
+   * @param count Number of targets.
+   * @return This builder.
+   */
+  Builder& WithNewVersion(std::size_t count) {
+    this->new_targets = count;
+    return *this;
+  }
+
   /**
    * @brief Adds lines to the settings of every entry.
    * @param flag One setting in the form SECTION.KEY=VALUE.
@@ -214,6 +224,7 @@
  private:
   std::size_t entries = 3;
   std::size_t targets = 4;
+  std::size_t new_targets = 0;
   std::vector<std::string> target_arguments;
   std::vector<std::string> settings;
   std::string rules;
