--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -7,6 +7,7 @@
 
 #include "trefoilbend/balancing/duty.h"
 #include "trefoilbend/forwarding/duty.h"
+#include "trefoilbend/relay/duty.h"
 #include "trefoilbend/rollout/duty.h"
 
 namespace trefoilbend::entry {
@@ -31,6 +32,7 @@
   explicit Duties(const Settings& settings)
       : forwarding(settings.callers.limits.calls),
         balancing(settings.balancing, settings.callers.limits.calls),
+        relay(settings.callers.limits.calls),
         callers(settings.callers, this->registry),
         operations(settings.operations, this->registry),
         rollout(RolloutOptions(settings.configuration)),
@@ -39,6 +41,7 @@
   prometheus::Registry registry;
   forwarding::ForwardingDuty forwarding;
   balancing::BalancingDuty balancing;
+  relay::RelayDuty relay;
   callers::CallersDuty callers;
   operations::OperationsDuty operations;
   rollout::RolloutDuty rollout;
@@ -53,6 +56,7 @@
   this->duties->rollout.Stop();
   this->duties->operations.Stop();
   this->duties->callers.Stop();
+  this->duties->relay.Stop();
   this->duties->balancing.Stop();
   this->duties->forwarding.Stop();
 }
@@ -64,9 +68,11 @@
   all.balancing.Start({.callers = &all.callers.BalancingInlet(),
                        .forwarding = &all.forwarding.BalancingInlet(),
                        .rollout = &all.rollout.BalancingInlet()});
+  all.relay.Start(all.callers.RelayInlet());
   auto serving =
       all.callers.Start({.balancing = &all.balancing.CallersInlet(),
-                         .forwarding = &all.forwarding.CallersInlet()});
+                         .forwarding = &all.forwarding.CallersInlet(),
+                         .relay = &all.relay.CallersInlet()});
   if (!core::Succeeded(serving)) {
     return serving;
   }
