--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -17,6 +17,7 @@
 #include "trefoilbend/balancing/messages.h"
 #include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/target_table.h"
+#include "trefoilbend/rollout/evidence_book.h"
 #include "trefoilbend/rollout/version_chooser.h"
 
 namespace trefoilbend::balancing {
@@ -112,6 +113,19 @@
    */
   [[nodiscard]] core::TimePoint NextTick(core::TimePoint latest) const;
 
+  /**
+   * @brief Gives a release's version no more calls.
+   * @param release Release to stop.
+   */
+  void Brake(const rollout::ReleaseId& release) {
+    this->versions.Brake(release);
+  }
+
+  /** @return Counts of the releases under way since the last call. */
+  [[nodiscard]] rollout::Windows TakeEvidence() {
+    return this->evidence.Take();
+  }
+
   /** @return Number of calls that wait or are in flight. */
   [[nodiscard]] std::size_t Calls() const noexcept {
     return this->calls.size();
@@ -168,6 +182,7 @@
   DispatcherOptions options;
   std::map<core::ServiceName, ServiceState> services;
   rollout::VersionChooser versions;
+  rollout::EvidenceBook evidence;
   std::unordered_map<core::CallId, CallState> calls;
   std::priority_queue<Hedge, std::vector<Hedge>, std::greater<>> hedges;
   core::ExchangeId last_exchange;
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -18,6 +18,7 @@
 constexpr double kPercent = 100;
 /** Requests that wait at targets for each slot, above which hedges stop. */
 constexpr double kMostCrowding = 0.6;
+constexpr std::uint16_t kFirstServerError = 500;
 
 std::uint32_t ShareOf(const std::uint32_t whole,
                       const std::size_t entries) noexcept {
@@ -25,6 +26,17 @@
       1, whole / static_cast<std::uint32_t>(std::max<std::size_t>(1, entries)));
 }
 
+rollout::ExchangeSummary SummaryOf(const forwarding::ExchangeEnded& ended,
+                                   const core::RouteName& route) {
+  const bool spared = ended.result == ExchangeResult::kAnswered ||
+                      ended.result == ExchangeResult::kCancelled;
+  return {.target = ended.target,
+          .route = route,
+          .failed = !spared || ended.status >= kFirstServerError,
+          .cold = ended.load && ended.load->cold,
+          .latency = ended.latency};
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
@@ -44,6 +56,7 @@
            !configuration.IsOut(target.data_centre);
   };
   this->versions.Configure(configuration);
+  this->evidence.Configure(update.configuration);
   Decisions decisions;
   for (const auto& [name, view] : configuration.Services()) {
     auto known = this->services.find(name);
@@ -140,6 +153,7 @@
   CallState& call = found->second;
   ServiceState& service = this->services.at(call.request->service);
   service.targets.Ended(ended, now);
+  this->evidence.Add(SummaryOf(ended, call.request->route));
   this->NoteOverload(service, ended, now);
   call.began = call.began || ended.result == ExchangeResult::kAnswered ||
                ended.result == ExchangeResult::kBrokenWithinAnswer;
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -189,8 +189,8 @@
                                                   "warn",  "error", "off"};
     this->result.log_level =
         section.Word("level", kLevels, this->result.log_level);
-    for (const char* part :
-         {"callers", "relay", "configuration", "operations", "entry"}) {
+    for (const char* part : {"callers", "relay", "configuration", "operations",
+                             "rollout", "entry"}) {
       this->result.log_levels[part] =
           section.Word(part, kLevels, this->result.log_level);
     }
