Add membership between entries, and revisions passed on by it

Entries knew of each other by the lagging list only, a new process had no configuration while the platform was down, and nothing told whether a configuration was current. Backoff with full jitter while the platform fails. A full page of unusable rows was read again without end; now it is read once a poll. Ruled out: probes with accusations (a deaf member can accuse, and contact with most members is not a result of it); ids of names in full (twice the bytes).

--- a/packages/configuration/include/trefoilbend/configuration/duty.h
+++ b/packages/configuration/include/trefoilbend/configuration/duty.h
@@ -31,6 +31,8 @@
   std::vector<core::Ring<Update>*> followers;
   /** @brief Results for the duty that talks to operators. */
   core::Ring<ChangeResult>* operations{};
+  /** @brief What the duty that talks to the peers needs; may be null. */
+  core::Ring<Progress>* membership{};
   /** @brief Results for the duty that changes objects by itself; may be null
    * if no such duty sends requests. */
   core::Ring<ChangeResult>* automation{};
@@ -56,6 +58,9 @@
   /** @return Ring for requests of a duty of this process, such as rollout. */
   [[nodiscard]] core::Ring<ChangeRequest>& AutomationInlet() noexcept;
 
+  /** @return Ring for revisions that peers have passed on. */
+  [[nodiscard]] core::Ring<PeerRevisions>& PeersInlet() noexcept;
+
   /**
    * @brief Starts the duty.
    * @param outlets Rings to write to.
--- a/packages/configuration/include/trefoilbend/configuration/follower.h
+++ b/packages/configuration/include/trefoilbend/configuration/follower.h
@@ -30,6 +30,13 @@
   [[nodiscard]] std::optional<std::string> Take(
       const std::vector<platform::Row>& rows);
 
+  /**
+   * @brief Takes a whole configuration if it is newer than the one in force.
+   * @param configuration Configuration of a snapshot.
+   * @return Whether it was taken.
+   */
+  bool Restore(const inventory::ConfigurationPtr& configuration);
+
   /** @return The newest configuration. */
   [[nodiscard]] const inventory::ConfigurationPtr& Current() const noexcept {
     return this->current;
--- a/packages/configuration/include/trefoilbend/configuration/messages.h
+++ b/packages/configuration/include/trefoilbend/configuration/messages.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/number.h"
 #include "trefoilbend/inventory/change.h"
 #include "trefoilbend/inventory/configuration.h"
@@ -28,6 +29,28 @@
   InstanceList listed;
 };
 
+/** @brief Newest revisions, the oldest of them first, shared by the duties. */
+using RecentRevisions = std::shared_ptr<const std::vector<inventory::Revised>>;
+
+/** @brief What the configuration duty has learnt, for the duty that tells it to
+ * the peers. */
+struct Progress {
+  /** @brief Configuration in force. */
+  inventory::ConfigurationPtr configuration;
+  /** @brief Newest revisions, up to the one in force. */
+  RecentRevisions recent;
+  /** @brief Time at which the platform was asked that has just answered. */
+  std::optional<core::TimePoint> platform_answered;
+};
+
+/** @brief Revisions that a peer has passed on. */
+struct PeerRevisions {
+  /** @brief Rows of revisions in their order. */
+  std::vector<std::string> rows;
+  /** @brief Whole configuration; empty if the rows are enough. */
+  std::string snapshot;
+};
+
 /** @brief Identity of a request within this process. */
 using RequestId = core::Number<struct ChangeRequestTag>;
 
--- a/packages/configuration/src/duty.cc
+++ b/packages/configuration/src/duty.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <ctime>
 #include <deque>
+#include <random>
 #include <utility>
 
 #include "trefoilbend/configuration/follower.h"
@@ -13,6 +14,8 @@
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/core/outcome.h"
 #include "trefoilbend/inventory/codec.h"
+#include "trefoilbend/inventory/snapshot.h"
+#include "trefoilbend/platform/backoff.h"
 #include "trefoilbend/platform/client.h"
 
 namespace trefoilbend::configuration {
@@ -21,6 +24,9 @@
 
 constexpr std::size_t kRequests = 64;
 constexpr std::size_t kRowsAtOnce = 256;
+constexpr std::size_t kPeerMessages = 16;
+constexpr std::uint64_t kRevisionsPerSnapshot = 64;
+constexpr const char* kSnapshotName = "configuration";
 constexpr int kAttempts = 4;
 constexpr int kDecimal = 10;
 constexpr const char* kLostMessage =
@@ -53,6 +59,7 @@
   explicit Loop(Options options)
       : from_operations(kRequests),
         from_automation(kRequests),
+        from_peers(kPeerMessages),
         options(std::move(options)),
         timer(this->duty.Context()),
         platform(http::Client::Create(this->duty.Context()),
@@ -65,51 +72,105 @@
       this->Enqueue(
           {.request = std::move(request), .results = this->outlets.automation});
     });
+    this->duty.Read(this->from_peers, [this](const PeerRevisions& passed) {
+      this->TakeFromPeer(passed);
+    });
   }
 
   void Start(Outlets writes) {
     this->outlets = std::move(writes);
     this->delivered.assign(this->outlets.followers.size(), true);
-    boost::asio::post(this->duty.Context(), [this] { this->Poll(); });
+    boost::asio::post(this->duty.Context(), [this] { this->ReadSnapshot(); });
     this->duty.Start();
   }
 
   core::Ring<ChangeRequest> from_operations;
   core::Ring<ChangeRequest> from_automation;
+  core::Ring<PeerRevisions> from_peers;
   core::Duty duty{"configuration"};
 
  private:
+  void ReadSnapshot() {
+    this->platform.ReadObject(
+        kSnapshotName, [this](const platform::ObjectOutcome& outcome) {
+          const auto* object =
+              std::get_if<std::optional<std::string>>(&outcome);
+          if (object != nullptr && *object) {
+            this->Restore(**object);
+          }
+          this->Poll();
+        });
+  }
+
+  void Restore(const std::string& text) {
+    const auto read = inventory::DecodeSnapshot(text);
+    if (const auto* problem = std::get_if<inventory::SnapshotProblem>(&read)) {
+      this->log.Warn("Snapshot not taken: {}.", inventory::ToString(*problem));
+      return;
+    }
+    const core::Revision before = this->follower.Current()->Revision();
+    (void)this->follower.Restore(std::get<inventory::ConfigurationPtr>(read));
+    this->NoteRevision(before);
+  }
+
   void Poll() {
-    this->ReadRevisions([this](bool) {
+    this->ReadRevisions([this](const bool read) {
+      if (!read) {
+        this->Publish();
+        this->Wait(this->backoff.Fail());
+        return;
+      }
+      this->backoff.Reset();
       this->platform.ListInstances([this](ListOutcome outcome) {
         this->TakeList(std::move(outcome));
         this->Publish();
-        this->timer.expires_after(this->options.poll);
-        this->timer.async_wait([this](const boost::system::error_code error) {
-          if (!error) {
-            this->Poll();
-          }
-        });
+        this->Wait(this->options.poll);
       });
     });
   }
 
+  void Wait(const std::chrono::milliseconds delay) {
+    this->timer.expires_after(delay);
+    this->timer.async_wait([this](const boost::system::error_code error) {
+      if (!error) {
+        this->Poll();
+      }
+    });
+  }
+
+  void TakeFromPeer(const PeerRevisions& passed) {
+    if (!passed.snapshot.empty()) {
+      this->Restore(passed.snapshot);
+    }
+    std::vector<platform::Row> rows;
+    for (const std::string& row : passed.rows) {
+      rows.push_back({.key = "of a peer", .value = row, .version = {}});
+    }
+    this->TakeRows(rows);
+    this->Publish();
+  }
+
   using ListOutcome = platform::ListOutcome;
 
   void ReadRevisions(std::function<void(bool)> then) {
+    const core::TimePoint sent = std::chrono::steady_clock::now();
     this->platform.ReadRange(
         std::string{inventory::kChangePrefix}, this->follower.After(),
         kRowsAtOnce,
-        [this, then = std::move(then)](const platform::RangeOutcome& outcome) {
-          const bool whole =
-              std::holds_alternative<std::vector<platform::Row>>(outcome) &&
-              std::get<0>(outcome).size() == kRowsAtOnce;
+        [this, sent,
+         then = std::move(then)](const platform::RangeOutcome& outcome) {
+          const core::Revision before = this->follower.Current()->Revision();
           this->TakeRevisions(outcome);
-          if (whole) {
+          const auto* rows = std::get_if<std::vector<platform::Row>>(&outcome);
+          if (rows != nullptr && rows->size() == kRowsAtOnce &&
+              this->follower.Current()->Revision() != before) {
             this->ReadRevisions(then);
             return;
           }
-          then(std::holds_alternative<std::vector<platform::Row>>(outcome));
+          if (rows != nullptr) {
+            this->TellMembership(sent);
+          }
+          then(rows != nullptr);
         });
   }
 
@@ -119,10 +180,34 @@
       return;
     }
     this->SetReachable(true, "");
+    this->TakeRows(std::get<0>(outcome));
+  }
+
+  void TakeRows(const std::vector<platform::Row>& rows) {
     const core::Revision before = this->follower.Current()->Revision();
-    if (const auto problem = this->follower.Take(std::get<0>(outcome))) {
+    if (const auto problem = this->follower.Take(rows)) {
       this->log.Warn("Revision not taken: {}.", *problem);
     }
+    this->NoteRevision(before);
+  }
+
+  void TellMembership(const std::optional<core::TimePoint> answered) {
+    if (this->outlets.membership == nullptr) {
+      return;
+    }
+    if (this->told != this->follower.Current()) {
+      this->recent = std::make_shared<const std::vector<inventory::Revised>>(
+          this->follower.Recent());
+    }
+    if (this->outlets.membership->TryPush(
+            {.configuration = this->follower.Current(),
+             .recent = this->recent,
+             .platform_answered = answered})) {
+      this->told = this->follower.Current();
+    }
+  }
+
+  void NoteRevision(const core::Revision before) {
     if (this->follower.Current()->Revision() != before) {
       this->changed = true;
       this->log.Info("Revision {} is in force.",
@@ -142,6 +227,9 @@
   }
 
   void Publish() {
+    if (this->told != this->follower.Current()) {
+      this->TellMembership(std::nullopt);
+    }
     if (std::exchange(this->changed, false)) {
       this->delivered.assign(this->outlets.followers.size(), false);
     }
@@ -257,6 +345,10 @@
       return;
     }
     this->Publish();
+    if (done->revision.Value() % kRevisionsPerSnapshot == 0) {
+      this->platform.WriteObject(
+          kSnapshotName, inventory::EncodeSnapshot(*this->follower.Current()));
+    }
     this->Finish(*pending, ChangeAccepted{done->revision});
   }
 
@@ -293,7 +385,10 @@
   std::vector<bool> delivered;
   boost::asio::steady_timer timer;
   platform::Client platform;
+  platform::Backoff backoff{{}, std::random_device{}()};
   Follower follower;
+  inventory::ConfigurationPtr told;
+  RecentRevisions recent;
   std::deque<PendingPtr> pending;
   InstanceList listed =
       std::make_shared<const std::vector<platform::ListedInstance>>();
@@ -315,6 +410,10 @@
   return this->loop->from_automation;
 }
 
+core::Ring<PeerRevisions>& ConfigurationDuty::PeersInlet() noexcept {
+  return this->loop->from_peers;
+}
+
 void ConfigurationDuty::Start(Outlets outlets) {
   this->loop->Start(std::move(outlets));
 }
--- a/packages/configuration/src/follower.cc
+++ b/packages/configuration/src/follower.cc
@@ -69,6 +69,15 @@
   return problem;
 }
 
+bool Follower::Restore(const inventory::ConfigurationPtr& configuration) {
+  if (configuration->Revision() <= this->current->Revision()) {
+    return false;
+  }
+  this->current = configuration;
+  this->recent.clear();
+  return true;
+}
+
 const inventory::Revised* Follower::FindChange(
     const std::string& change_id) const noexcept {
   const auto found = std::find_if(this->recent.rbegin(), this->recent.rend(),
--- a/packages/entry/include/trefoilbend/entry/settings.h
+++ b/packages/entry/include/trefoilbend/entry/settings.h
@@ -8,6 +8,7 @@
 #include "trefoilbend/callers/duty.h"
 #include "trefoilbend/configuration/duty.h"
 #include "trefoilbend/core/outcome.h"
+#include "trefoilbend/membership/duty.h"
 #include "trefoilbend/operations/duty.h"
 #include "trefoilbend/settings/document.h"
 #include "trefoilbend/settings/mistake.h"
@@ -22,6 +23,8 @@
   balancing::DispatcherOptions balancing;
   /** @brief Options of the duty that follows the configuration. */
   configuration::Options configuration;
+  /** @brief Options of the duty that talks to the peers. */
+  membership::Options membership;
   /** @brief Options of the duty that talks to operators. */
   operations::Options operations;
   /** @brief Log level of the parts that are not listed. */
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -4,6 +4,7 @@
 
 #include "trefoilbend/balancing/duty.h"
 #include "trefoilbend/forwarding/duty.h"
+#include "trefoilbend/membership/duty.h"
 #include "trefoilbend/relay/duty.h"
 
 namespace trefoilbend::entry {
@@ -15,7 +16,8 @@
         relay(settings.callers.limits.calls),
         callers(settings.callers, this->registry),
         operations(settings.operations, this->registry),
-        configuration(settings.configuration) {}
+        configuration(settings.configuration),
+        membership(settings.membership) {}
 
   prometheus::Registry registry;
   forwarding::ForwardingDuty forwarding;
@@ -24,12 +26,14 @@
   callers::CallersDuty callers;
   operations::OperationsDuty operations;
   configuration::ConfigurationDuty configuration;
+  membership::MembershipDuty membership;
 };
 
 Entry::Entry(const Settings& settings)
     : duties(std::make_unique<Duties>(settings)) {}
 
 Entry::~Entry() {
+  this->duties->membership.Stop();
   this->duties->configuration.Stop();
   this->duties->operations.Stop();
   this->duties->callers.Stop();
@@ -57,14 +61,19 @@
   if (!core::Succeeded(operating)) {
     return operating;
   }
+  all.membership.Start({.followers = {&all.callers.MembershipInlet(),
+                                      &all.operations.ViewInlet()},
+                        .configuration = &all.configuration.PeersInlet()});
   all.configuration.Start({.followers = {&all.callers.ConfigurationInlet(),
                                          &all.balancing.ConfigurationInlet(),
                                          &all.operations.ConfigurationInlet()},
-                           .operations = &all.operations.ResultInlet()});
+                           .operations = &all.operations.ResultInlet(),
+                           .membership = &all.membership.ConfigurationInlet()});
   return std::monostate{};
 }
 
 void Entry::Drain(std::function<void()> done) {
+  (void)this->duties->membership.LeaveInlet().TryPush({});
   this->duties->callers.Drain(std::move(done));
 }
 
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -1,6 +1,7 @@
 #include "trefoilbend/entry/settings.h"
 
 #include <chrono>
+#include <sstream>
 #include <utility>
 
 #include "trefoilbend/balancing/strategy.h"
@@ -44,6 +45,7 @@
                 {"keys", &Reader::ReadKeys},
                 {"balancing", &Reader::ReadBalancing},
                 {"platform", &Reader::ReadPlatform},
+                {"membership", &Reader::ReadMembership},
                 {"operations", &Reader::ReadOperations},
                 {"log", &Reader::ReadLog}};
     this->RefuseOtherSections(readers);
@@ -95,6 +97,8 @@
     this->result.callers.incarnation = NewIncarnation();
     this->result.configuration.self = self;
     this->result.operations.self = self;
+    this->result.membership.self = self;
+    this->result.membership.incarnation = this->result.callers.incarnation;
   }
 
   void ReadCallers(Section& section) {
@@ -151,6 +155,24 @@
     this->result.operations.platform_timeout = options.timeout;
   }
 
+  void ReadMembership(Section& section) {
+    membership::Options& options = this->result.membership;
+    options.limits.round =
+        Milliseconds(section.Time("round", {50ms, 5s}, options.limits.round));
+    options.limits.fresh = Milliseconds(
+        section.Time("fresh", {500ms, 1min}, options.limits.fresh));
+    std::istringstream seeds{section.Text("seeds", "")};
+    for (std::string seed; seeds >> seed;) {
+      const auto address = http::ParseAddress(seed);
+      if (!address) {
+        section.Refuse("seeds",
+                       "IP numbers and ports with spaces between them");
+        return;
+      }
+      options.seeds.push_back(*address);
+    }
+  }
+
   void ReadOperations(Section& section) {
     this->result.operations.address = section.Address("address");
     const std::string tokens = section.Text("tokens", "");
--- a/packages/inventory/include/trefoilbend/inventory/fwd.h
+++ b/packages/inventory/include/trefoilbend/inventory/fwd.h
@@ -13,6 +13,8 @@
 struct Change;
 struct Revised;
 
+enum class SnapshotProblem : unsigned char;
+
 class Configuration;
 
 }  // namespace trefoilbend::inventory
--- a/packages/operations/include/trefoilbend/operations/duty.h
+++ b/packages/operations/include/trefoilbend/operations/duty.h
@@ -11,6 +11,7 @@
 #include "trefoilbend/core/outcome.h"
 #include "trefoilbend/core/ring.h"
 #include "trefoilbend/http/address.h"
+#include "trefoilbend/membership/messages.h"
 #include "trefoilbend/operations/operators.h"
 
 namespace prometheus {
@@ -60,6 +61,9 @@
   [[nodiscard]] core::Ring<configuration::Update>&
   ConfigurationInlet() noexcept;
 
+  /** @return Ring for what is known of the fleet. */
+  [[nodiscard]] core::Ring<membership::View>& ViewInlet() noexcept;
+
   /**
    * @brief Starts the duty.
    * @param outlets Rings to write to.
--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -4,6 +4,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -29,6 +30,7 @@
 constexpr std::size_t kResults = 128;
 constexpr std::size_t kRequestsAtOnce = 64;
 constexpr std::size_t kConfigurations = 64;
+constexpr std::size_t kViews = 64;
 constexpr std::uint16_t kBadRequest = 400;
 constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
@@ -56,6 +58,19 @@
   return lines;
 }
 
+json ToJson(const std::vector<membership::Peer>& peers) {
+  static constexpr std::array<const char*, 4> kStates{"alive", "suspect",
+                                                      "leaving", "dead"};
+  json list = json::array();
+  for (const membership::Peer& peer : peers) {
+    list.push_back({{"name", peer.name.Text()},
+                    {"incarnation", peer.incarnation.Value()},
+                    {"state", kStates.at(static_cast<std::size_t>(peer.state))},
+                    {"revision", peer.revision.Value()}});
+  }
+  return list;
+}
+
 http::Response ToResponse(const configuration::ChangeAccepted& accepted) {
   return Answer(200, {{"revision", accepted.revision.Value()}});
 }
@@ -81,6 +96,7 @@
   Loop(Options options, const prometheus::Registry& registry)
       : results(kResults),
         updates(kConfigurations),
+        views(kViews),
         options(std::move(options)),
         platform(http::Client::Create(this->duty.Context()),
                  this->options.platform, this->options.platform_timeout),
@@ -92,6 +108,9 @@
     this->duty.Read(this->updates, [this](configuration::Update&& update) {
       this->update = std::move(update);
     });
+    this->duty.Read(this->views, [this](membership::View&& view) {
+      this->view = std::move(view);
+    });
   }
 
   core::Outcome<std::monostate, std::string> Start(const Outlets writes) {
@@ -114,6 +133,7 @@
 
   core::Ring<configuration::ChangeResult> results;
   core::Ring<configuration::Update> updates;
+  core::Ring<membership::View> views;
   core::Duty duty{"operations"};
 
  private:
@@ -184,6 +204,8 @@
     command.respond(Answer(200, {{"name", this->options.self.Text()},
                                  {"revision", revision},
                                  {"calls_in_progress", this->CallsInProgress()},
+                                 {"current", this->view.current},
+                                 {"peers", ToJson(this->view.peers)},
                                  {"entries", std::move(entries)}}));
   }
 
@@ -450,6 +472,7 @@
   const prometheus::Registry& registry;
   Outlets outlets;
   configuration::Update update;
+  membership::View view;
   std::shared_ptr<http::Server> server;
   std::unordered_map<configuration::RequestId, http::Respond> waiting;
   configuration::RequestId last_request;
@@ -472,6 +495,10 @@
   return this->loop->updates;
 }
 
+core::Ring<membership::View>& OperationsDuty::ViewInlet() noexcept {
+  return this->loop->views;
+}
+
 core::Outcome<std::monostate, std::string> OperationsDuty::Start(
     const Outlets outlets) {
   return this->loop->Start(outlets);
--- a/packages/platform/include/trefoilbend/platform/client.h
+++ b/packages/platform/include/trefoilbend/platform/client.h
@@ -50,6 +50,22 @@
   void ReadRange(const std::string& prefix, const std::string& after,
                  std::size_t limit, std::function<void(RangeOutcome)> done);
 
+  /**
+   * @brief Reads an object of the object store.
+   * @param name Name of the object.
+   * @param done Takes the result.
+   */
+  void ReadObject(const std::string& name,
+                  std::function<void(ObjectOutcome)> done);
+
+  /**
+   * @brief Writes an object of the object store; no result is needed, since
+   * objects only shorten a start.
+   * @param name Name of the object.
+   * @param text Content of the object.
+   */
+  void WriteObject(const std::string& name, std::string text);
+
   /**
    * @brief Reads the list of instances, which may lag.
    * @param done Takes the result.
--- a/packages/platform/include/trefoilbend/platform/fwd.h
+++ b/packages/platform/include/trefoilbend/platform/fwd.h
@@ -15,6 +15,7 @@
 struct LeaseHolder;
 struct LeaseTimes;
 
+class Backoff;
 class Client;
 class Lease;
 
--- a/packages/platform/include/trefoilbend/platform/messages.h
+++ b/packages/platform/include/trefoilbend/platform/messages.h
@@ -90,6 +90,9 @@
 /** @brief Result of reading a row that may be absent. */
 using ReadOutcome = std::variant<std::optional<Row>, Unavailable>;
 
+/** @brief Result of reading an object that may be absent. */
+using ObjectOutcome = std::variant<std::optional<std::string>, Unavailable>;
+
 /** @brief Result of reading the rows of a range. */
 using RangeOutcome = std::variant<std::vector<Row>, Unavailable>;
 
--- a/packages/platform/src/client.cc
+++ b/packages/platform/src/client.cc
@@ -100,6 +100,16 @@
   });
 }
 
+ObjectOutcome DecodeObject(const http::Response& response) {
+  if (response.status == kNotFound) {
+    return std::optional<std::string>{};
+  }
+  if (response.status != kOk) {
+    return BadAnswer(response);
+  }
+  return std::optional<std::string>{response.body};
+}
+
 RangeOutcome DecodeRange(const http::Response& response) {
   if (response.status != kOk) {
     return BadAnswer(response);
@@ -161,6 +171,21 @@
       this->timeout, Expect(std::move(done), DecodeRange));
 }
 
+void Client::ReadObject(const std::string& name,
+                        std::function<void(ObjectOutcome)> done) {
+  this->http->Send(this->address, Get("/object?name=" + http::Escape(name)),
+                   this->timeout, Expect(std::move(done), DecodeObject));
+}
+
+void Client::WriteObject(const std::string& name, std::string text) {
+  http::Request request{.method = "PUT",
+                        .target = "/object?name=" + http::Escape(name),
+                        .fields = {},
+                        .body = std::move(text)};
+  this->http->Send(this->address, std::move(request), this->timeout,
+                   [](const http::ResponseOutcome&) {});
+}
+
 void Client::ListInstances(std::function<void(ListOutcome)> done) {
   this->http->Send(this->address, Get("/instances"), this->timeout,
                    Expect(std::move(done), DecodeList));
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -148,7 +148,14 @@
         << ToString(this->Address("platform", kServicePort))
         << "\npoll = 200ms\n[operations]\naddress = "
         << ToString(this->Address(entry, kOperationsPort))
-        << "\ntokens = " << this->folder << "/operators.ini\n";
+        << "\ntokens = " << this->folder
+        << "/operators.ini\n[membership]\nseeds =";
+    for (std::size_t i = 1; i <= this->entries; ++i) {
+      const std::string seed = "entry-" + std::to_string(i);
+      out << (seed == entry ? ""
+                            : ' ' + ToString(this->Address(seed, kPeersPort)));
+    }
+    out << '\n';
     return path;
   }
 
