--- a/packages/membership/src/member_table.cc
+++ b/packages/membership/src/member_table.cc
@@ -104,6 +104,7 @@
   }
   peers.resize(std::min(count, peers.size()));
   std::vector<http::Address> addresses;
+  addresses.reserve(peers.size());
   for (const Member* peer : peers) {
     addresses.push_back(*peer->address);
   }
--- a/packages/platform/include/trefoilbend/platform/client.h
+++ b/packages/platform/include/trefoilbend/platform/client.h
@@ -67,7 +67,8 @@
   void WriteObject(const std::string& name, std::string text);
 
   /**
-   * @brief Reads the list of instances, which may lag.
+   * @brief Reads the list of instances, which may lag, if it has changed since
+   * this client read it last (If-None-Match, RFC 9110, section 13.1.2).
    * @param done Takes the result.
    */
   void ListInstances(std::function<void(ListOutcome)> done);
@@ -76,6 +77,7 @@
   std::shared_ptr<http::Client> http;
   http::Address address;
   std::chrono::milliseconds timeout;
+  std::shared_ptr<std::string> list_tag = std::make_shared<std::string>();
 };
 
 }  // namespace trefoilbend::platform
--- a/packages/platform/include/trefoilbend/platform/messages.h
+++ b/packages/platform/include/trefoilbend/platform/messages.h
@@ -96,8 +96,12 @@
 /** @brief Result of reading the rows of a range. */
 using RangeOutcome = std::variant<std::vector<Row>, Unavailable>;
 
+/** @brief The list is as it was when it was read last. */
+struct NotModified {};
+
 /** @brief Result of reading the list of instances. */
-using ListOutcome = std::variant<std::vector<ListedInstance>, Unavailable>;
+using ListOutcome =
+    std::variant<std::vector<ListedInstance>, Unavailable, NotModified>;
 
 }  // namespace trefoilbend::platform
 
--- a/packages/platform/src/client.cc
+++ b/packages/platform/src/client.cc
@@ -10,6 +10,7 @@
 using nlohmann::json;
 
 constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kNotModified = 304;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kConflict = 409;
 
@@ -119,6 +120,9 @@
 }
 
 ListOutcome DecodeList(const http::Response& response) {
+  if (response.status == kNotModified) {
+    return NotModified{};
+  }
   if (response.status != kOk) {
     return BadAnswer(response);
   }
@@ -187,8 +191,20 @@
 }
 
 void Client::ListInstances(std::function<void(ListOutcome)> done) {
-  this->http->Send(this->address, Get("/instances"), this->timeout,
-                   Expect(std::move(done), DecodeList));
+  http::Request request = Get("/instances");
+  if (!this->list_tag->empty()) {
+    request.fields.emplace_back("If-None-Match", *this->list_tag);
+  }
+  this->http->Send(
+      this->address, std::move(request), this->timeout,
+      Expect(std::move(done), [tag = this->list_tag](
+                                  const http::Response& response) {
+        ListOutcome outcome = DecodeList(response);
+        if (std::holds_alternative<std::vector<ListedInstance>>(outcome)) {
+          *tag = http::FindField(response.fields, "ETag").value_or("");
+        }
+        return outcome;
+      }));
 }
 
 }  // namespace trefoilbend::platform
--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -139,12 +139,22 @@
     return Answer({{"written", true}});
   }
 
-  http::Response List(const http::Request& /*request*/) {
+  http::Response List(const http::Request& request) {
     json list = json::array();
     for (const auto& [name, state] : this->shown) {
       list.push_back({{"name", name}, {"state", state}});
     }
-    return Answer({{"instances", std::move(list)}});
+    http::Response response = Answer({{"instances", std::move(list)}});
+    const std::string tag =
+        '"' + std::to_string(std::hash<std::string>{}(response.body)) + '"';
+    response.fields.emplace_back("ETag", tag);
+    if (http::FindField(request.fields, "If-None-Match") == tag) {
+      response.status = 304;
+      response.body.clear();
+    } else {
+      ++this->lists;
+    }
+    return response;
   }
 
   http::Response Control(const http::Request& request) {
@@ -157,7 +167,9 @@
     if (path == "/control/fault") {
       return this->SetFault(query["name"], std::atol(query["value"].c_str()));
     }
-    return Answer({{"reads", this->reads}, {"writes", this->writes}});
+    return Answer({{"reads", this->reads},
+                   {"writes", this->writes},
+                   {"lists", this->lists}});
   }
 
   http::Response SetFault(const std::string& name, const std::int64_t value) {
@@ -202,6 +214,8 @@
   Faults faults;
   std::int64_t reads = 0;
   std::int64_t writes = 0;
+  /** Lists that were sent whole. */
+  std::int64_t lists = 0;
 };
 
 }  // namespace
--- a/tests/configuration/membership_test.cc
+++ b/tests/configuration/membership_test.cc
@@ -68,6 +68,17 @@
   BOOST_TEST(IsCurrent("entry-1"));
 }
 
+BOOST_AUTO_TEST_CASE(read_the_list_of_instances_only_when_it_has_changed) {
+  const auto lists = [&] {
+    return fleet->Counts("platform").at("lists").get<int>();
+  };
+  BOOST_TEST(AllAlive());
+  const int before = lists();
+  BOOST_TEST(!Fleet::Await([&] { return lists() != before; }, 2s));
+  fleet->List("stock-9", "live");
+  BOOST_TEST(Fleet::Await([&] { return lists() == before + 5; }, 3s));
+}
+
 BOOST_AUTO_TEST_SUITE(when_one_leaves)
 
 BOOST_AUTO_TEST_CASE(hear_of_it_within_a_second) {
