--- a/bench/membership/gossip_bench.cc
+++ b/bench/membership/gossip_bench.cc
@@ -17,8 +17,8 @@
 constexpr int kWarmUpRounds = 40;
 constexpr int kMostRounds = 100;
 constexpr int kHostsPerNetwork = 250;
-/** Words of 8 bytes of a row in gossip.capnp. */
-constexpr std::size_t kRowBytes = 3 * 8;
+/** Size of a row of gossip.capnp. */
+constexpr std::size_t kRowBytes = 24;
 /** Requests and answers that an entry sends a round on average. */
 constexpr double kMessagesPerRound = 2;
 
