--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -7,6 +7,7 @@
 
 #include "trefoilbend/balancing/duty.h"
 #include "trefoilbend/forwarding/duty.h"
+#include "trefoilbend/membership/duty.h"
 #include "trefoilbend/relay/duty.h"
 #include "trefoilbend/rollout/duty.h"
 
@@ -36,7 +37,8 @@
         callers(settings.callers, this->registry),
         operations(settings.operations, this->registry),
         rollout(RolloutOptions(settings.configuration)),
-        configuration(settings.configuration) {}
+        configuration(settings.configuration),
+        membership(settings.membership) {}
 
   prometheus::Registry registry;
   forwarding::ForwardingDuty forwarding;
@@ -46,12 +48,14 @@
   operations::OperationsDuty operations;
   rollout::RolloutDuty rollout;
   configuration::ConfigurationDuty configuration;
+  membership::MembershipDuty membership;
 };
 
 Entry::Entry(const Settings& settings)
     : duties(std::make_unique<Duties>(settings)) {}
 
 Entry::~Entry() {
+  this->duties->membership.Stop();
   this->duties->configuration.Stop();
   this->duties->rollout.Stop();
   this->duties->operations.Stop();
@@ -81,18 +85,23 @@
   if (!core::Succeeded(operating)) {
     return operating;
   }
+  all.membership.Start({.followers = {&all.callers.MembershipInlet(),
+                                      &all.operations.ViewInlet()},
+                        .configuration = &all.configuration.PeersInlet()});
   all.configuration.Start({.followers = {&all.callers.ConfigurationInlet(),
                                          &all.balancing.ConfigurationInlet(),
                                          &all.operations.ConfigurationInlet(),
                                          &all.rollout.ConfigurationInlet()},
                            .operations = &all.operations.ResultInlet(),
-                           .automation = &all.rollout.ResultInlet()});
+                           .automation = &all.rollout.ResultInlet(),
+                           .membership = &all.membership.ConfigurationInlet()});
   all.rollout.Start({.balancing = &all.balancing.RolloutInlet(),
                      .configuration = &all.configuration.AutomationInlet()});
   return std::monostate{};
 }
 
 void Entry::Drain(std::function<void()> done) {
+  (void)this->duties->membership.LeaveInlet().TryPush({});
   this->duties->callers.Drain(std::move(done));
 }
 
--- a/packages/platform/include/trefoilbend/platform/client.h
+++ b/packages/platform/include/trefoilbend/platform/client.h
@@ -51,7 +51,24 @@
                  std::size_t limit, std::function<void(RangeOutcome)> done);
 
   /**
-   * @brief Reads the list of instances, which may lag.
+   * @brief Reads an object of the object store.
+   * @param name Name of the object.
+   * @param done Takes the result.
+   */
+  void ReadObject(const std::string& name,
+                  std::function<void(ObjectOutcome)> done);
+
+  /**
+   * @brief Writes an object of the object store; no result is needed, since
+   * objects only shorten a start.
+   * @param name Name of the object.
+   * @param text Content of the object.
+   */
+  void WriteObject(const std::string& name, std::string text);
+
+  /**
+   * @brief Reads the list of instances, which may lag, if it has changed since
+   * this client read it last (If-None-Match, RFC 9110, section 13.1.2).
    * @param done Takes the result.
    */
   void ListInstances(std::function<void(ListOutcome)> done);
@@ -60,6 +77,7 @@
   std::shared_ptr<http::Client> http;
   http::Address address;
   std::chrono::milliseconds timeout;
+  std::shared_ptr<std::string> list_tag = std::make_shared<std::string>();
 };
 
 }  // namespace trefoilbend::platform
--- a/packages/platform/src/client.cc
+++ b/packages/platform/src/client.cc
@@ -10,6 +10,7 @@
 using nlohmann::json;
 
 constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kNotModified = 304;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kConflict = 409;
 
@@ -100,6 +101,16 @@
   });
 }
 
+ObjectOutcome DecodeObject(const http::Response& response) {
+  if (response.status == kNotFound) {
+    return std::optional<std::string>{};
+  }
+  if (response.status != kOk) {
+    return BadAnswer(response);
+  }
+  return std::optional<std::string>{response.body};
+}
+
 RangeOutcome DecodeRange(const http::Response& response) {
   if (response.status != kOk) {
     return BadAnswer(response);
@@ -109,6 +120,9 @@
 }
 
 ListOutcome DecodeList(const http::Response& response) {
+  if (response.status == kNotModified) {
+    return NotModified{};
+  }
   if (response.status != kOk) {
     return BadAnswer(response);
   }
@@ -161,9 +175,36 @@
       this->timeout, Expect(std::move(done), DecodeRange));
 }
 
+void Client::ReadObject(const std::string& name,
+                        std::function<void(ObjectOutcome)> done) {
+  this->http->Send(this->address, Get("/object?name=" + http::Escape(name)),
+                   this->timeout, Expect(std::move(done), DecodeObject));
+}
+
+void Client::WriteObject(const std::string& name, std::string text) {
+  http::Request request{.method = "PUT",
+                        .target = "/object?name=" + http::Escape(name),
+                        .fields = {},
+                        .body = std::move(text)};
+  this->http->Send(this->address, std::move(request), this->timeout,
+                   [](const http::ResponseOutcome&) {});
+}
+
 void Client::ListInstances(std::function<void(ListOutcome)> done) {
-  this->http->Send(this->address, Get("/instances"), this->timeout,
-                   Expect(std::move(done), DecodeList));
+  http::Request request = Get("/instances");
+  if (!this->list_tag->empty()) {
+    request.fields.emplace_back("If-None-Match", *this->list_tag);
+  }
+  this->http->Send(
+      this->address, std::move(request), this->timeout,
+      Expect(std::move(done), [tag = this->list_tag](
+                                  const http::Response& response) {
+        ListOutcome outcome = DecodeList(response);
+        if (std::holds_alternative<std::vector<ListedInstance>>(outcome)) {
+          *tag = http::FindField(response.fields, "ETag").value_or("");
+        }
+        return outcome;
+      }));
 }
 
 }  // namespace trefoilbend::platform
