Pass brakes and counts between entries over Cap'n Proto

Cause: each entry braked on its own calls and the holder decided on its own, a few of the fleet's calls each; brakes travelled as revisions only, so not while the platform is down. Change: PeersDuty on rpc::Duty reports twice a second on the rollout address of the register: brakes to all peers, counts to the holder of the lease, nothing while there is neither. Without the lease the last known holder still judges the merged counts. platform::HolderOf reads the holder from the lease's row. Failed first: a peer that restarts ended the process, since a second bootstrap on a closed connection throws from the client's destructor; evalNow around the report was tried and did not help. Ruled out: counts to every peer, 18 times the bytes for the same decision. Not run: frozen and isolated peers on real processes.

--- a/packages/platform/include/trefoilbend/platform/lease.h
+++ b/packages/platform/include/trefoilbend/platform/lease.h
@@ -25,6 +25,13 @@
   [[nodiscard]] bool operator==(const LeaseHolder&) const = default;
 };
 
+/**
+ * @brief Reads who holds a lease.
+ * @param row Row of the lease.
+ * @return The holder; empty for a malformed row.
+ */
+[[nodiscard]] LeaseHolder HolderOf(const Row& row);
+
 /** @brief Times of a lease. */
 struct LeaseTimes {
   /** @brief Time for which a renewal holds. */
--- a/packages/platform/src/lease.cc
+++ b/packages/platform/src/lease.cc
@@ -34,6 +34,8 @@
 
 }  // namespace
 
+LeaseHolder HolderOf(const Row& row) { return Decode(row.value).holder; }
+
 Lease::Lease(std::string key, LeaseHolder self, const LeaseTimes times)
     : key(std::move(key)), self(std::move(self)), times(times) {}
 
--- a/packages/rollout/include/trefoilbend/rollout/coordinator.h
+++ b/packages/rollout/include/trefoilbend/rollout/coordinator.h
@@ -103,6 +103,7 @@
   struct State {
     ReleaseId id;
     FaultDetector local;
+    FaultDetector fleet;
     Window merged;
     std::unique_ptr<Controller> controller;
     std::uint64_t epoch{};
@@ -110,6 +111,8 @@
   };
 
   void Brake(const ReleaseId& release, const std::string& why);
+  void BrakeOn(const FaultDetector& detector, const ReleaseId& release);
+  void WatchWithoutLease(State& state, core::TimePoint now);
   void Control(State& state, const HeldLease& lease, const Situation& situation,
                Orders& orders);
   [[nodiscard]] configuration::ChangeRequest RequestFor(const Verdict& verdict,
--- a/packages/rollout/include/trefoilbend/rollout/fwd.h
+++ b/packages/rollout/include/trefoilbend/rollout/fwd.h
@@ -22,6 +22,8 @@
 struct BrakeOrder;
 struct HeldLease;
 struct Orders;
+struct OutgoingReport;
+struct PeerReport;
 
 class VersionChooser;
 class SequentialTest;
@@ -31,6 +33,7 @@
 class Brakes;
 class EvidenceBook;
 class Coordinator;
+class PeersDuty;
 class RolloutDuty;
 
 }  // namespace trefoilbend::rollout
--- a/packages/rollout/src/coordinator.cc
+++ b/packages/rollout/src/coordinator.cc
@@ -50,10 +50,7 @@
       continue;
     }
     state->second.local.Observe(window, now);
-    const auto finding = state->second.local.Strongest();
-    if (finding && finding->strength >= kBrakeStrength) {
-      this->Brake(id, ToString(*finding));
-    }
+    this->BrakeOn(state->second.local, id);
   }
 }
 
@@ -86,8 +83,7 @@
   Orders orders;
   for (auto& [name, state] : this->states) {
     if (!lease) {
-      state.controller.reset();
-      state.merged.clear();
+      this->WatchWithoutLease(state, now);
       continue;
     }
     this->Control(state, *lease, {.now = now, .wall = wall, .capacity = {}},
@@ -112,6 +108,20 @@
   }
 }
 
+void Coordinator::BrakeOn(const FaultDetector& detector,
+                          const ReleaseId& release) {
+  const auto finding = detector.Strongest();
+  if (finding && finding->strength >= kBrakeStrength) {
+    this->Brake(release, ToString(*finding));
+  }
+}
+
+void Coordinator::WatchWithoutLease(State& state, const core::TimePoint now) {
+  state.controller.reset();
+  state.fleet.Observe(std::exchange(state.merged, {}), now);
+  this->BrakeOn(state.fleet, state.id);
+}
+
 void Coordinator::Control(State& state, const HeldLease& lease,
                           const Situation& situation, Orders& orders) {
   const auto* release = this->update.configuration->Find<inventory::Release>(
--- a/packages/rollout/src/duty.cc
+++ b/packages/rollout/src/duty.cc
@@ -1,6 +1,8 @@
 #include "trefoilbend/rollout/duty.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -9,6 +11,7 @@
 #include "trefoilbend/platform/client.h"
 #include "trefoilbend/platform/lease.h"
 #include "trefoilbend/rollout/coordinator.h"
+#include "trefoilbend/rollout/peers_duty.h"
 
 namespace trefoilbend::rollout {
 
@@ -18,6 +21,7 @@
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kResults = 64;
 constexpr std::chrono::milliseconds kTick{250};
+constexpr std::chrono::milliseconds kReportPeriod{500};
 constexpr std::chrono::milliseconds kLeasePeriod{1'500};
 constexpr const char* kLeaseKey = "lease/rollout";
 
@@ -29,6 +33,8 @@
       : reports(kReports),
         updates(kConfigurations),
         results(kResults),
+        peer_reports(kReports),
+        self(options.self),
         lease(kLeaseKey,
               {.name = options.self, .incarnation = options.incarnation}),
         platform(http::Client::Create(this->duty.Context()), options.platform,
@@ -37,10 +43,18 @@
         lease_timer(this->duty.Context()) {
     this->duty.Read(this->reports, [this](const EvidenceReport& report) {
       this->coordinator.TakeLocal(report.windows, Now());
+      for (const auto& [release, window] : report.windows) {
+        Merge(this->outgoing.windows[release], window);
+      }
     });
     this->duty.Read(this->updates, [this](configuration::Update&& update) {
+      this->FindPeers(*update.configuration);
       this->coordinator.Configure(std::move(update), Now());
     });
+    this->duty.Read(this->peer_reports, [this](const PeerReport& report) {
+      this->coordinator.TakeBrakes(report.brakes);
+      this->coordinator.TakePeer(report.windows);
+    });
     this->duty.Read(this->results,
                     [this](const configuration::ChangeResult& result) {
                       this->Finish(result);
@@ -51,12 +65,19 @@
     this->outlets = writes;
     this->WaitTick();
     this->WaitLease(std::chrono::milliseconds{0});
+    this->peers.Start(this->peer_reports);
     this->duty.Start();
   }
 
+  void Stop() {
+    this->peers.Stop();
+    this->duty.Stop();
+  }
+
   core::Ring<EvidenceReport> reports;
   core::Ring<configuration::Update> updates;
   core::Ring<configuration::ChangeResult> results;
+  core::Ring<PeerReport> peer_reports;
   core::Duty duty{"rollout"};
 
  private:
@@ -69,6 +90,7 @@
     this->tick.async_wait([this](const boost::system::error_code error) {
       if (!error) {
         this->Decide();
+        this->Report(Now());
         this->WaitTick();
       }
     });
@@ -87,6 +109,9 @@
     this->platform.Read(
         this->lease.Key(), [this](const platform::ReadOutcome& outcome) {
           const auto* row = std::get_if<std::optional<platform::Row>>(&outcome);
+          if (row != nullptr && *row) {
+            this->holder = platform::HolderOf(**row).name;
+          }
           const auto attempt =
               row == nullptr ? std::nullopt : this->lease.Attempt(*row, Now());
           if (!attempt) {
@@ -104,6 +129,38 @@
         });
   }
 
+  void FindPeers(const inventory::Configuration& configuration) {
+    this->addresses.clear();
+    for (const inventory::Instance* entry : configuration.Entries()) {
+      if (entry->rollout) {
+        this->addresses.emplace(entry->name, *entry->rollout);
+      }
+    }
+  }
+
+  void Report(const core::TimePoint now) {
+    const auto own = this->addresses.find(this->self);
+    if (own == this->addresses.end() || now - this->reported < kReportPeriod) {
+      return;
+    }
+    this->reported = now;
+    this->outgoing.self = own->second;
+    this->outgoing.peers.clear();
+    for (const auto& [name, address] : this->addresses) {
+      if (name != this->self) {
+        this->outgoing.peers.push_back(address);
+      }
+    }
+    const auto known = this->addresses.find(this->holder);
+    this->outgoing.holder = known == this->addresses.end()
+                                ? std::nullopt
+                                : std::optional{known->second};
+    this->outgoing.brakes = this->coordinator.KnownBrakes().All();
+    if (this->peers.RolloutInlet().TryPush(std::move(this->outgoing))) {
+      this->outgoing = {};
+    }
+  }
+
   void Decide() {
     const core::TimePoint now = Now();
     std::optional<HeldLease> held;
@@ -158,6 +215,12 @@
     }
   }
 
+  core::InstanceName self;
+  core::InstanceName holder;
+  std::map<core::InstanceName, http::Address> addresses;
+  OutgoingReport outgoing;
+  core::TimePoint reported{};
+  PeersDuty peers;
   Outlets outlets;
   platform::Lease lease;
   platform::Client platform;
@@ -188,6 +251,6 @@
 
 void RolloutDuty::Start(const Outlets outlets) { this->loop->Start(outlets); }
 
-void RolloutDuty::Stop() { this->loop->duty.Stop(); }
+void RolloutDuty::Stop() { this->loop->Stop(); }
 
 }  // namespace trefoilbend::rollout
--- a/packages/rollout/test/coordinator_test.cc
+++ b/packages/rollout/test/coordinator_test.cc
@@ -222,6 +222,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(brake_on_peers_counts_while_the_platform_is_down) {
+  Coordinator holder;
+  RunTo(holder, 1);
+  reachable = false;
+  std::size_t braked = 0;
+  for (int look = 0; look < 60 && braked == 0; ++look) {
+    holder.TakePeer(Counts(5));
+    braked = Step(holder, std::nullopt).brakes.size();
+  }
+  BOOST_TEST(braked == 1);
+}
+
 BOOST_AUTO_TEST_CASE(make_a_peers_brake_final_once_the_platform_is_back) {
   for (std::uint32_t step = 1; step < kSteps; ++step) {
     Fixture fixture;
