Give a cold target no more than it bears from all entries together

Cause: a target that joins, returns or turns cold got a full share of the calls from each entry at once. Change: rendezvous hashing names the entries that may use it and divides the service's cold allowance; an entry's share doubles with every eight good answers that do not say cold and a target is warm after forty. A report that says cold, three failures in sequence, or four answers in sequence that take twelve median latencies take it back to the share at once; the last two only while that leaves half of the targets warm, so that failures of one route cannot close a service.

Conclusion: the bound holds while entries know the same list and the target reports that it is cold. Partial: an entry without a share has no probe yet and may add one call at its trial; targets of the first configuration are taken for warm. Ruled out: one call to each target before its first answer, since it broke services of few targets at their start.

--- a/bench/balancing/simulation.cc
+++ b/bench/balancing/simulation.cc
@@ -44,6 +44,7 @@
   this->gap_seconds = scenario.entries / rate;
   for (std::uint32_t entry = 0; entry < scenario.entries; ++entry) {
     balancing::DispatcherOptions options;
+    options.self = core::InstanceName{"entry-" + std::to_string(entry)};
     options.seed = scenario.seed * 100 + entry;
     options.hedge_percent = scenario.hedge_percent;
     if (!this->oracle) {
@@ -100,6 +101,7 @@
     entry.role = inventory::Role::kEntry;
     entry.data_centre = core::DataCentreName{"xela"};
     builder.Put(entry);
+    listed->push_back({entry.name, platform::InstanceState::kLive});
   }
   const configuration::Update update{builder.Build(), listed};
   for (const auto& entry : this->entries) {
--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -23,6 +23,8 @@
 
 /** @brief Options of a dispatcher. */
 struct DispatcherOptions {
+  /** @brief Name of this entry. */
+  core::InstanceName self;
   /** @brief Name of the strategy that chooses targets. */
   std::string strategy = "adaptive";
   /** @brief Bounds of each service's queue. */
--- a/packages/balancing/include/trefoilbend/balancing/fwd.h
+++ b/packages/balancing/include/trefoilbend/balancing/fwd.h
@@ -3,11 +3,13 @@
 
 namespace trefoilbend::balancing {
 
+struct ColdShare;
 struct TargetState;
 struct SubmitCall;
 struct CancelCall;
 struct CallRefused;
 
+class WarmUp;
 class Quantile;
 class AttemptBudget;
 class Strategy;
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -7,8 +7,10 @@
 #include <utility>
 #include <vector>
 
+#include "trefoilbend/balancing/cold_share.h"
 #include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/strategy.h"
+#include "trefoilbend/balancing/warm_up.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/forwarding/messages.h"
@@ -35,6 +37,12 @@
   std::uint32_t in_flight{};
   /** @brief Calls that this entry may have in flight there. */
   std::uint32_t limit{};
+  /** @brief Part of this entry in what the target bears while it is cold. */
+  ColdShare cold_share;
+  /** @brief Whether the target is cold. */
+  WarmUp warm_up;
+  /** @brief Answers in sequence that were far slower than usual. */
+  std::uint32_t slow_answers{};
   /** @brief Last load that the target told. */
   forwarding::LoadReport report;
   /** @brief Time of the last report; the epoch before the first one. */
@@ -78,13 +86,19 @@
     bool usable{};
     /** @brief Calls that this entry may have in flight there. */
     std::uint32_t limit{};
+    /** @brief Part of this entry in what it bears while it is cold. */
+    ColdShare cold_share{};
   };
 
   /**
    * @brief Replaces the members; what is known of those that stay is kept.
+   *
+   * A target that joins or returns later than the first members is cold.
+   *
    * @param members Targets of the service.
+   * @param now Current time.
    */
-  void SetMembers(std::vector<Member> members);
+  void SetMembers(std::vector<Member> members, core::TimePoint now);
 
   /**
    * @brief Chooses a target and counts the call as in flight there.
@@ -139,8 +153,11 @@
   void CompareReport(const TargetState& target,
                      const forwarding::LoadReport& report,
                      core::Duration latency);
+  void NoteWarmth(TargetState& target, const forwarding::ExchangeEnded& ended,
+                  core::TimePoint now) const;
   void NoteFailures(TargetState& target, const forwarding::ExchangeEnded& ended,
                     core::TimePoint now) const;
+  [[nodiscard]] bool MostAreWarm() const noexcept;
   [[nodiscard]] Candidate Describe(std::size_t at, core::TimePoint now) const;
 
   std::unique_ptr<Strategy> strategy;
--- /dev/null
+++ b/packages/balancing/src/cold_share.cc
@@ -0,0 +1,41 @@
+#include "trefoilbend/balancing/cold_share.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+
+namespace trefoilbend::balancing {
+
+namespace {
+
+std::uint64_t Weight(const core::InstanceName& target,
+                     const core::InstanceName& entry) {
+  const std::string& key = target.Text();
+  const std::uint64_t seed = XXH64(key.data(), key.size(), 0);
+  return XXH64(entry.Text().data(), entry.Text().size(), seed);
+}
+
+}  // namespace
+
+ColdShare ShareOfColdTarget(const core::InstanceName& target,
+                            const core::InstanceName& self,
+                            const std::vector<core::InstanceName>& entries,
+                            const std::uint32_t allowance) {
+  const std::uint64_t own = Weight(target, self);
+  const auto before = std::count_if(
+      entries.begin(), entries.end(), [&](const core::InstanceName& entry) {
+        const std::uint64_t weight = Weight(target, entry);
+        return entry != self &&
+               (weight > own || (weight == own && entry < self));
+      });
+  const bool listed =
+      std::find(entries.begin(), entries.end(), self) != entries.end();
+  const auto count =
+      static_cast<std::uint32_t>(entries.size() + (listed ? 0 : 1));
+  const auto rank = static_cast<std::uint32_t>(before);
+  const std::uint32_t extra = rank < allowance % count ? 1 : 0;
+  return {.calls = allowance / count + extra, .rank = rank};
+}
+
+}  // namespace trefoilbend::balancing
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -44,6 +44,14 @@
            !configuration.IsOut(target.data_centre);
   };
   this->versions.Configure(configuration);
+  std::vector<core::InstanceName> entries;
+  for (const inventory::Instance* entry : configuration.Entries()) {
+    const auto state = listed.find(entry->name);
+    if (state != listed.end() &&
+        state->second == platform::InstanceState::kLive) {
+      entries.push_back(entry->name);
+    }
+  }
   Decisions decisions;
   for (const auto& [name, view] : configuration.Services()) {
     auto known = this->services.find(name);
@@ -61,14 +69,17 @@
       members.push_back({.instance = *target,
                          .usable = is_usable(*target),
                          .limit = ShareOf(target->connections,
-                                          configuration.Entries().size())});
+                                          configuration.Entries().size()),
+                         .cold_share = ShareOfColdTarget(
+                             target->name, this->options.self, entries,
+                             view.service->cold_allowance)});
     }
-    known->second.targets.SetMembers(std::move(members));
+    known->second.targets.SetMembers(std::move(members), now);
     this->Serve(known->second, now, decisions);
   }
   for (auto& [name, state] : this->services) {
     if (!configuration.Services().contains(name)) {
-      state.targets.SetMembers({});
+      state.targets.SetMembers({}, now);
     }
   }
   return decisions;
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -15,6 +15,10 @@
 constexpr std::uint32_t kMostDoublings = 4;
 constexpr std::uint32_t kFailuresToAvoid = 3;
 constexpr std::uint16_t kServerError = 500;
+/** Latency, in medians, of which a few in sequence tell that a target has
+ * become cold. */
+constexpr int kColdLatency = 12;
+constexpr std::uint32_t kSlowAnswersToChill = 4;
 constexpr double kSampleWeight = 0.02;
 /** Factor of the trust for a report that tells less than this entry's own
  * calls. */
@@ -29,7 +33,9 @@
 
 }  // namespace
 
-void TargetTable::SetMembers(std::vector<Member> members) {
+void TargetTable::SetMembers(std::vector<Member> members,
+                             const core::TimePoint now) {
+  const bool first = this->targets.empty();
   std::vector<TargetState> next;
   next.reserve(members.size());
   for (Member& member : members) {
@@ -38,7 +44,11 @@
                             ? TargetState{}
                             : std::move(this->targets[known->second]);
     state.instance = std::move(member.instance);
+    if (!first && member.usable && !state.usable) {
+      state.warm_up.Chill(now);
+    }
     state.usable = member.usable;
+    state.cold_share = member.cold_share;
     state.limit = member.limit;
     next.push_back(std::move(state));
   }
@@ -78,7 +88,9 @@
                                  target.instance.name) != excluded.end();
     const bool avoided = target.avoided_until > now && !with_avoided;
     if (target.usable && target.instance.version == version && !tried &&
-        !avoided && target.in_flight < target.limit) {
+        !avoided &&
+        target.in_flight <
+            target.warm_up.Allowed(target.cold_share, target.limit, now)) {
       this->candidates.push_back(this->Describe(at, now));
     }
   }
@@ -132,9 +144,31 @@
   if (answered) {
     this->median.Add(ended.latency);
   }
+  this->NoteWarmth(target, ended, now);
   this->NoteFailures(target, ended, now);
 }
 
+void TargetTable::NoteWarmth(TargetState& target,
+                             const forwarding::ExchangeEnded& ended,
+                             const core::TimePoint now) const {
+  if (ended.load && ended.load->cold) {
+    target.warm_up.Chill(now);
+    return;
+  }
+  if (ended.result != forwarding::ExchangeResult::kAnswered ||
+      ended.status >= kServerError) {
+    return;
+  }
+  if (ended.latency > kColdLatency * this->median.Value()) {
+    if (++target.slow_answers >= kSlowAnswersToChill && this->MostAreWarm()) {
+      target.warm_up.Chill(now);
+    }
+    return;
+  }
+  target.slow_answers = 0;
+  target.warm_up.AddGoodAnswer();
+}
+
 void TargetTable::TakeReport(TargetState& target,
                              const forwarding::LoadReport& report,
                              const core::TimePoint now) {
@@ -184,12 +218,25 @@
   }
   ++target.failures;
   if (target.failures >= kFailuresToAvoid) {
+    if (this->MostAreWarm()) {
+      target.warm_up.Chill(now);
+    }
     const std::uint32_t doublings =
         std::min(target.failures - kFailuresToAvoid, kMostDoublings);
     target.avoided_until = now + kFirstAvoidance * (1U << doublings);
   }
 }
 
+bool TargetTable::MostAreWarm() const noexcept {
+  std::size_t usable = 0;
+  std::size_t cold = 0;
+  for (const TargetState& target : this->targets) {
+    usable += target.usable ? 1 : 0;
+    cold += target.usable && target.warm_up.IsCold() ? 1 : 0;
+  }
+  return 2 * (cold + 1) <= usable;
+}
+
 bool TargetTable::HasUsable(const core::VersionName& version) const noexcept {
   return std::any_of(this->targets.begin(), this->targets.end(),
                      [&](const TargetState& target) {
--- /dev/null
+++ b/packages/balancing/test/cold_test.cc
@@ -0,0 +1,191 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "trefoilbend/balancing/cold_share.h"
+#include "trefoilbend/balancing/dispatcher.h"
+
+namespace trefoilbend::balancing {
+
+using namespace std::chrono_literals;
+using forwarding::ExchangeResult;
+using forwarding::LoadReport;
+using forwarding::StartExchange;
+
+namespace {
+
+constexpr std::size_t kEntries = 17;
+
+std::vector<core::InstanceName> EntryNames() {
+  std::vector<core::InstanceName> names;
+  for (std::size_t number = 0; number < kEntries; ++number) {
+    names.emplace_back("entry-" + std::to_string(number));
+  }
+  return names;
+}
+
+/** Entries that share nothing, a warm target and one that joins later. */
+class Fixture {
+ public:
+  Fixture() {
+    for (const core::InstanceName& name : EntryNames()) {
+      this->entries.push_back(
+          std::make_unique<Dispatcher>(DispatcherOptions{.self = name}));
+    }
+    this->Configure({"warm"});
+    for (std::size_t entry = 0; entry < kEntries; ++entry) {
+      this->End(entry, this->Submit(entry).at(0), false);
+    }
+    this->now += 1s;
+  }
+
+  void Configure(const std::vector<std::string>& live) {
+    inventory::Configuration::Builder builder;
+    builder.Put(inventory::Service{.name = core::ServiceName{"stock"},
+                                   .cold_allowance = 3});
+    auto listed = std::make_shared<std::vector<platform::ListedInstance>>();
+    for (const std::string name : {"warm", "late"}) {
+      inventory::Instance target;
+      target.name = core::InstanceName{name};
+      target.service = core::ServiceName{"stock"};
+      target.slots = 6;
+      target.connections = 200;
+      builder.Put(target);
+    }
+    for (const core::InstanceName& name : EntryNames()) {
+      builder.Put(
+          inventory::Instance{.name = name, .role = inventory::Role::kEntry});
+      listed->push_back({name, platform::InstanceState::kLive});
+    }
+    for (const std::string& name : live) {
+      listed->push_back(
+          {core::InstanceName{name}, platform::InstanceState::kLive});
+    }
+    const configuration::Update update{builder.Build(), listed};
+    for (const auto& entry : this->entries) {
+      (void)entry->Configure(update, this->now);
+    }
+  }
+
+  std::vector<StartExchange> Submit(const std::size_t entry) {
+    auto request = std::make_shared<core::CallRequest>();
+    request->service = core::ServiceName{"stock"};
+    request->deadline = this->now + 10s;
+    std::vector<StartExchange> started;
+    for (const Decision& decision : this->entries[entry]->Submit(
+             {core::CallId{++this->last_call}, request}, this->now)) {
+      started.push_back(std::get<StartExchange>(decision));
+    }
+    return started;
+  }
+
+  std::vector<StartExchange> End(const std::size_t entry,
+                                 const StartExchange& exchange,
+                                 const bool cold) {
+    std::vector<StartExchange> started;
+    for (const Decision& decision :
+         this->entries[entry]->Ended({.call = exchange.call,
+         .exchange = exchange.exchange,
+         .target = exchange.target,
+         .result = ExchangeResult::kAnswered,
+         .status = 200,
+         .latency = 10ms,
+         .load = LoadReport{.in_flight = 6, .cold = cold}},
+                                     this->now)) {
+      started.push_back(std::get<StartExchange>(decision));
+    }
+    return started;
+  }
+
+  /** Sends calls through all entries; returns the exchanges with the late
+   * target by entry. */
+  std::vector<std::pair<std::size_t, StartExchange>> Flood(const int calls) {
+    std::vector<std::pair<std::size_t, StartExchange>> late;
+    for (int call = 0; call < calls; ++call) {
+      for (std::size_t entry = 0; entry < kEntries; ++entry) {
+        for (const StartExchange& exchange : this->Submit(entry)) {
+          if (exchange.target.Text() == "late") {
+            late.emplace_back(entry, exchange);
+          }
+        }
+      }
+    }
+    return late;
+  }
+
+  std::vector<std::unique_ptr<Dispatcher>> entries;
+  std::uint64_t last_call = 0;
+  core::TimePoint now{10s};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(the_shares_in_a_cold_target)
+
+BOOST_AUTO_TEST_CASE(sum_up_to_what_it_bears) {
+  for (const std::uint32_t allowance : {1U, 3U, 17U, 40U}) {
+    std::uint32_t sum = 0;
+    for (const core::InstanceName& self : EntryNames()) {
+      sum += ShareOfColdTarget(core::InstanceName{"late"}, self, EntryNames(),
+                               allowance)
+                 .calls;
+    }
+    BOOST_TEST(sum == allowance);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(stay_where_they_are_when_an_entry_without_one_leaves) {
+  std::vector<core::InstanceName> left = EntryNames();
+  const core::InstanceName target{"late"};
+  std::erase_if(left, [&](const core::InstanceName& entry) {
+    return ShareOfColdTarget(target, entry, EntryNames(), 3).rank == 16;
+  });
+  for (const core::InstanceName& self : left) {
+    BOOST_TEST((ShareOfColdTarget(target, self, left, 3) ==
+                ShareOfColdTarget(target, self, EntryNames(), 3)));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_target_that_joins_a_running_fleet, Fixture)
+
+BOOST_AUTO_TEST_CASE(gets_no_more_than_it_bears_from_all_entries_together) {
+  Configure({"warm", "late"});
+  BOOST_TEST(Flood(20).size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_more_while_it_reports_that_it_is_cold) {
+  Configure({"warm", "late"});
+  auto late = Flood(5);
+  for (int round = 0; round < 50; ++round) {
+    for (const auto& [entry, exchange] : late) {
+      (void)End(entry, exchange, true);
+    }
+    now += 10ms;
+    late = Flood(1);
+    BOOST_TEST(late.size() <= 3U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(gets_more_with_every_few_good_answers) {
+  Configure({"warm", "late"});
+  auto late = Flood(1);
+  std::size_t most = 0;
+  for (int round = 0; round < 60; ++round) {
+    for (const auto& [entry, exchange] : late) {
+      (void)End(entry, exchange, false);
+    }
+    now += 10ms;
+    late = Flood(2);
+    most = std::max(most, late.size());
+  }
+  BOOST_TEST(most > 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::balancing
--- a/packages/balancing/test/target_table_test.cc
+++ b/packages/balancing/test/target_table_test.cc
@@ -22,9 +22,14 @@
       inventory::Instance target;
       target.name = core::InstanceName{name};
       target.slots = 6;
-      members.push_back({.instance = target, .usable = true, .limit = 100});
+      members.push_back({.instance = target,
+                         .usable = true,
+                         .limit = 100,
+                         .cold_share = {.calls = 1}});
     }
-    this->table.SetMembers(std::move(members));
+    this->table.SetMembers(std::move(members), this->now);
+    Answer("a", 200);
+    Answer("b", 200);
   }
 
   std::string Choose() {
@@ -78,6 +83,18 @@
   BOOST_TEST(tried);
 }
 
+BOOST_AUTO_TEST_CASE(takes_it_for_cold_then) {
+  for (int failure = 0; failure < 3; ++failure) {
+    Answer("a", 500);
+  }
+  now += 2s;
+  int sent = 0;
+  for (int call = 0; call < 20; ++call) {
+    sent += Choose() == "a" ? 1 : 0;
+  }
+  BOOST_TEST(sent == 1);
+}
+
 BOOST_AUTO_TEST_CASE(uses_it_when_all_others_are_left_out_too) {
   for (int failure = 0; failure < 3; ++failure) {
     Answer("a", 500);
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -83,6 +83,7 @@
   void ReadEntry(Section& section) {
     const core::InstanceName self{section.Text("name")};
     this->result.callers.self = self;
+    this->result.balancing.self = self;
     this->result.configuration.self = self;
     this->result.operations.self = self;
   }
