--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -96,6 +96,7 @@
   void ReadEntry(Section& section) {
     const core::InstanceName self{section.Text("name")};
     this->result.callers.self = self;
+    this->result.balancing.self = self;
     this->result.callers.incarnation = NewIncarnation();
     this->result.configuration.self = self;
     this->result.operations.self = self;
