--- a/packages/relay/src/peers.cc
+++ b/packages/relay/src/peers.cc
@@ -29,6 +29,7 @@
 struct Peers::Connection : public kj::Refcounted {
   kj::Own<kj::AsyncIoStream> stream;
   kj::Own<capnp::TwoPartyClient> client;
+  kj::Maybe<wire::Relay::Client> relay;
   kj::ForkedPromise<void> connected = nullptr;
 };
 
@@ -89,8 +90,8 @@
 
 kj::Promise<idempotency::Result> Peers::Ask(Connection& connection,
                                             const PassCall& call) {
-  auto request =
-      connection.client->bootstrap().castAs<wire::Relay>().runRequest();
+  wire::Relay::Client& relay = KJ_ASSERT_NONNULL(connection.relay);
+  auto request = relay.runRequest();
   Encode(call, std::chrono::steady_clock::now(), request.initCall());
   return request.send().then(
       [](capnp::Response<wire::Relay::RunResults>&& response) {
