--- a/packages/relay/src/peers.cc
+++ b/packages/relay/src/peers.cc
@@ -72,18 +72,19 @@
   }
   auto connection = kj::refcounted<Connection>();
   Connection& opened = *connection;
-  opened.connected = this->io.provider->getNetwork()
-                         .parseAddress(http::ToString(address).c_str())
-                         .then([](kj::Own<kj::NetworkAddress>&& parsed) {
-                           auto connecting = parsed->connect();
-                           return connecting.attach(kj::mv(parsed));
-                         })
-                         .then([&opened](kj::Own<kj::AsyncIoStream>&& stream) {
-                           opened.stream = kj::mv(stream);
-                           opened.client =
-                               kj::heap<capnp::TwoPartyClient>(*opened.stream);
-                         })
-                         .fork();
+  opened.connected =
+      this->io.provider->getNetwork()
+          .parseAddress(http::ToString(address).c_str())
+          .then([](kj::Own<kj::NetworkAddress>&& parsed) {
+            auto connecting = parsed->connect();
+            return connecting.attach(kj::mv(parsed));
+          })
+          .then([&opened](kj::Own<kj::AsyncIoStream>&& stream) {
+            opened.stream = kj::mv(stream);
+            opened.client = kj::heap<capnp::TwoPartyClient>(*opened.stream);
+            opened.relay = opened.client->bootstrap().castAs<wire::Relay>();
+          })
+          .fork();
   this->connections.emplace(address, kj::addRef(opened));
   return connection;
 }
