--- a/packages/relay/src/peers.cc
+++ b/packages/relay/src/peers.cc
@@ -29,6 +29,7 @@
 struct Peers::Connection : public kj::Refcounted {
   kj::Own<kj::AsyncIoStream> stream;
   kj::Own<capnp::TwoPartyClient> client;
+  kj::Maybe<wire::Relay::Client> relay;
   kj::ForkedPromise<void> connected = nullptr;
 };
 
@@ -71,26 +72,27 @@
   }
   auto connection = kj::refcounted<Connection>();
   Connection& opened = *connection;
-  opened.connected = this->io.provider->getNetwork()
-                         .parseAddress(http::ToString(address).c_str())
-                         .then([](kj::Own<kj::NetworkAddress>&& parsed) {
-                           auto connecting = parsed->connect();
-                           return connecting.attach(kj::mv(parsed));
-                         })
-                         .then([&opened](kj::Own<kj::AsyncIoStream>&& stream) {
-                           opened.stream = kj::mv(stream);
-                           opened.client =
-                               kj::heap<capnp::TwoPartyClient>(*opened.stream);
-                         })
-                         .fork();
+  opened.connected =
+      this->io.provider->getNetwork()
+          .parseAddress(http::ToString(address).c_str())
+          .then([](kj::Own<kj::NetworkAddress>&& parsed) {
+            auto connecting = parsed->connect();
+            return connecting.attach(kj::mv(parsed));
+          })
+          .then([&opened](kj::Own<kj::AsyncIoStream>&& stream) {
+            opened.stream = kj::mv(stream);
+            opened.client = kj::heap<capnp::TwoPartyClient>(*opened.stream);
+            opened.relay = opened.client->bootstrap().castAs<wire::Relay>();
+          })
+          .fork();
   this->connections.emplace(address, kj::addRef(opened));
   return connection;
 }
 
 kj::Promise<idempotency::Result> Peers::Ask(Connection& connection,
                                             const PassCall& call) {
-  auto request =
-      connection.client->bootstrap().castAs<wire::Relay>().runRequest();
+  wire::Relay::Client& relay = KJ_ASSERT_NONNULL(connection.relay);
+  auto request = relay.runRequest();
   Encode(call, std::chrono::steady_clock::now(), request.initCall());
   return request.send().then(
       [](capnp::Response<wire::Relay::RunResults>&& response) {
