--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -93,8 +93,8 @@
                                          &all.operations.ConfigurationInlet(),
                                          &all.rollout.ConfigurationInlet()},
                            .operations = &all.operations.ResultInlet(),
-                           .automation = &all.rollout.ResultInlet(),
-                           .membership = &all.membership.ConfigurationInlet()});
+                           .membership = &all.membership.ConfigurationInlet(),
+                           .automation = &all.rollout.ResultInlet()});
   all.rollout.Start({.balancing = &all.balancing.RolloutInlet(),
                      .configuration = &all.configuration.AutomationInlet()});
   return std::monostate{};
