--- a/packages/relay/src/internal/peers.h
+++ b/packages/relay/src/internal/peers.h
@@ -42,6 +42,7 @@
   [[nodiscard]] kj::Own<Connection> ConnectionTo(const http::Address& address);
   [[nodiscard]] kj::Promise<idempotency::Result> Ask(Connection& connection,
                                                      const PassCall& call);
+  void DropWhenClosed(const http::Address& address, Connection& connection);
   void Drop(const http::Address& address, const Connection& connection);
   void taskFailed(kj::Exception&& exception) override;
 
--- a/packages/relay/src/peers.cc
+++ b/packages/relay/src/peers.cc
@@ -86,9 +86,21 @@
           })
           .fork();
   this->connections.emplace(address, kj::addRef(opened));
+  this->DropWhenClosed(address, opened);
   return connection;
 }
 
+void Peers::DropWhenClosed(const http::Address& address,
+                           Connection& connection) {
+  this->tasks.add(
+      connection.connected.addBranch()
+          .then([&connection] { return connection.client->onDisconnect(); })
+          .then(
+              [this, address, &connection] { this->Drop(address, connection); },
+              [](kj::Exception&&) {})
+          .attach(kj::addRef(connection)));
+}
+
 kj::Promise<idempotency::Result> Peers::Ask(Connection& connection,
                                             const PassCall& call) {
   wire::Relay::Client& relay = KJ_ASSERT_NONNULL(connection.relay);
--- a/packages/relay/test/relay_test.cc
+++ b/packages/relay/test/relay_test.cc
@@ -71,6 +71,7 @@
   }
 
   [[nodiscard]] idempotency::Result Pass(const core::Duration timeout) {
+    this->result = {};
     this->Send(PassCall{.call = core::CallId{1},
                         .key = {.home = {.entry = core::InstanceName{"entry-1"},
                                          .incarnation = core::Incarnation{4},
@@ -157,6 +158,27 @@
   BOOST_TEST((refusal.retry_after == 3s));
 }
 
+BOOST_AUTO_TEST_CASE(reaches_a_home_that_was_replaced_by_the_second_attempt) {
+  const auto refuse = [](End& self, const CallReceived& call) {
+    self.Send(
+        ReplyCall{call.received,
+                  core::Refusal{.run = core::RunState::kUnknown,
+                                .reason = core::RefusalReason::kKeyExpired}});
+  };
+  End other;
+  for (int replacement = 0; replacement < 3; ++replacement) {
+    End home{refuse};
+    home.Send(Listen{kHome});
+    AwaitListening();
+    core::Refusal refusal = RefusalOf(other.Pass(5s));
+    BOOST_TEST((refusal.run == core::RunState::kUnknown));
+    if (refusal.reason == core::RefusalReason::kHomeUnreachable) {
+      refusal = RefusalOf(other.Pass(5s));
+    }
+    BOOST_TEST((refusal.reason == core::RefusalReason::kKeyExpired));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(has_an_unknown_outcome)
 
 BOOST_AUTO_TEST_CASE(when_nothing_listens_at_the_home) {
