Count targets as warm when an entry first meets usable ones

Cause: an entry that starts gets its configuration before the platform's list. All targets were unusable then, and cold once the list came; an entry without a share of the cold allowance sent nothing for 5 s. Found by the story of all entries stopped in turn. Change: a table chills only what becomes usable after it has had usable targets, however often it was set before. The new case of cold_test started 0 of 10 calls before, 10 of 10 after. Ruled out: holding back the configuration until the list is there, since an entry must also start in an outage of the list.

--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -166,6 +166,7 @@
   double mean_report = 0;
   double agreement = kFirstAgreement;
   std::vector<TargetState> targets;
+  bool has_had_usable{};
   std::unordered_map<core::InstanceName, std::size_t> positions;
   std::vector<Candidate> candidates;
 };
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -35,7 +35,6 @@
 
 void TargetTable::SetMembers(std::vector<Member> members,
                              const core::TimePoint now) {
-  const bool first = this->targets.empty();
   std::vector<TargetState> next;
   next.reserve(members.size());
   for (Member& member : members) {
@@ -44,7 +43,7 @@
                             ? TargetState{}
                             : std::move(this->targets[known->second]);
     state.instance = std::move(member.instance);
-    if (!first && member.usable && !state.usable) {
+    if (this->has_had_usable && member.usable && !state.usable) {
       state.warm_up.Chill(now);
     }
     state.usable = member.usable;
@@ -53,6 +52,10 @@
     next.push_back(std::move(state));
   }
   this->targets = std::move(next);
+  this->has_had_usable =
+      this->has_had_usable ||
+      std::any_of(this->targets.begin(), this->targets.end(),
+                  [](const TargetState& target) { return target.usable; });
   this->positions.clear();
   for (std::size_t at = 0; at < this->targets.size(); ++at) {
     this->positions.emplace(this->targets[at].instance.name, at);
--- a/packages/balancing/test/cold_test.cc
+++ b/packages/balancing/test/cold_test.cc
@@ -153,6 +153,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(a_target_that_joins_a_running_fleet, Fixture)
 
+BOOST_AUTO_TEST_CASE(is_warm_to_an_entry_that_starts_before_its_list_comes) {
+  constexpr int kCalls = 10;
+  entries.clear();
+  entries.push_back(std::make_unique<Dispatcher>(
+      DispatcherOptions{.self = EntryNames().front()}));
+  Configure({});
+  Configure({"warm"});
+  int started = 0;
+  for (int call = 0; call < kCalls; ++call) {
+    started += static_cast<int>(Submit(0).size());
+  }
+  BOOST_TEST(started == kCalls);
+}
+
 BOOST_AUTO_TEST_CASE(gets_no_more_than_it_bears_from_all_entries_together) {
   Configure({"warm", "late"});
   BOOST_TEST(Flood(20).size() == 3U);
