--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "internal/answers.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/http/server.h"
@@ -26,6 +27,10 @@
 
 namespace {
 
+using internal::Answer;
+using internal::Problem;
+using internal::ToJson;
+using internal::ToResponse;
 using nlohmann::json;
 
 constexpr std::size_t kResults = 128;
@@ -35,7 +40,6 @@
 constexpr std::uint16_t kBadRequest = 400;
 constexpr std::uint16_t kUnauthorized = 401;
 constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kClash = 409;
 constexpr std::uint16_t kOverload = 422;
 constexpr std::uint16_t kUnavailable = 503;
 constexpr std::size_t kRowsAtOnce = 256;
@@ -43,53 +47,6 @@
 constexpr std::uint64_t kAuditEntries = 100;
 constexpr int kDecimal = 10;
 
-http::Response Answer(const std::uint16_t status, const json& body) {
-  return {.status = status, .fields = {}, .body = body.dump()};
-}
-
-http::Response Problem(const std::uint16_t status, const std::string& message) {
-  return Answer(status, {{"error", message}});
-}
-
-json ToJson(const settings::Mistakes& mistakes) {
-  json lines = json::array();
-  for (const settings::Mistake& mistake : mistakes) {
-    lines.push_back(settings::ToString(mistake));
-  }
-  return lines;
-}
-
-json ToJson(const std::vector<membership::Peer>& peers) {
-  static constexpr std::array<const char*, 4> kStates{"alive", "suspect",
-                                                      "leaving", "dead"};
-  json list = json::array();
-  for (const membership::Peer& peer : peers) {
-    list.push_back({{"name", peer.name.Text()},
-                    {"incarnation", peer.incarnation.Value()},
-                    {"state", kStates.at(static_cast<std::size_t>(peer.state))},
-                    {"revision", peer.revision.Value()}});
-  }
-  return list;
-}
-
-http::Response ToResponse(const configuration::ChangeAccepted& accepted) {
-  return Answer(200, {{"revision", accepted.revision.Value()}});
-}
-
-http::Response ToResponse(const configuration::ChangeClash& clash) {
-  const std::string other =
-      clash.other.who.empty() ? "another operator" : clash.other.who;
-  return Answer(kClash,
-                {{"error", "Another change came first, by " + other +
-                               ". Look at it and repeat the command."},
-                 {"other", json::parse(inventory::Encode(clash.other))}});
-}
-
-http::Response ToResponse(const configuration::ChangeRefused& refused) {
-  return Answer(kUnavailable, {{"error", refused.message},
-                               {"effect_unknown", refused.effect_unknown}});
-}
-
 }  // namespace
 
 class OperationsDuty::Loop {
