Compile the tests' main once

Cause: the linter looked at the two lines of test_main.cc once for each of 25 test programs, one after another, for over three minutes. Change: an object library that all test programs link. Conclusion: the same tests run; module names in their output are alike now.

--- a/cmake/TrefoilbendPackage.cmake
+++ b/cmake/TrefoilbendPackage.cmake
@@ -1,3 +1,7 @@
+add_library(trefoilbend_test_main OBJECT "${PROJECT_SOURCE_DIR}/cmake/test_main.cc")
+target_compile_definitions(trefoilbend_test_main PUBLIC BOOST_TEST_DYN_LINK)
+target_link_libraries(trefoilbend_test_main PUBLIC Boost::unit_test_framework)
+
 # trefoilbend_package(NAME [DEPENDS packages...] [LIBRARIES libraries...])
 # Builds packages/NAME from its src folder and its test folder's program.
 function(trefoilbend_package name)
@@ -27,10 +31,8 @@
   if(NOT tests)
     return()
   endif()
-  add_executable(${name}_test ${tests} "${PROJECT_SOURCE_DIR}/cmake/test_main.cc")
-  target_compile_definitions(${name}_test PRIVATE BOOST_TEST_DYN_LINK
-                             TREFOILBEND_TEST_MODULE=${name})
-  target_link_libraries(${name}_test PRIVATE ${ARGN} Boost::unit_test_framework
+  add_executable(${name}_test ${tests})
+  target_link_libraries(${name}_test PRIVATE ${ARGN} trefoilbend_test_main
                         ${RAPIDCHECK_LIBRARY} trefoilbend_options)
   add_test(NAME ${name} COMMAND ${name}_test --log_level=test_suite)
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT
--- a/cmake/test_main.cc
+++ b/cmake/test_main.cc
@@ -1,2 +1,2 @@
-#define BOOST_TEST_MODULE TREFOILBEND_TEST_MODULE
+#define BOOST_TEST_MODULE trefoilbend
 #include <boost/test/unit_test.hpp>
