Give membership a log level of its own

Cause: its key in the section log was refused as unknown. Change: the key is known; a test sets the level of each part. Seen: the new test failed for membership before, passes now.

--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -213,7 +213,7 @@
     this->result.log_level =
         section.Word("level", kLevels, this->result.log_level);
     for (const char* part : {"callers", "relay", "configuration", "operations",
-                             "rollout", "entry"}) {
+                             "rollout", "membership", "entry"}) {
       this->result.log_levels[part] =
           section.Word(part, kLevels, this->result.log_level);
     }
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -40,6 +40,18 @@
   BOOST_TEST(settings.log_levels.at("operations") == "warn");
 }
 
+BOOST_AUTO_TEST_CASE(take_a_log_level_for_each_part) {
+  for (const std::string part :
+       {"callers", "relay", "configuration", "operations", "rollout",
+        "membership", "entry"}) {
+    std::string text{kText};
+    text.replace(text.find("callers = debug"), 15, part + " = trace");
+    const auto outcome = Read(text);
+    BOOST_REQUIRE_MESSAGE(core::Succeeded(outcome), part);
+    BOOST_TEST(core::ValueOf(outcome).log_levels.at(part) == "trace");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(with_mistakes)
 
 BOOST_AUTO_TEST_CASE(are_refused_with_all_of_them) {
