Take the listener and the metrics out of the callers' duty

Change: internal/listener accepts connections and knows the open ones; internal/metrics holds the metrics and counts refusals. Conclusion: no behaviour changes; callers, entry, path and calls tests pass.

--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -1,9 +1,5 @@
 #include "trefoilbend/callers/duty.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
@@ -11,6 +7,8 @@
 #include <vector>
 
 #include "internal/keyed_calls.h"
+#include "internal/listener.h"
+#include "internal/metrics.h"
 #include "internal/session.h"
 #include "trefoilbend/callers/refusal_text.h"
 #include "trefoilbend/core/duty.h"
@@ -23,8 +21,6 @@
 
 namespace {
 
-using boost::asio::ip::tcp;
-
 constexpr std::size_t kMessagesPerCall = 4;
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kViews = 64;
@@ -59,39 +55,10 @@
         keyed(*this, TableOptions(this->options), this->options.keys.answer),
         platform(http::Client::Create(this->duty.Context()),
                  this->options.platform, this->options.platform_timeout),
-        acceptor(this->duty.Context()),
+        listener(this->duty.Context(), *this),
         drain_timer(this->duty.Context()),
         expire_timer(this->duty.Context()),
-        answered(prometheus::BuildCounter()
-                     .Name("trefoilbend_calls_answered_total")
-                     .Help("Calls whose answer came from a target.")
-                     .Register(registry)
-                     .Add({})),
-        refused(prometheus::BuildCounter()
-                    .Name("trefoilbend_calls_refused_total")
-                    .Help("Calls refused, by reason and by what is known of "
-                          "their run.")
-                    .Register(registry)),
-        in_progress(prometheus::BuildGauge()
-                        .Name("trefoilbend_calls_in_progress")
-                        .Help("Calls that wait or are in flight.")
-                        .Register(registry)
-                        .Add({})),
-        passed_on(prometheus::BuildCounter()
-                      .Name("trefoilbend_calls_passed_on_total")
-                      .Help("Calls passed on to the home of their key.")
-                      .Register(registry)
-                      .Add({})),
-        keys(prometheus::BuildGauge()
-                 .Name("trefoilbend_keys")
-                 .Help("Keys that this entry remembers.")
-                 .Register(registry)
-                 .Add({})),
-        key_answer_bytes(prometheus::BuildGauge()
-                             .Name("trefoilbend_key_answer_bytes")
-                             .Help("Length of the answers kept for repeats.")
-                             .Register(registry)
-                             .Add({})) {
+        metrics(registry) {
     this->duty.Read(this->from_balancing,
                     [this](const balancing::ToCallers& message) {
                       if (const auto* call =
@@ -129,27 +96,15 @@
 
   core::Outcome<std::monostate, std::string> Start(const Outlets writes) {
     this->outlets = writes;
-    boost::system::error_code error;
-    const tcp::endpoint endpoint{
-        boost::asio::ip::make_address(this->options.address.host, error),
-        this->options.address.port};
-    this->acceptor.open(endpoint.protocol(), error);
-    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    this->acceptor.bind(endpoint, error);
-    if (!error) {
-      this->acceptor.listen(boost::asio::socket_base::max_listen_connections,
-                            error);
-    }
-    if (error) {
-      return "cannot listen on " + http::ToString(this->options.address) +
-             ": " + error.message();
+    auto listening = this->listener.Open(this->options.address);
+    if (!core::Succeeded(listening)) {
+      return listening;
     }
     this->log.Info("Serves callers on {}.",
                    http::ToString(this->options.address));
-    this->Accept();
     this->AwaitExpiry();
     this->duty.Start();
-    return std::monostate{};
+    return listening;
   }
 
   void Drain(std::function<void()> done) {
@@ -163,8 +118,7 @@
       this->drain_timer.expires_after(serve);
       this->drain_timer.async_wait(
           [this, done = std::move(done)](auto) mutable {
-            boost::system::error_code ignored;
-            this->acceptor.close(ignored);
+            this->listener.Close();
             this->AwaitLastCall(std::move(done));
           });
     });
@@ -212,7 +166,7 @@
                                  .retry_after = kRetryAfter});
     }
     this->calls.emplace(id, OpenCall{.session = session, .keyed = keyed_call});
-    this->in_progress.Set(static_cast<double>(this->calls.size()));
+    this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
     if (keyed_call) {
       boost::asio::post(this->duty.Context(), [this, id, shared, text] {
         if (this->calls.contains(id)) {
@@ -249,7 +203,7 @@
       return false;
     }
     ++this->passes;
-    this->passed_on.Increment();
+    this->metrics.passed_on.Increment();
     return true;
   }
 
@@ -288,7 +242,7 @@
       session->Refuse(*refusal);
       return;
     }
-    this->answered.Increment();
+    this->metrics.answered.Increment();
     session->Answer(*std::get<idempotency::KeptAnswer>(result));
   }
 
@@ -313,7 +267,7 @@
 
   void Close(const core::CallId call) override {
     this->calls.erase(call);
-    this->in_progress.Set(static_cast<double>(this->calls.size()));
+    this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
   }
 
   void Abandon(const core::CallId call) override {
@@ -388,61 +342,26 @@
 
   void AwaitExpiry() {
     this->expire_timer.expires_after(kExpirePeriod);
-    this->expire_timer.async_wait(
-        [this](const boost::system::error_code error) {
-          if (error) {
-            return;
-          }
-          this->keyed.Expire();
-          this->keys.Set(static_cast<double>(this->keyed.Table().Size()));
-          this->key_answer_bytes.Set(
-              static_cast<double>(this->keyed.Table().AnswerBytes()));
-          this->AwaitExpiry();
-        });
-  }
-
-  void Accept() {
-    this->acceptor.async_accept(
-        [this](const boost::system::error_code error, tcp::socket socket) {
-          if (!this->acceptor.is_open()) {
-            return;
-          }
-          const auto open =
-              static_cast<std::size_t>(this->session_token.use_count());
-          if (!error && open <= this->options.limits.connections) {
-            const auto session = std::make_shared<internal::Session>(
-                *this, std::move(socket), this->session_token);
-            this->Remember(session);
-            session->Read();
-          }
-          this->Accept();
-        });
-  }
-
-  void Remember(const std::shared_ptr<internal::Session>& session) {
-    if (this->sessions.size() >=
-        2 * static_cast<std::size_t>(this->session_token.use_count())) {
-      std::erase_if(this->sessions,
-                    [](const auto& one) { return one.expired(); });
-    }
-    this->sessions.push_back(session);
-  }
-
-  void CloseIdleSessions() {
-    for (const std::weak_ptr<internal::Session>& weak : this->sessions) {
-      if (const auto session = weak.lock()) {
-        session->CloseIfIdle();
+    this->expire_timer.async_wait([this](
+                                      const boost::system::error_code error) {
+      if (error) {
+        return;
       }
-    }
+      this->keyed.Expire();
+      this->metrics.keys.Set(static_cast<double>(this->keyed.Table().Size()));
+      this->metrics.key_answer_bytes.Set(
+          static_cast<double>(this->keyed.Table().AnswerBytes()));
+      this->AwaitExpiry();
+    });
   }
 
   [[nodiscard]] bool IsIdle() const noexcept {
     return this->calls.empty() && this->keyed.Runs() == 0 &&
-           this->received.empty() && this->session_token.use_count() == 1;
+           this->received.empty() && this->listener.OpenSessions() == 0;
   }
 
   void AwaitLastCall(std::function<void()> done) {
-    this->CloseIdleSessions();
+    this->listener.CloseIdleSessions();
     if (this->IsIdle()) {
       this->log.Info("Has finished all calls.");
       done();
@@ -455,12 +374,7 @@
   }
 
   core::Refusal CountRefusal(const core::Refusal refusal) {
-    const std::string run =
-        refusal.run == core::RunState::kNotRun ? "not-run" : "unknown";
-    this->refused
-        .Add({{"reason", std::string{ToString(refusal.reason)}},
-              {"outcome", run}})
-        .Increment();
+    this->metrics.CountRefusal(refusal);
     return refusal;
   }
 
@@ -488,7 +402,7 @@
       this->Forward(forwarding::AbandonAnswer{answer.call});
       return;
     }
-    this->answered.Increment();
+    this->metrics.answered.Increment();
     session->Answer(std::move(answer.head));
   }
 
@@ -532,12 +446,11 @@
   discovery::Directory directory;
   internal::KeyedCalls keyed;
   platform::Client platform;
-  tcp::acceptor acceptor;
+  internal::Listener listener;
   boost::asio::steady_timer drain_timer;
   boost::asio::steady_timer expire_timer;
   std::unordered_map<core::CallId, OpenCall> calls;
   std::unordered_map<core::CallId, relay::ReceivedId> received;
-  std::vector<std::weak_ptr<internal::Session>> sessions;
   std::size_t passes{};
   core::CallId last_call;
   idempotency::IssueTime wall_start =
@@ -545,14 +458,8 @@
           std::chrono::system_clock::now());
   core::TimePoint steady_start = std::chrono::steady_clock::now();
   bool current = true;
-  std::shared_ptr<const void> session_token = std::make_shared<int>();
   bool draining = false;
-  prometheus::Counter& answered;
-  prometheus::Family<prometheus::Counter>& refused;
-  prometheus::Gauge& in_progress;
-  prometheus::Counter& passed_on;
-  prometheus::Gauge& keys;
-  prometheus::Gauge& key_answer_bytes;
+  internal::Metrics metrics;
   core::Log log{"callers"};
 };
 
