Begin whole and streamed answers in one place

Cause: the head of an answer was filled in twice in the callers' session, once for whole answers and once for streamed ones. Change: BeginMessage serves both.

--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -134,6 +134,8 @@
   [[nodiscard]] std::string CallerAddress();
   void WatchCaller();
   void Send(http::Response response);
+  template <typename Message>
+  void BeginMessage(Message& message, const core::AnswerHead& head);
   void SendWhole(core::AnswerHead head);
   void BeginStream(core::AnswerHead head);
   void WritePart(std::string body, bool complete);
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -224,8 +224,8 @@
   this->SendWhole(std::move(head));
 }
 
-void Session::SendWhole(core::AnswerHead head) {
-  StringResponse& message = this->whole;
+template <typename Message>
+void Session::BeginMessage(Message& message, const core::AnswerHead& head) {
   message = {};
   message.version(kHttp11);
   message.result(head.status);
@@ -234,6 +234,11 @@
   }
   this->keep_alive = this->keep_alive && !this->owner.IsDraining();
   message.keep_alive(this->keep_alive);
+}
+
+void Session::SendWhole(core::AnswerHead head) {
+  StringResponse& message = this->whole;
+  this->BeginMessage(message, head);
   if (this->is_head) {
     if (head.length) {
       message.content_length(*head.length);
@@ -257,14 +262,7 @@
 
 void Session::BeginStream(core::AnswerHead head) {
   StreamResponse& message = this->streamed;
-  message = {};
-  message.version(kHttp11);
-  message.result(head.status);
-  for (const auto& [name, value] : head.fields) {
-    message.insert(name, value);
-  }
-  this->keep_alive = this->keep_alive && !this->owner.IsDraining();
-  message.keep_alive(this->keep_alive);
+  this->BeginMessage(message, head);
   if (head.length) {
     message.content_length(*head.length);
   } else {
