Show cold starts on real processes

Cause: the row on cold starts was proved on decision objects only.

Change: four stories on 4 entries and real targets that bear 3 calls while cold: one joins, one returns, one turns cold without notice, a data centre comes back cold. The stand-in counts its greatest number in flight while it is cold, and can start cold.

A fifth story fails for a real fault: when a target stays cold for more than 5 s, an entry without a share tries it beside the shares of the others, 4 in flight where 3 are borne.

Conclusion: a data centre's return is ramped as a target's, since each of its targets is cold to every entry that sees it come back.

--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -12,6 +12,8 @@
 # all duties in one process, a fleet on real processes.
 proofs=(
   "data-centre-out|fleet|configuration_fleet|$tests/configuration_fleet_test --run_test=*/when_operators_take_one_out"
+  "cold-start|decision|balancing|$packages/balancing/balancing_test --run_test=a_target_that_joins_a_running_fleet"
+  "cold-start|fleet|balancing_fleet|$tests/balancing_fleet_test --run_test=a_fleet_with_cold_targets"
   "bad-version|decision|rollout|$packages/rollout/rollout_test"
   "bad-version|decision|balancing|$packages/balancing/balancing_test --run_test=*version*"
   "own-whole-answer|fleet|path_fleet|$tests/path_fleet_test --run_test=*/when_a_target_cuts_its_answers"
--- a/stand_ins/target/main.cc
+++ b/stand_ins/target/main.cc
@@ -32,6 +32,7 @@
                  "Spread of the log-normal service time");
   app.add_option("--cold-bears", options.cold_bears,
                  "Requests that a cold target bears");
+  app.add_flag("--cold", options.cold, "Start cold");
   app.add_option("--seed", options.seed, "Seed of service times and faults");
   CLI11_PARSE(app, argc, argv);
   options.service_time = std::chrono::microseconds{service_us};
--- a/stand_ins/target/target.cc
+++ b/stand_ins/target/target.cc
@@ -34,7 +34,9 @@
 }  // namespace
 
 Target::Target(boost::asio::io_context& context, TargetOptions options)
-    : context(context), options(options), random(options.seed) {}
+    : context(context), options(options), random(options.seed) {
+  this->faults.cold = options.cold ? 1 : 0;
+}
 
 void Target::Handle(http::Request request, Done done) {
   const std::string_view path = http::PathOf(request.target);
@@ -96,6 +98,8 @@
               {"probes", this->probes},
               {"shed", this->shed},
               {"cold_overruns", this->cold_overruns},
+              {"cold_handled", this->cold_handled},
+              {"most_in_flight_cold", this->most_in_flight_cold},
               {"keys", this->runs_by_key.size()},
               {"keys_run_twice", doubled}};
   if (query.contains("runs")) {
@@ -106,9 +110,7 @@
 }
 
 void Target::Admit(http::Request request, Done done) {
-  if (this->faults.cold != 0 && this->running >= this->options.cold_bears) {
-    ++this->cold_overruns;
-  }
+  this->CountCold();
   if (this->faults.drain != 0 || this->waiting.size() >= this->options.queue) {
     ++this->shed;
     done(Refusal());
@@ -125,6 +127,16 @@
   this->Run({std::move(request), std::move(done)});
 }
 
+void Target::CountCold() {
+  if (this->faults.cold == 0) {
+    return;
+  }
+  const std::size_t in_flight = this->running + this->waiting.size() + 1;
+  ++this->cold_handled;
+  this->cold_overruns += in_flight > this->options.cold_bears ? 1 : 0;
+  this->most_in_flight_cold = std::max(this->most_in_flight_cold, in_flight);
+}
+
 void Target::Run(Waiting work) {
   ++this->running;
   ++this->handled;
--- a/stand_ins/target/target.h
+++ b/stand_ins/target/target.h
@@ -29,6 +29,8 @@
   double sigma = 0.0;
   /** @brief Requests that the target bears while it is cold. */
   std::uint32_t cold_bears = 1;
+  /** @brief Whether the target is cold at its start. */
+  bool cold = false;
   /** @brief Seed of service times and faults. */
   std::uint64_t seed = 1;
 };
@@ -81,6 +83,7 @@
 
   [[nodiscard]] Reply Control(const http::Request& request);
   void Admit(http::Request request, Done done);
+  void CountCold();
   void Run(Waiting work);
   void Finish(const Waiting& work);
   [[nodiscard]] Reply Answer(const http::Request& request);
@@ -102,6 +105,8 @@
   std::uint64_t probes = 0;
   std::uint64_t shed = 0;
   std::uint64_t cold_overruns = 0;
+  std::uint64_t cold_handled = 0;
+  std::size_t most_in_flight_cold = 0;
   std::uint32_t most_running = 0;
   std::map<std::string, std::uint64_t> runs_by_key;
   std::map<std::string, std::uint64_t> runs_by_call;
--- /dev/null
+++ b/tests/balancing/cold_test.cc
@@ -0,0 +1,156 @@
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet.h"
+
+namespace trefoilbend::tests {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kBears = 3;
+
+struct Fixture {
+  std::unique_ptr<Fleet> fleet =
+      Fleet::Builder{}
+          .WithEntries(4)
+          .WithTargets(4, {"--service-us", "5000", "--cold-bears", "3"})
+          .WithRules("[service stock]\ncold-allowance = 3\n")
+          .Build();
+
+  [[nodiscard]] std::unique_ptr<Driver> Drive(
+      const std::string& seconds) const {
+    return this->fleet->Drive(
+        {"--callers", "32", "--rate", "1200", "--seconds", seconds});
+  }
+
+  [[nodiscard]] int Count(const std::string& target,
+                          const std::string& name) const {
+    return this->fleet->Counts(target).at(name).get<int>();
+  }
+
+  [[nodiscard]] bool AwaitCount(const std::string& target,
+                                const std::string& name,
+                                const int least) const {
+    return Fleet::Await([&] { return this->Count(target, name) >= least; });
+  }
+
+  /** The target stays cold for a while, then it is warm. */
+  void WarmUp(const std::string& target, const int calls) const {
+    BOOST_TEST(AwaitCount(target, "cold_handled", calls));
+    BOOST_TEST(Count(target, "most_in_flight_cold") <= kBears);
+    this->fleet->Fault(target, "cold", 0);
+    BOOST_TEST(AwaitCount(target, "most_running", kBears + 1));
+  }
+
+  static void CheckNothingLost(const json& report) {
+    for (const char* bad : {"not_run", "unknown", "broken", "wrong"}) {
+      BOOST_TEST(report.at(bad).get<int>() == 0, bad);
+    }
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_fleet_with_cold_targets, Fixture)
+
+BOOST_AUTO_TEST_SUITE(when_a_cold_target_joins)
+
+BOOST_AUTO_TEST_CASE(sends_it_no_more_than_it_bears_and_then_its_part) {
+  const auto driver = Drive("12");
+  std::ofstream{fleet->Folder() + "/inventory.ini", std::ios::app}
+      << "[instance stock-5]\ndata-centre = xela-1\nservice = stock\naddress = "
+      << ToString(fleet->AddressOf("stock-5"))
+      << "\nslots = 6\nconnections = 200\nversion = 1\n";
+  fleet->Start("stock-5", {"--cold"});
+  const CommandResult applied = Fleet::Control(
+      {"apply", "--entry", ToString(fleet->OperationsOf("entry-2")),
+       "--inventory", fleet->Folder() + "/inventory.ini", "--rules",
+       fleet->Folder() + "/rules.ini", "--why", "more room"});
+  BOOST_TEST(applied.exit_code == 0, applied.output);
+  WarmUp("stock-5", 100);
+  CheckNothingLost(driver->Report());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_target_returns_cold)
+
+BOOST_AUTO_TEST_CASE(sends_it_no_more_than_it_bears_and_then_its_part) {
+  const auto driver = Drive("14");
+  BOOST_TEST(AwaitCount("stock-2", "handled", 50));
+  fleet->List("stock-2", "gone");
+  const auto is_idle = [&] {
+    const int before = Count("stock-2", "handled");
+    return !Fleet::Await([&] { return Count("stock-2", "handled") > before; },
+                         std::chrono::milliseconds{300});
+  };
+  BOOST_TEST(Fleet::Await(is_idle));
+  fleet->Signal("stock-2", SIGKILL);
+  fleet->Start("stock-2", {"--cold"});
+  WarmUp("stock-2", 100);
+  CheckNothingLost(driver->Report());
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_as_long_as_it_stays_cold) {
+  const auto driver = Drive("14");
+  BOOST_TEST(AwaitCount("stock-2", "handled", 50));
+  fleet->List("stock-2", "gone");
+  fleet->Signal("stock-2", SIGKILL);
+  fleet->Start("stock-2", {"--cold"});
+  CheckNothingLost(driver->Report());
+  BOOST_TEST(Count("stock-2", "cold_handled") > 100);
+  BOOST_TEST(Count("stock-2", "most_in_flight_cold") <= kBears);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_target_turns_cold_without_notice)
+
+BOOST_AUTO_TEST_CASE(takes_its_calls_back_to_what_it_bears) {
+  const auto driver = Drive("12");
+  BOOST_TEST(AwaitCount("stock-3", "most_running", kBears + 1));
+  fleet->Fault("stock-3", "cold", 1);
+  BOOST_TEST(AwaitCount("stock-3", "cold_handled", 50));
+  const int overruns = Count("stock-3", "cold_overruns");
+  BOOST_TEST(AwaitCount("stock-3", "cold_handled", 150));
+  BOOST_TEST(Count("stock-3", "cold_overruns") == overruns);
+  CheckNothingLost(driver->Report());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_data_centre_returns_with_cold_targets)
+
+BOOST_AUTO_TEST_CASE(ramps_each_of_them) {
+  const auto driver = Drive("14");
+  const auto change = [&](const std::string& way) {
+    const CommandResult result =
+        Fleet::Control({"data-centre", way, "xela-2", "--entry",
+                        ToString(fleet->OperationsOf("entry-1"))});
+    BOOST_TEST(result.exit_code == 0, result.output);
+  };
+  change("out");
+  for (const char* target : {"stock-1", "stock-3"}) {
+    fleet->Fault(target, "cold", 1);
+  }
+  change("in");
+  for (const char* target : {"stock-1", "stock-3"}) {
+    BOOST_TEST(AwaitCount(target, "cold_handled", 50));
+  }
+  for (const char* target : {"stock-1", "stock-3"}) {
+    WarmUp(target, 100);
+  }
+  CheckNothingLost(driver->Report());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::tests
