Prove contact between entries by answers to own questions

A heartbeat counted as contact from when it was heard to rise, so hearsay of the other living entry prolonged it, each time by 3 s from its arrival. By the same fault rows that had waited in a frozen entry's sockets made it current when it went on.

Change: rows carry the age of the newest proof that a member runs. Only answers to an entry's own questions prove contact, as old as the question plus the age told. Youngest proofs are told first, two peers are asked a round, a message has 32 rows instead of 64.

Ruled out: a longer limit in the test, since the bound of 5 s for a data centre that is out rests on it.

--- a/packages/membership/include/trefoilbend/membership/member_table.h
+++ b/packages/membership/include/trefoilbend/membership/member_table.h
@@ -37,6 +37,9 @@
   bool leaving{};
   /** @brief Newest revision that it has in force. */
   core::Revision revision;
+  /** @brief Time since the member is known to have run, at most
+   * MemberTable::kUnknownAge, which stands for no knowledge. */
+  std::chrono::milliseconds age{};
 
   [[nodiscard]] bool operator==(const MemberRow&) const = default;
 };
@@ -46,16 +49,19 @@
   /** @brief Time between two rounds. */
   std::chrono::milliseconds round{500};
   /** @brief Age of the newest heartbeat at which a peer is suspected; longer in
-   * a fleet with more entries than a message has rows, in proportion. */
+   * a fleet with more entries than a round's messages have rows, in proportion.
+   */
   std::chrono::milliseconds suspect{5'000};
   /** @brief Age of the newest heartbeat at which a peer is taken for dead;
    * longer in a large fleet like that for suspicion. */
   std::chrono::milliseconds dead{10'000};
-  /** @brief Age up to which a heartbeat or an answer of the platform proves
-   * contact. */
+  /** @brief Age up to which proof that a member has run, or an answer of the
+   * platform, counts as contact. */
   std::chrono::milliseconds fresh{3'000};
+  /** @brief Peers that are asked in one round. */
+  std::size_t peers = 2;
   /** @brief Greatest number of rows in one message. */
-  std::size_t rows = 64;
+  std::size_t rows = 32;
 };
 
 /**
@@ -68,6 +74,9 @@
  */
 class MemberTable {
  public:
+  /** @brief Greatest age that a row tells. */
+  static constexpr std::chrono::milliseconds kUnknownAge{65'535};
+
   /**
    * @brief Makes a table that knows no peers yet.
    * @param self Name of this entry.
@@ -100,17 +109,29 @@
 
   /**
    * @brief Chooses what to tell a peer.
-   * @return This entry's row and those of peers drawn at random.
+   * @param now Current time.
+   * @return This entry's row and those of the peers that were proven to run
+   * most recently; equal ones are drawn at random.
    */
-  [[nodiscard]] std::vector<MemberRow> Tell();
+  [[nodiscard]] std::vector<MemberRow> Tell(core::TimePoint now);
 
   /**
-   * @brief Takes what a peer told.
+   * @brief Takes what a peer told by itself. It proves no contact: the rows may
+   * have waited in a socket while this process was frozen.
    * @param rows Rows of the peer; those of unknown members are ignored.
    * @param now Current time.
    */
   void Hear(const std::vector<MemberRow>& rows, core::TimePoint now);
 
+  /**
+   * @brief Takes what a peer answered.
+   * @param rows Rows of the peer; those of unknown members are ignored.
+   * @param asked Time at which this entry asked; the rows are not older.
+   * @param now Current time.
+   */
+  void HearAnswer(const std::vector<MemberRow>& rows, core::TimePoint asked,
+                  core::TimePoint now);
+
   /**
    * @brief Chooses peers at random among those that are not leaving, three
    * times of four those that seem alive first.
@@ -141,6 +162,7 @@
     MemberRow row;
     std::optional<http::Address> address;
     core::TimePoint risen;
+    std::optional<core::TimePoint> proven;
     bool heard{};
   };
 
@@ -148,6 +170,8 @@
                                   core::TimePoint now) const;
   [[nodiscard]] core::Duration Scale(std::chrono::milliseconds time) const;
   [[nodiscard]] bool IsCurrent(core::TimePoint now) const;
+  [[nodiscard]] static std::chrono::milliseconds AgeOf(const Member& member,
+                                                       core::TimePoint now);
   void HearOfSelf(const MemberRow& row);
   static bool Rises(const MemberRow& from, const MemberRow& to) noexcept;
 
--- a/packages/membership/src/duty.cc
+++ b/packages/membership/src/duty.cc
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::size_t kMessages = 64;
-constexpr std::size_t kPeersPerRound = 1;
 constexpr std::size_t kPeersToldOfLeaving = 16;
 constexpr std::size_t kMostRowsHeard = 1'024;
 constexpr unsigned kMostExchanges = 32;
@@ -35,6 +34,7 @@
     member.setHeartbeat(static_cast<std::uint32_t>(rows[at].heartbeat.Value()));
     member.setLeaving(rows[at].leaving);
     member.setRevision(static_cast<std::uint32_t>(rows[at].revision.Value()));
+    member.setAge(static_cast<std::uint16_t>(rows[at].age.count()));
   }
 }
 
@@ -48,7 +48,8 @@
                     .incarnation = core::Incarnation{member.getIncarnation()},
                     .heartbeat = Heartbeat{member.getHeartbeat()},
                     .leaving = member.getLeaving(),
-                    .revision = core::Revision{member.getRevision()}});
+                    .revision = core::Revision{member.getRevision()},
+                    .age = std::chrono::milliseconds{member.getAge()}});
   }
   return rows;
 }
@@ -117,7 +118,7 @@
     kj::Promise<void> Round() {
       this->table.Beat();
       for (const http::Address& peer :
-           this->table.ChoosePeers(kPeersPerRound, Now())) {
+           this->table.ChoosePeers(this->loop.options.limits.peers, Now())) {
         this->Exchange(peer);
       }
       this->Fetch();
@@ -147,19 +148,21 @@
         return;
       }
       ++this->exchanges;
-      auto exchanging =
-          this->Connect(peer).then([this](kj::Own<Connection>&& connection) {
-            const std::vector<MemberRow> rows = this->table.Tell();
-            auto request = connection->Gossip().exchangeRequest();
-            Write(rows,
-                  request.initMembers(static_cast<unsigned>(rows.size())));
-            return request.send()
-                .then([this](capnp::Response<wire::Gossip::ExchangeResults>&&
-                                 response) {
-                  this->table.Hear(Read(response.getMembers()), Now());
+      auto exchanging = this->Connect(peer).then([this](kj::Own<Connection>&&
+                                                            connection) {
+        const core::TimePoint asked = Now();
+        const std::vector<MemberRow> rows = this->table.Tell(asked);
+        auto request = connection->Gossip().exchangeRequest();
+        Write(rows, request.initMembers(static_cast<unsigned>(rows.size())));
+        return request.send()
+            .then(
+                [this, asked](
+                    capnp::Response<wire::Gossip::ExchangeResults>&& response) {
+                  this->table.HearAnswer(Read(response.getMembers()), asked,
+                                         Now());
                 })
-                .attach(kj::mv(connection));
-          });
+            .attach(kj::mv(connection));
+      });
       this->tasks.add(this->io.provider->getTimer()
                           .timeoutAfter(kExchangeTimeout, kj::mv(exchanging))
                           .attach(kj::defer([this] { --this->exchanges; })));
@@ -305,7 +308,7 @@
 
     kj::Promise<void> exchange(ExchangeContext context) override {
       this->state.table.Hear(Read(context.getParams().getMembers()), Now());
-      const std::vector<MemberRow> rows = this->state.table.Tell();
+      const std::vector<MemberRow> rows = this->state.table.Tell(Now());
       Write(rows, context.getResults().initMembers(
                       static_cast<unsigned>(rows.size())));
       return kj::READY_NOW;
--- a/packages/membership/src/gossip.capnp
+++ b/packages/membership/src/gossip.capnp
@@ -9,6 +9,7 @@
   incarnation @2 :UInt64;
   revision @3 :UInt32;
   leaving @4 :Bool;
+  age @5 :UInt16;
 }
 
 struct Revisions {
--- a/packages/membership/src/gossip.capnp.h
+++ b/packages/membership/src/gossip.capnp.h
@@ -178,6 +178,8 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint16_t getAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -221,6 +223,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint16_t getAge();
+  inline void setAge( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -796,6 +801,20 @@
       ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Member::Reader::getAge() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getAge() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAge( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::trefoilbend::membership::wire::Revisions::Which Revisions::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/membership/src/member_table.cc
+++ b/packages/membership/src/member_table.cc
@@ -55,14 +55,18 @@
 
 void MemberTable::Beat() { this->self.heartbeat = this->self.heartbeat.Next(); }
 
-std::vector<MemberRow> MemberTable::Tell() {
+std::vector<MemberRow> MemberTable::Tell(const core::TimePoint now) {
   std::vector<MemberRow> rows;
   for (const auto& [id, member] : this->members) {
     if (member.heard) {
       rows.push_back(member.row);
+      rows.back().age = AgeOf(member, now);
     }
   }
   std::shuffle(rows.begin(), rows.end(), this->random);
+  std::stable_sort(
+      rows.begin(), rows.end(),
+      [](const MemberRow& a, const MemberRow& b) { return a.age < b.age; });
   rows.resize(std::min(rows.size(), this->limits.rows - 1));
   rows.push_back(this->self);
   return rows;
@@ -86,6 +90,21 @@
   }
 }
 
+void MemberTable::HearAnswer(const std::vector<MemberRow>& rows,
+                             const core::TimePoint asked,
+                             const core::TimePoint now) {
+  this->Hear(rows, now);
+  for (const MemberRow& row : rows) {
+    const auto found = this->members.find(row.id);
+    if (found == this->members.end() || row.age >= kUnknownAge ||
+        row.incarnation != found->second.row.incarnation) {
+      continue;
+    }
+    std::optional<core::TimePoint>& proven = found->second.proven;
+    proven = std::max(proven.value_or(asked - row.age), asked - row.age);
+  }
+}
+
 std::vector<http::Address> MemberTable::ChoosePeers(const std::size_t count,
                                                     const core::TimePoint now) {
   std::vector<const Member*> peers;
@@ -163,9 +182,9 @@
 }
 
 core::Duration MemberTable::Scale(const std::chrono::milliseconds time) const {
-  const std::size_t messages =
-      (this->members.size() + this->limits.rows) / this->limits.rows;
-  return time * static_cast<std::int64_t>(messages);
+  const std::size_t rows = this->limits.rows * this->limits.peers;
+  const std::size_t rounds = (this->members.size() + rows) / rows;
+  return time * static_cast<std::int64_t>(rounds);
 }
 
 bool MemberTable::IsCurrent(const core::TimePoint now) const {
@@ -179,7 +198,7 @@
                              this->name.Text()) != nullptr;
   std::size_t contacts = 1;
   for (const auto& [id, member] : this->members) {
-    if (!member.heard || now - member.risen >= this->limits.fresh) {
+    if (!member.proven || now - *member.proven >= this->limits.fresh) {
       continue;
     }
     if (member.row.revision > this->self.revision) {
@@ -190,6 +209,15 @@
   return is_member && contacts * 2 > this->members.size() + 1;
 }
 
+std::chrono::milliseconds MemberTable::AgeOf(const Member& member,
+                                             const core::TimePoint now) {
+  if (!member.proven) {
+    return kUnknownAge;
+  }
+  return std::min(kUnknownAge, std::chrono::ceil<std::chrono::milliseconds>(
+                                   now - *member.proven));
+}
+
 void MemberTable::HearOfSelf(const MemberRow& row) {
   if (row.incarnation > this->self.incarnation) {
     this->self.incarnation = row.incarnation.Next();
