Take a failing version back by 6 nats instead of 10

Change: 6 nats of failures or 10 of slowness in the calls of all entries, half of it is a doubt; one entry's own calls need 10 of either, as before. The old version's percentile counts after 20 calls instead of 50.

Tests changed: the two cases of is_not_misled and of equal versions ask whether the finding is a proof, which is stricter for failures than the 10 nats before.

--- a/packages/rollout/include/trefoilbend/rollout/controller.h
+++ b/packages/rollout/include/trefoilbend/rollout/controller.h
@@ -15,9 +15,6 @@
 
 namespace trefoilbend::rollout {
 
-/** @brief Evidence at which a version is taken back, in natural logarithms. */
-inline constexpr double kBrakeStrength = 10;
-
 /** @brief Usable targets of both versions. */
 struct Capacity {
   /** @brief Slots of the old version's targets. */
--- a/packages/rollout/include/trefoilbend/rollout/fault_detector.h
+++ b/packages/rollout/include/trefoilbend/rollout/fault_detector.h
@@ -23,6 +23,17 @@
   core::RouteName route;
   /** @brief Evidence in natural logarithms. */
   double strength{};
+
+  /** @return Whether the version is taken back for it when it comes from the
+   * calls of all entries. */
+  [[nodiscard]] bool IsProof() const noexcept;
+
+  /** @return Whether the version is taken back for it when it comes from the
+   * calls of one of many entries. */
+  [[nodiscard]] bool IsProofAlone() const noexcept;
+
+  /** @return Whether the version may not go on before it has gone. */
+  [[nodiscard]] bool IsDoubt() const noexcept;
 };
 
 /**
@@ -49,7 +60,8 @@
    */
   void Observe(const Window& window, core::TimePoint now);
 
-  /** @return The strongest sign of a fault; nothing without any. */
+  /** @return The sign of a fault that is nearest to its proof; nothing without
+   * any. */
   [[nodiscard]] std::optional<Finding> Strongest() const;
 
  private:
--- a/packages/rollout/src/controller.cc
+++ b/packages/rollout/src/controller.cc
@@ -10,7 +10,6 @@
 using inventory::ReleaseState;
 using std::chrono::seconds;
 
-constexpr double kDoubtStrength = 3;
 constexpr seconds kColdStart{10};
 constexpr seconds kFirstLook{10};
 constexpr seconds kVanishTime{30};
@@ -88,7 +87,7 @@
 
 std::optional<Verdict> Controller::TakeBack(const Situation& situation) {
   if (const auto finding = this->detector.Strongest();
-      finding && finding->strength >= kBrakeStrength) {
+      finding && finding->IsProof()) {
     this->Brake(ToString(*finding));
   }
   if (this->release.share > 0 &&
@@ -139,7 +138,7 @@
     return false;
   }
   const auto finding = this->detector.Strongest();
-  if (finding && finding->strength >= kDoubtStrength) {
+  if (finding && finding->IsDoubt()) {
     return false;
   }
   const auto routes = RoutesToProve(this->traffic);
--- a/packages/rollout/src/coordinator.cc
+++ b/packages/rollout/src/coordinator.cc
@@ -111,7 +111,7 @@
 void Coordinator::BrakeOn(const FaultDetector& detector,
                           const ReleaseId& release) {
   const auto finding = detector.Strongest();
-  if (finding && finding->strength >= kBrakeStrength) {
+  if (finding && finding->IsProofAlone()) {
     this->Brake(release, ToString(*finding));
   }
 }
--- a/packages/rollout/src/evidence.cc
+++ b/packages/rollout/src/evidence.cc
@@ -13,7 +13,7 @@
 constexpr double kStep = 0.1;
 constexpr double kFirstStep = 0.5;
 constexpr double kSlowFactor = 1.25;
-constexpr std::uint32_t kWarmUpCalls = 50;
+constexpr std::uint32_t kWarmUpCalls = 20;
 
 double LogOf(const core::Duration latency) noexcept {
   const double nanoseconds = static_cast<double>(
--- a/packages/rollout/src/fault_detector.cc
+++ b/packages/rollout/src/fault_detector.cc
@@ -14,14 +14,25 @@
 constexpr double kScatterWeight = 0.05;
 constexpr double kFirstDispersion = 1.0;
 constexpr double kGreatestDispersion = 20;
+constexpr double kDoubtOfProof = 0.5;
+constexpr double kProofAlone = 10;
 
 struct KindOfEvent {
   FaultKind kind;
   std::uint32_t Tally::*event;
+  /** Evidence that is a proof, in natural logarithms. */
+  double proof;
 };
 
 constexpr std::array<KindOfEvent, 2> kKinds{
-    {{FaultKind::kFails, &Tally::failed}, {FaultKind::kSlow, &Tally::slow}}};
+    {{FaultKind::kFails, &Tally::failed, 6},
+     {FaultKind::kSlow, &Tally::slow, 10}}};
+
+/** Part of the proof that a finding has reached. */
+double PartOfProof(const Finding& finding) noexcept {
+  return finding.strength /
+         kKinds.at(static_cast<std::size_t>(finding.kind)).proof;
+}
 
 Tally Sum(const std::map<core::InstanceName, Tally>& targets) noexcept {
   Tally sum;
@@ -58,6 +69,16 @@
                                : what + " on route " + finding.route.Text();
 }
 
+bool Finding::IsProof() const noexcept { return PartOfProof(*this) >= 1; }
+
+bool Finding::IsProofAlone() const noexcept {
+  return this->strength >= kProofAlone;
+}
+
+bool Finding::IsDoubt() const noexcept {
+  return PartOfProof(*this) >= kDoubtOfProof;
+}
+
 void FaultDetector::Observe(const Window& window, const core::TimePoint now) {
   for (const auto& [key, stratum] : window) {
     Open& known = this->open[key];
@@ -85,9 +106,11 @@
         strength = std::min(strength, test.Strength());
       }
     }
-    if (strength > 0 && (!strongest || strength > strongest->strength)) {
-      strongest =
-          Finding{.kind = key.kind, .route = key.route, .strength = strength};
+    const Finding finding{
+        .kind = key.kind, .route = key.route, .strength = strength};
+    if (strength > 0 &&
+        (!strongest || PartOfProof(finding) > PartOfProof(*strongest))) {
+      strongest = finding;
     }
   }
   return strongest;
--- a/packages/rollout/test/fault_detector_test.cc
+++ b/packages/rollout/test/fault_detector_test.cc
@@ -62,6 +62,11 @@
     const auto finding = this->detector.Strongest();
     return finding ? finding->strength : 0;
   }
+
+  [[nodiscard]] bool Proves() const {
+    const auto finding = this->detector.Strongest();
+    return finding && finding->IsProof();
+  }
 };
 
 }  // namespace
@@ -70,7 +75,7 @@
 
 BOOST_AUTO_TEST_CASE(finds_nothing_on_equal_versions) {
   Run(600s, {});
-  BOOST_TEST(Strength() < kAlarm);
+  BOOST_TEST(!Proves());
 }
 
 BOOST_AUTO_TEST_CASE(finds_a_version_that_fails) {
@@ -86,6 +91,15 @@
   BOOST_TEST(detector.Strongest()->route.Text() == "sheet");
 }
 
+BOOST_AUTO_TEST_CASE(proves_failures_by_less_than_slowness) {
+  const Finding fails{.kind = FaultKind::kFails, .strength = 7};
+  const Finding slow{.kind = FaultKind::kSlow, .strength = 7};
+  BOOST_TEST(fails.IsProof());
+  BOOST_TEST(!fails.IsProofAlone());
+  BOOST_TEST(!slow.IsProof());
+  BOOST_TEST(slow.IsDoubt());
+}
+
 BOOST_AUTO_TEST_SUITE(is_not_misled)
 
 BOOST_AUTO_TEST_CASE(by_callers_or_a_data_centre_that_harm_both_versions) {
@@ -94,12 +108,12 @@
             .new_version = 300,
             .first_new_target = 300,
             .other_route = 300});
-  BOOST_TEST(Strength() < kAlarm);
+  BOOST_TEST(!Proves());
 }
 
 BOOST_AUTO_TEST_CASE(by_one_target_with_a_noisy_neighbour) {
   Run(120s, {.first_new_target = 500});
-  BOOST_TEST(Strength() < kAlarm);
+  BOOST_TEST(!Proves());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
