Keep the answer to a keyed call that comes after its deadline

Cause: the story by_a_freeze_is_unknown_until_it_thaws found the key `unknown` for ever in some runs under load. The refusals seen then were 504, `unknown`, reason `deadline`, with 1 run counted: the call had begun when the home's threads stopped (a stop signal takes effect late under load), its deadline passed while the home was frozen, and the home gave the exchange up although the target had answered. The table rightly kept `unknown`, but the issue asks that a started non-idempotent call runs to its end and its outcome is kept for the retry.

Change: the home awaits a keyed call's answer for `keys late-answer` (10 s) beyond the deadline. Who waits is told `unknown`, `deadline` at the deadline as before; a repeat gets the late answer.

Ruled out: the time left that is passed on to the home (relative, 2 s at the thaw); a key forgotten by the home (it refused with `deadline`, not `key-expired`).

--- a/packages/callers/include/trefoilbend/callers/duty.h
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -55,6 +55,9 @@
   std::size_t answers = 16U << 20U;
   /** @brief Longest answer that is kept for repeats in bytes. */
   std::size_t answer = 256U << 10U;
+  /** @brief Time after a call's deadline up to which its answer is awaited and
+   * kept for a repeat. */
+  std::chrono::milliseconds late_answer{10'000};
 };
 
 /** @brief Options of the callers' duty. */
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -52,12 +52,15 @@
                    .incarnation = this->options.incarnation,
                    .keep = this->options.keep,
                    .seed = this->options.seed}),
-        keyed(*this, TableOptions(this->options), this->options.keys.answer),
+        keyed(*this, TableOptions(this->options),
+              {.bytes = this->options.keys.answer,
+               .late = this->options.keys.late_answer}),
         platform(http::Client::Create(this->duty.Context()),
                  this->options.platform, this->options.platform_timeout),
         listener(this->duty.Context(), *this),
         drain_timer(this->duty.Context()),
         expire_timer(this->duty.Context()),
+        late_timer(this->duty.Context()),
         metrics(registry) {
     this->duty.Read(this->from_balancing,
                     [this](const balancing::ToCallers& message) {
@@ -265,6 +268,20 @@
                std::chrono::steady_clock::now() - this->steady_start);
   }
 
+  void WakeAt(const core::TimePoint due) override {
+    if (due >= this->late_due) {
+      return;
+    }
+    this->late_due = due;
+    this->late_timer.expires_at(due);
+    this->late_timer.async_wait([this](const boost::system::error_code error) {
+      if (!error) {
+        this->late_due = core::TimePoint::max();
+        this->keyed.RefuseLate(std::chrono::steady_clock::now());
+      }
+    });
+  }
+
   void Close(const core::CallId call) override {
     this->calls.erase(call);
     this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
@@ -449,6 +466,8 @@
   internal::Listener listener;
   boost::asio::steady_timer drain_timer;
   boost::asio::steady_timer expire_timer;
+  boost::asio::steady_timer late_timer;
+  core::TimePoint late_due = core::TimePoint::max();
   std::unordered_map<core::CallId, OpenCall> calls;
   std::unordered_map<core::CallId, relay::ReceivedId> received;
   std::size_t passes{};
--- a/packages/callers/src/internal/keyed_calls.h
+++ b/packages/callers/src/internal/keyed_calls.h
@@ -1,16 +1,19 @@
 #ifndef TREFOILBEND_CALLERS_INTERNAL_KEYED_CALLS_H_
 #define TREFOILBEND_CALLERS_INTERNAL_KEYED_CALLS_H_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "trefoilbend/callers/duty.h"
 #include "trefoilbend/core/call.h"
+#include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/number.h"
 #include "trefoilbend/idempotency/claim.h"
 #include "trefoilbend/idempotency/key_table.h"
@@ -87,6 +90,20 @@
 
   /** @return Current time. */
   [[nodiscard]] virtual idempotency::IssueTime WallNow() const = 0;
+
+  /**
+   * @brief Asks for a call of RefuseLate.
+   * @param due Time of the call.
+   */
+  virtual void WakeAt(core::TimePoint due) = 0;
+};
+
+/** @brief Bounds of the answers to calls with a key. */
+struct KeyedAnswerLimits {
+  /** @brief Longest answer that is kept whole in bytes. */
+  std::size_t bytes{};
+  /** @brief Time after a call's deadline up to which its answer is awaited. */
+  std::chrono::milliseconds late{};
 };
 
 /** @brief Carries non-idempotent calls that have a key. */
@@ -96,11 +113,11 @@
    * @brief Makes it without any call.
    * @param owner Duty that carries the calls and outlives them.
    * @param options Bounds of the table of keys.
-   * @param answer_bytes Longest answer that is kept whole.
+   * @param answers Bounds of the answers.
    */
   KeyedCalls(KeyedCallsOwner& owner,
              const idempotency::KeyTableOptions& options,
-             std::size_t answer_bytes);
+             KeyedAnswerLimits answers);
 
   /**
    * @brief Takes note of a configuration.
@@ -159,6 +176,13 @@
   /** @brief Forgets the keys whose retention has passed. */
   void Expire();
 
+  /**
+   * @brief Refuses the calls whose deadline has passed; their runs go on, so
+   * that a repeat gets a late answer.
+   * @param now Current time.
+   */
+  void RefuseLate(core::TimePoint now);
+
   /** @return Number of runs in progress. */
   [[nodiscard]] std::size_t Runs() const noexcept { return this->runs.size(); }
 
@@ -173,10 +197,21 @@
     core::AnswerHead answer;
   };
 
+  struct Patience {
+    core::TimePoint end;
+    core::CallId waiter;
+
+    [[nodiscard]] bool operator>(const Patience& other) const noexcept {
+      return this->end > other.end;
+    }
+  };
+
   void ClaimHome(core::CallId waiter, const SharedRequest& request,
                  const std::string& text);
   void Route(core::CallId waiter, const idempotency::Key& key,
              const SharedRequest& request);
+  void Wait(core::CallId waiter, const idempotency::Key& key,
+            core::TimePoint deadline);
   void StartRun(const idempotency::Key& key, const SharedRequest& request);
   void Collect(core::CallId run, bool complete);
   void HandOver(core::CallId run);
@@ -186,10 +221,11 @@
   idempotency::KeyTable table;
   core::InstanceName self;
   core::Incarnation incarnation;
-  std::size_t answer_bytes;
+  KeyedAnswerLimits answers;
   inventory::ConfigurationPtr configuration;
   std::unordered_map<core::CallId, KeyRun> runs;
   std::unordered_map<core::CallId, idempotency::Key> waiting;
+  std::priority_queue<Patience, std::vector<Patience>, std::greater<>> patience;
 };
 
 }  // namespace trefoilbend::callers::internal
--- a/packages/callers/src/keyed_calls.cc
+++ b/packages/callers/src/keyed_calls.cc
@@ -13,6 +13,8 @@
 using core::RunState;
 
 constexpr std::chrono::milliseconds kRetryAfter{1'000};
+/** Time beyond the deadline in which the run's own verdict may arrive. */
+constexpr std::chrono::milliseconds kVerdictGrace{25};
 
 /** Only a key's home knows that the key has not run. */
 Refusal Unknown(const RefusalReason reason) noexcept {
@@ -24,12 +26,12 @@
 
 KeyedCalls::KeyedCalls(KeyedCallsOwner& owner,
                        const idempotency::KeyTableOptions& options,
-                       const std::size_t answer_bytes)
+                       const KeyedAnswerLimits answers)
     : owner(owner),
       table(options),
       self(options.self),
       incarnation(options.incarnation),
-      answer_bytes(answer_bytes) {}
+      answers(answers) {}
 
 void KeyedCalls::Configure(inventory::ConfigurationPtr configuration) {
   this->configuration = std::move(configuration);
@@ -92,11 +94,11 @@
   const idempotency::Verdict verdict = this->table.Admit(
       key, idempotency::DigestOf(*request), waiter, this->owner.WallNow());
   std::visit(core::Visitor{[&](const idempotency::RunCall&) {
-                             this->waiting.emplace(waiter, key);
+                             this->Wait(waiter, key, request->deadline);
                              this->StartRun(key, request);
                            },
                            [&](const idempotency::AwaitRun&) {
-                             this->waiting.emplace(waiter, key);
+                             this->Wait(waiter, key, request->deadline);
                            },
                            [&](const idempotency::ReplayResult& replay) {
                              this->owner.Deliver(waiter, replay.result);
@@ -107,10 +109,33 @@
              verdict);
 }
 
+void KeyedCalls::Wait(const core::CallId waiter, const idempotency::Key& key,
+                      const core::TimePoint deadline) {
+  this->waiting.emplace(waiter, key);
+  this->patience.push({.end = deadline + kVerdictGrace, .waiter = waiter});
+  this->owner.WakeAt(this->patience.top().end);
+}
+
+void KeyedCalls::RefuseLate(const core::TimePoint now) {
+  while (!this->patience.empty() && this->patience.top().end <= now) {
+    const core::CallId waiter = this->patience.top().waiter;
+    this->patience.pop();
+    if (this->waiting.contains(waiter)) {
+      this->Leave(waiter);
+      this->owner.Deliver(waiter, Unknown(RefusalReason::kDeadline));
+    }
+  }
+  if (!this->patience.empty()) {
+    this->owner.WakeAt(this->patience.top().end);
+  }
+}
+
 void KeyedCalls::StartRun(const idempotency::Key& key,
                           const SharedRequest& request) {
   const core::CallId run = this->owner.NextCall();
-  if (!this->owner.Run(run, request)) {
+  const auto awaited = std::make_shared<core::CallRequest>(*request);
+  awaited->answer_until = request->deadline + this->answers.late;
+  if (!this->owner.Run(run, awaited)) {
     this->Finish(key, Refusal{.run = RunState::kNotRun,
                               .reason = RefusalReason::kBusy,
                               .retry_after = kRetryAfter});
@@ -160,7 +185,7 @@
 
 void KeyedCalls::Collect(const core::CallId run, const bool complete) {
   core::AnswerHead& answer = this->runs.at(run).answer;
-  if (!complete && answer.body.size() > this->answer_bytes) {
+  if (!complete && answer.body.size() > this->answers.bytes) {
     this->HandOver(run);
     return;
   }
--- a/packages/core/include/trefoilbend/core/call.h
+++ b/packages/core/include/trefoilbend/core/call.h
@@ -40,6 +40,9 @@
   Urgency urgency = Urgency::kOrdinary;
   /** @brief Time at which the caller stops waiting. */
   TimePoint deadline{};
+  /** @brief Time up to which a target's answer is awaited if it is later than
+   * the deadline, so that a late one can be kept for a repeat. */
+  TimePoint answer_until{};
 };
 
 /** @brief The beginning of an answer. */
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -134,6 +134,8 @@
     limits.answers =
         section.Bytes("max-answers", {0, kMostAnswers}, limits.answers);
     limits.answer = section.Bytes("max-answer", {0, kMostBody}, limits.answer);
+    limits.late_answer =
+        Milliseconds(section.Time("late-answer", {0s, 1h}, limits.late_answer));
   }
 
   void ReadBalancing(Section& section) {
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -41,6 +41,10 @@
   return message;
 }
 
+core::TimePoint ExpiryOf(const core::CallRequest& request) noexcept {
+  return std::max(request.deadline, request.answer_until);
+}
+
 }  // namespace
 
 Exchange::Exchange(ExchangeOwner& owner, StartExchange order)
@@ -52,7 +56,7 @@
   this->out = Encode(*this->order.request, this->started);
   this->connection = this->owner.Pool().Take(this->order.address);
   if (this->connection) {
-    this->connection->expires_at(this->order.request->deadline);
+    this->connection->expires_at(ExpiryOf(*this->order.request));
     this->Write();
     return;
   }
@@ -61,7 +65,7 @@
 
 void Exchange::Connect() {
   this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
-  this->connection->expires_at(this->order.request->deadline);
+  this->connection->expires_at(ExpiryOf(*this->order.request));
   boost::system::error_code error;
   const auto host =
       boost::asio::ip::make_address(this->order.address.host, error);
--- a/tests/calls/at_most_once_test.cc
+++ b/tests/calls/at_most_once_test.cc
@@ -138,6 +138,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_answer_comes_after_its_deadline)
+
+BOOST_AUTO_TEST_CASE(is_unknown_at_the_deadline_and_then_gets_the_answer) {
+  ForTargets("late_ms", 3'000);
+  BOOST_TEST(caller.Reserve(Other(), key).reason == "deadline");
+  BOOST_REQUIRE(
+      Fleet::Await([&] { return caller.Reserve(Home(), key).status == 200; }));
+  BOOST_TEST(caller.RunsOf(key) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(gets_it_also_when_its_home_was_frozen_meanwhile) {
+  ForTargets("late_ms", 500);
+  auto first = std::async(std::launch::async,
+                          [&] { return caller.Reserve(Other(), key); });
+  BOOST_REQUIRE(Fleet::Await([&] { return caller.RunsOf(key) == 1; }));
+  fleet->Signal(Home(), SIGSTOP);
+  BOOST_TEST(first.get().outcome == "unknown");
+  fleet->Signal(Home(), SIGCONT);
+  BOOST_REQUIRE(
+      Fleet::Await([&] { return caller.Reserve(Other(), key).status == 200; }));
+  BOOST_TEST(caller.RunsOf(key) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_caller_leaves_during_the_run)
 
 BOOST_AUTO_TEST_CASE(runs_to_its_end_and_keeps_the_answer) {
