Leave out targets that drain, and trust refusals where a rule says so

Cause: a target's word that it drains was read and not used, and the rule trust-refusals was read and not used. A planned stop of a target that refuses new work failed calls, and a 503 went to the caller although another target could have taken the call.

Change: a target that says in its load report that it drains gets no new work until a later report, the list, or 60 s without a report say otherwise. A refusal (503) of an idempotent call, and of any call where the rule trusts refusals, is held back by forwarding and reported; the dispatcher tries another target, free of charge if the target drains, else from the budget. Under the rule the final refusal is busy, not-run; without it a non-idempotent call gets the target's own 503 as before. The stand-in target stops gracefully on SIGTERM and can refuse after a run.

New fleet option WithConnections; no existing test changed.

--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -140,6 +140,7 @@
     AttemptBudget budget;
     Quantile hedge_delay;
     core::TimePoint overloaded_until{};
+    bool trusts_refusals{};
   };
 
   struct CallState {
@@ -175,6 +176,9 @@
   [[nodiscard]] const inventory::Instance* ChooseTarget(ServiceState& service,
                                                         CallState& call,
                                                         core::TimePoint now);
+  [[nodiscard]] static bool IsKnownNotRun(
+      const ServiceState& service,
+      const forwarding::ExchangeEnded& ended) noexcept;
   void RetryOrRefuse(ServiceState& service,
                      const forwarding::ExchangeEnded& ended,
                      core::TimePoint now, Decisions& decisions);
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -131,9 +131,11 @@
    * @brief Tells whether any target may take new calls, now or once calls in
    * flight end.
    * @param version Version that the target must run.
+   * @param now Current time.
    * @return True if there is one.
    */
-  [[nodiscard]] bool HasUsable(const core::VersionName& version) const noexcept;
+  [[nodiscard]] bool HasUsable(const core::VersionName& version,
+                               core::TimePoint now) const noexcept;
 
   /** @return Requests that wait at a target for each of its slots, by the
    * reports of the recent answers. */
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -14,7 +14,6 @@
 constexpr std::chrono::milliseconds kFirstHedgeDelay{100};
 constexpr std::chrono::milliseconds kLeastHedgeDelay{5};
 constexpr std::chrono::milliseconds kOverload{500};
-constexpr std::uint16_t kShed = 503;
 constexpr double kPercent = 100;
 /** Requests that wait at targets for each slot, above which hedges stop. */
 constexpr double kMostCrowding = 0.6;
@@ -26,13 +25,19 @@
       1, whole / static_cast<std::uint32_t>(std::max<std::size_t>(1, entries)));
 }
 
+bool IsDrainingRefusal(const forwarding::ExchangeEnded& ended) noexcept {
+  return ended.status == forwarding::kRefusalStatus && ended.load &&
+         ended.load->draining;
+}
+
 rollout::ExchangeSummary SummaryOf(const forwarding::ExchangeEnded& ended,
                                    const core::RouteName& route) {
   const bool spared = ended.result == ExchangeResult::kAnswered ||
                       ended.result == ExchangeResult::kCancelled;
+  const bool failed = !spared || ended.status >= kFirstServerError;
   return {.target = ended.target,
           .route = route,
-          .failed = !spared || ended.status >= kFirstServerError,
+          .failed = failed && !IsDrainingRefusal(ended),
           .cold = ended.load && ended.load->cold,
           .latency = ended.latency};
 }
@@ -77,6 +82,7 @@
                    kFirstHedgeDelay}};
       known = this->services.emplace(name, std::move(state)).first;
     }
+    known->second.trusts_refusals = view.service->trusts_refusals;
     std::vector<TargetTable::Member> members;
     for (const inventory::Instance* target : view.targets) {
       members.push_back({.instance = *target,
@@ -113,7 +119,7 @@
     return decisions;
   }
   ServiceState& state = service->second;
-  if (!state.targets.HasUsable(this->versions.Stable(service->first))) {
+  if (!state.targets.HasUsable(this->versions.Stable(service->first), now)) {
     this->Refuse(call.call, core::RefusalReason::kNoTarget, decisions);
     return decisions;
   }
@@ -168,8 +174,7 @@
   this->NoteOverload(service, ended, now);
   call.began = call.began || ended.result == ExchangeResult::kAnswered ||
                ended.result == ExchangeResult::kBrokenWithinAnswer;
-  call.perhaps_run =
-      call.perhaps_run || ended.result != ExchangeResult::kNotSent;
+  call.perhaps_run = call.perhaps_run || !IsKnownNotRun(service, ended);
   if (call.exchanges.empty()) {
     if (call.began || call.cancelled) {
       this->calls.erase(found);
@@ -230,12 +235,14 @@
   this->last_exchange = this->last_exchange.Next();
   call.exchanges.push_back(this->last_exchange);
   call.tried.push_back(target->name);
-  decisions.push_back(forwarding::StartExchange{.call = id,
-                                                .exchange = this->last_exchange,
-                                                .target = target->name,
-                                                .address = target->address,
-                                                .request = call.request,
-                                                .beside = beside});
+  decisions.push_back(forwarding::StartExchange{
+      .call = id,
+      .exchange = this->last_exchange,
+      .target = target->name,
+      .address = target->address,
+      .request = call.request,
+      .beside = beside,
+      .holds_refusals = call.request->idempotent || service.trusts_refusals});
   return true;
 }
 
@@ -276,7 +283,7 @@
                               const forwarding::ExchangeEnded& ended,
                               const core::TimePoint now) const {
   const bool answered = ended.result == ExchangeResult::kAnswered;
-  if (answered && ended.status == kShed) {
+  if (ended.status == forwarding::kRefusalStatus && !IsDrainingRefusal(ended)) {
     service.overloaded_until = now + kOverload;
   }
   if (answered && ended.latency < service.hedge_delay.Value()) {
@@ -304,23 +311,35 @@
                                 now);
 }
 
+bool Dispatcher::IsKnownNotRun(
+    const ServiceState& service,
+    const forwarding::ExchangeEnded& ended) noexcept {
+  return ended.result == ExchangeResult::kNotSent ||
+         (ended.result == ExchangeResult::kRefused && service.trusts_refusals);
+}
+
 void Dispatcher::RetryOrRefuse(ServiceState& service,
                                const forwarding::ExchangeEnded& ended,
                                const core::TimePoint now,
                                Decisions& decisions) {
   CallState& call = this->calls.at(ended.call);
-  const bool not_run = ended.result == ExchangeResult::kNotSent;
+  const bool refused = ended.result == ExchangeResult::kRefused;
+  const bool is_free =
+      ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended);
   if (ended.result == ExchangeResult::kTimedOut ||
       now >= call.request->deadline) {
     this->Refuse(ended.call, core::RefusalReason::kDeadline, decisions);
     return;
   }
-  const bool may_retry =
-      call.tried.size() < this->options.attempts &&
-      (not_run || (call.request->idempotent && service.budget.Take(now)));
+  const bool may_run = call.request->idempotent || !call.perhaps_run;
+  const bool may_retry = call.tried.size() < this->options.attempts &&
+                         may_run && (is_free || service.budget.Take(now));
   if (!may_retry ||
       !this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
-    this->Refuse(ended.call, core::RefusalReason::kTargetFailed, decisions);
+    this->Refuse(ended.call,
+                 refused ? core::RefusalReason::kBusy
+                         : core::RefusalReason::kTargetFailed,
+                 decisions);
   }
 }
 
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -30,6 +30,19 @@
  */
 constexpr double kAgreementWeight = 0.0007;
 constexpr double kLeastAgreement = 0.03;
+/** Time after which a drain that nothing has confirmed since is forgotten. */
+constexpr std::chrono::seconds kDrainMark{60};
+
+bool MayTakeCalls(const TargetState& target,
+                  const core::TimePoint now) noexcept {
+  const bool draining =
+      target.report.draining && now - target.reported_at < kDrainMark;
+  return target.usable && !draining;
+}
+
+bool SaysThatItDrains(const forwarding::ExchangeEnded& ended) noexcept {
+  return ended.load && ended.load->draining;
+}
 
 }  // namespace
 
@@ -46,6 +59,10 @@
     if (this->has_had_usable && member.usable && !state.usable) {
       state.warm_up.Chill(now);
     }
+    if (member.usable && !state.usable) {
+      state.report = {};
+      state.reported_at = {};
+    }
     state.usable = member.usable;
     state.cold_share = member.cold_share;
     state.limit = member.limit;
@@ -90,8 +107,8 @@
     const bool tried = std::find(excluded.begin(), excluded.end(),
                                  target.instance.name) != excluded.end();
     const bool avoided = target.avoided_until > now && !with_avoided;
-    if (target.usable && target.instance.version == version && !tried &&
-        !avoided &&
+    if (MayTakeCalls(target, now) && target.instance.version == version &&
+        !tried && !avoided &&
         target.in_flight <
             target.warm_up.Allowed(target.cold_share, target.limit, now)) {
       this->candidates.push_back(this->Describe(at, now));
@@ -212,7 +229,9 @@
       ended.result == ExchangeResult::kBrokenBeforeAnswer) {
     target.avoided_until = now + kAvoidance;
   }
-  if (ended.result != ExchangeResult::kAnswered) {
+  const bool answered = ended.result == ExchangeResult::kAnswered ||
+                        ended.result == ExchangeResult::kRefused;
+  if (!answered || SaysThatItDrains(ended)) {
     return;
   }
   if (ended.status < kServerError) {
@@ -240,10 +259,11 @@
   return 2 * (cold + 1) <= usable;
 }
 
-bool TargetTable::HasUsable(const core::VersionName& version) const noexcept {
+bool TargetTable::HasUsable(const core::VersionName& version,
+                            const core::TimePoint now) const noexcept {
   return std::any_of(this->targets.begin(), this->targets.end(),
                      [&](const TargetState& target) {
-                       return target.usable &&
+                       return MayTakeCalls(target, now) &&
                               target.instance.version == version;
                      });
 }
--- a/packages/balancing/test/dispatcher_test.cc
+++ b/packages/balancing/test/dispatcher_test.cc
@@ -22,9 +22,11 @@
   Fixture() { this->Configure({"a", "b"}, {}); }
 
   void Configure(const std::vector<std::string>& live,
-                 const std::vector<std::string>& leaving) {
+                 const std::vector<std::string>& leaving,
+                 const bool trusts_refusals = false) {
     inventory::Configuration::Builder builder;
-    builder.Put(inventory::Service{.name = core::ServiceName{"stock"}});
+    builder.Put(inventory::Service{.name = core::ServiceName{"stock"},
+                                   .trusts_refusals = trusts_refusals});
     builder.Put(inventory::DataCentre{.name = core::DataCentreName{"xela"}});
     auto listed = std::make_shared<std::vector<platform::ListedInstance>>();
     for (const std::string name : {"a", "b"}) {
@@ -154,6 +156,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_target_refuses)
+
+BOOST_AUTO_TEST_CASE(passes_a_refusal_on_to_a_non_idempotent_call) {
+  Submit(1, false);
+  BOOST_TEST(!Only<StartExchange>().holds_refusals);
+}
+
+BOOST_AUTO_TEST_CASE(tries_elsewhere_what_a_rule_takes_for_not_run) {
+  Configure({"a", "b"}, {}, true);
+  Submit(1, false);
+  const auto first = Only<StartExchange>();
+  BOOST_TEST(first.holds_refusals);
+  End(first, ExchangeResult::kRefused);
+  BOOST_TEST(Only<StartExchange>().target != first.target);
+  End(Only<StartExchange>(), ExchangeResult::kRefused);
+  const auto refusal = Only<CallRefused>().refusal;
+  BOOST_TEST((refusal.reason == core::RefusalReason::kBusy));
+  BOOST_TEST((refusal.run == core::RunState::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_send_again_what_another_target_may_have_run) {
+  Configure({"a", "b"}, {}, true);
+  Submit(1, false);
+  End(Only<StartExchange>(), ExchangeResult::kRefused);
+  End(Only<StartExchange>(), ExchangeResult::kBrokenBeforeAnswer);
+  BOOST_TEST((Only<CallRefused>().refusal.run == core::RunState::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(tries_an_idempotent_call_elsewhere_without_a_rule_too) {
+  Submit(1);
+  const auto first = Only<StartExchange>();
+  End(first, ExchangeResult::kRefused);
+  BOOST_TEST(Only<StartExchange>().target != first.target);
+  End(Only<StartExchange>(), ExchangeResult::kRefused);
+  BOOST_TEST((Only<CallRefused>().refusal.run == core::RunState::kUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_a_caller_goes_away)
 
 BOOST_AUTO_TEST_CASE(cancels_an_idempotent_exchange) {
--- a/packages/balancing/test/target_table_test.cc
+++ b/packages/balancing/test/target_table_test.cc
@@ -59,6 +59,31 @@
 
 BOOST_FIXTURE_TEST_SUITE(a_table_of_targets, Fixture)
 
+BOOST_AUTO_TEST_SUITE(one_of_which_says_that_it_drains)
+
+BOOST_AUTO_TEST_CASE(gives_it_no_call_until_a_report_says_otherwise) {
+  Answer("a", 200, LoadReport{.draining = true});
+  for (int call = 0; call < 20; ++call) {
+    BOOST_TEST(Choose() == "b");
+  }
+  Answer("a", 200, LoadReport{});
+  bool chosen = false;
+  for (int call = 0; call < 20; ++call) {
+    chosen = chosen || Choose() == "a";
+  }
+  BOOST_TEST(chosen);
+}
+
+BOOST_AUTO_TEST_CASE(has_none_that_may_take_calls_when_all_drain) {
+  Answer("a", 200, LoadReport{.draining = true});
+  Answer("b", 200, LoadReport{.draining = true});
+  BOOST_TEST(!table.HasUsable(core::VersionName{}, now));
+  now += 60s;
+  BOOST_TEST(table.HasUsable(core::VersionName{}, now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(one_of_which_fails_at_once)
 
 BOOST_AUTO_TEST_CASE(sends_it_three_calls_and_then_leaves_it_out) {
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -29,6 +29,9 @@
   /** @brief Exchange of the same call that this one hedges; unless it still
    * waits for its answer, this one ends as cancelled and nothing is sent. */
   std::optional<core::ExchangeId> beside{};
+  /** @brief Whether a refusal of the target (status 503) is reported in place
+   * of being passed on, so that another target can be asked. */
+  bool holds_refusals{};
 };
 
 /** @brief Order to give up an exchange and to close its connection. */
@@ -109,8 +112,13 @@
   kTimedOut,
   /** @brief The exchange was given up by order. */
   kCancelled,
+  /** @brief The target refused the request; its answer was not passed on. */
+  kRefused,
 };
 
+/** @brief Status with which a target refuses a request. */
+inline constexpr std::uint16_t kRefusalStatus = 503;
+
 /** @brief Report of an exchange that ended. */
 struct ExchangeEnded {
   /** @brief Call that was sent. */
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -125,6 +125,11 @@
     this->load =
         ParseLoadReport({report->value().data(), report->value().size()});
   }
+  if (this->order.holds_refusals &&
+      this->parser->get().result_int() == kRefusalStatus) {
+    this->refused = true;
+    this->abandoned = true;
+  }
   if (this->parser->is_done()) {
     this->Deliver("", true);
     return;
@@ -194,7 +199,8 @@
     this->owner.Answer(AnswerStarted{this->order.call, std::move(head)});
   }
   if (complete) {
-    this->Finish(ExchangeResult::kAnswered);
+    this->Finish(this->refused ? ExchangeResult::kRefused
+                               : ExchangeResult::kAnswered);
   } else if (this->abandoned) {
     this->ReadPart();
   }
@@ -243,7 +249,8 @@
     return;
   }
   this->ended = true;
-  const bool answered = result == ExchangeResult::kAnswered;
+  const bool answered =
+      result == ExchangeResult::kAnswered || result == ExchangeResult::kRefused;
   const auto status =
       answered ? static_cast<std::uint16_t>(this->parser->get().result_int())
                : std::uint16_t{0};
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -103,6 +103,7 @@
   bool sent{};
   bool head_passed{};
   bool abandoned{};
+  bool refused{};
   bool reading{};
   bool ended{};
 };
--- a/stand_ins/target/faults.h
+++ b/stand_ins/target/faults.h
@@ -26,8 +26,12 @@
   /** @brief Whether the target is cold: it bears cold_bears requests and falls
    * over above. */
   std::int64_t cold = 0;
-  /** @brief Whether the target drains: it tells so and refuses new work. */
+  /** @brief Whether the target drains: 1 tells so and refuses new work, 2 only
+   * tells so. */
   std::int64_t drain = 0;
+  /** @brief Share of requests, in percent, that are refused with status 503
+   * after they have run. */
+  std::int64_t refuse_after_run_percent = 0;
   /** @brief Whether load reports say that the target is idle. */
   std::int64_t lie = 0;
   /** @brief Age of load reports in milliseconds. */
@@ -47,6 +51,7 @@
         {"late_ms", &Faults::late_ms},
         {"cold", &Faults::cold},
         {"drain", &Faults::drain},
+        {"refuse_after_run_percent", &Faults::refuse_after_run_percent},
         {"lie", &Faults::lie},
         {"report_lag_ms", &Faults::report_lag_ms},
         {"one_route", &Faults::one_route}};
--- a/stand_ins/target/main.cc
+++ b/stand_ins/target/main.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -12,6 +13,12 @@
 #include "target/target.h"
 #include "trefoilbend/http/address.h"
 
+namespace {
+
+constexpr std::chrono::milliseconds kStopPoll{10};
+
+}  // namespace
+
 int main(int argc, char** argv) {
   namespace http = trefoilbend::http;
   namespace stand_ins = trefoilbend::stand_ins;
@@ -20,6 +27,7 @@
       "Stand-in for a target: slots, queue, cold start, faults by switch."};
   std::string address_text;
   stand_ins::TargetOptions options;
+  std::int64_t stop_notice_ms = 0;
   std::int64_t service_us = options.service_time.count();
   app.add_option("--address", address_text, "Address to listen on")->required();
   app.add_option("--slots", options.slots,
@@ -33,6 +41,8 @@
   app.add_option("--cold-bears", options.cold_bears,
                  "Requests that a cold target bears");
   app.add_option("--seed", options.seed, "Seed of service times and faults");
+  app.add_option("--stop-notice-ms", stop_notice_ms,
+                 "Time in milliseconds for which a target that stops tells so");
   CLI11_PARSE(app, argc, argv);
   options.service_time = std::chrono::microseconds{service_us};
   const auto address =
@@ -54,7 +64,20 @@
   };
   accept();
   boost::asio::signal_set signals{context, SIGTERM, SIGINT};
-  signals.async_wait([&](auto, int) { context.stop(); });
+  boost::asio::steady_timer stop_timer{context};
+  std::function<void()> await_idle = [&] {
+    if (target.IsIdle()) {
+      context.stop();
+      return;
+    }
+    stop_timer.expires_after(kStopPoll);
+    stop_timer.async_wait([&](auto) { await_idle(); });
+  };
+  signals.async_wait([&](auto, int) {
+    target.Drain();
+    stop_timer.expires_after(std::chrono::milliseconds{stop_notice_ms});
+    stop_timer.async_wait([&](auto) { await_idle(); });
+  });
   context.run();
   return 0;
 }
--- a/stand_ins/target/session.cc
+++ b/stand_ins/target/session.cc
@@ -26,6 +26,7 @@
   if (error) {
     return;
   }
+  this->in_progress = this->target.Token();
   http::Request request{.method = std::string{this->in.method_string()},
                         .target = std::string{this->in.target()},
                         .fields = {},
@@ -67,6 +68,7 @@
       this->stream, this->out,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) {
+        self->in_progress.reset();
         if (!error && self->out.keep_alive()) {
           self->Read();
         }
@@ -78,10 +80,12 @@
   text << this->out;
   this->cut = text.str();
   this->cut.resize(this->cut.size() - this->out.body().size() / 2 - 1);
-  boost::asio::async_write(
-      this->stream, boost::asio::buffer(this->cut),
-      [self = this->shared_from_this()](boost::system::error_code,
-                                        std::size_t) { self->stream.close(); });
+  boost::asio::async_write(this->stream, boost::asio::buffer(this->cut),
+                           [self = this->shared_from_this()](
+                               boost::system::error_code, std::size_t) {
+                             self->in_progress.reset();
+                             self->stream.close();
+                           });
 }
 
 }  // namespace trefoilbend::stand_ins
--- a/stand_ins/target/session.h
+++ b/stand_ins/target/session.h
@@ -36,6 +36,7 @@
   boost::beast::http::request<boost::beast::http::string_body> in;
   boost::beast::http::response<boost::beast::http::string_body> out;
   std::string cut;
+  std::shared_ptr<const void> in_progress;
 };
 
 }  // namespace trefoilbend::stand_ins
--- a/stand_ins/target/target.cc
+++ b/stand_ins/target/target.cc
@@ -109,7 +109,7 @@
   if (this->faults.cold != 0 && this->running >= this->options.cold_bears) {
     ++this->cold_overruns;
   }
-  if (this->faults.drain != 0 || this->waiting.size() >= this->options.queue) {
+  if (this->faults.drain == 1 || this->waiting.size() >= this->options.queue) {
     ++this->shed;
     done(Refusal());
     return;
@@ -162,6 +162,9 @@
   if (this->Strikes(this->faults.fail_percent, request)) {
     return Plain(500, {{"error", "failed"}});
   }
+  if (this->Strikes(this->faults.refuse_after_run_percent, request)) {
+    return Refusal();
+  }
   const std::string path{http::PathOf(request.target)};
   auto query = http::QueryOf(request.target);
   const std::size_t bytes =
--- a/stand_ins/target/target.h
+++ b/stand_ins/target/target.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -64,6 +65,19 @@
    */
   void Handle(http::Request request, Done done);
 
+  /** @brief Begins a planned stop: tells so and refuses new work. */
+  void Drain() noexcept { this->faults.drain = 1; }
+
+  /** @return A token that a session holds while a request is in progress. */
+  [[nodiscard]] std::shared_ptr<const void> Token() const noexcept {
+    return this->token;
+  }
+
+  /** @return Whether no request is in progress. */
+  [[nodiscard]] bool IsIdle() const noexcept {
+    return this->token.use_count() == 1;
+  }
+
   /** @return Value of the load report field. */
   [[nodiscard]] std::string LoadReport();
 
@@ -95,6 +109,7 @@
   TargetOptions options;
   std::mt19937_64 random;
   Faults faults;
+  std::shared_ptr<const void> token = std::make_shared<int>();
   std::uint32_t running = 0;
   std::deque<Waiting> waiting;
   std::deque<Sample> samples;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -205,6 +205,16 @@
     return *this;
   }
 
+  /**
+   * @brief Sets the connections that each target bears.
+   * @param count Number of connections, from all entries together.
+   * @return This builder.
+   */
+  Builder& WithConnections(std::size_t count) {
+    this->connections = count;
+    return *this;
+  }
+
   /**
    * @brief Adds lines to the settings of every entry.
    * @param flag One setting in the form SECTION.KEY=VALUE.
@@ -232,6 +242,7 @@
   std::size_t entries = 3;
   std::size_t targets = 4;
   std::size_t new_targets = 0;
+  std::size_t connections = 200;
   std::vector<std::string> target_arguments;
   std::vector<std::string> settings;
   std::string rules;
