Resume downloads that break after a part was passed on

Cause: an answer that broke after its first bytes had gone to the caller always broke the caller's connection, so a phone began a large manual again from its start.

Change: an idempotent GET whose answer had status 200 and a strong ETag goes on with Range and If-Range, at another target or else the same one, at most 8 times, within the deadline and the budget of further attempts. The stand-in target obeys If-Range, can cut the next sheets and change their edition.

Ruled out: weak validators and Last-Modified, which do not prove equal bytes.

--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -151,6 +151,10 @@
     bool began{};
     bool cancelled{};
     bool perhaps_run{};
+    /** Whether the caller has a part of an answer that broke. */
+    bool broken{};
+    std::optional<forwarding::ResumePoint> resume;
+    std::uint32_t resumes{};
   };
 
   struct Hedge {
@@ -182,6 +186,9 @@
   void RetryOrRefuse(ServiceState& service,
                      const forwarding::ExchangeEnded& ended,
                      core::TimePoint now, Decisions& decisions);
+  void ResumeOrBreak(ServiceState& service,
+                     const forwarding::ExchangeEnded& ended,
+                     core::TimePoint now, Decisions& decisions);
   void Refuse(core::CallId id, core::RefusalReason reason,
               Decisions& decisions);
 
--- a/packages/balancing/include/trefoilbend/balancing/fwd.h
+++ b/packages/balancing/include/trefoilbend/balancing/fwd.h
@@ -7,6 +7,7 @@
 struct TargetState;
 struct SubmitCall;
 struct CancelCall;
+struct CallBroken;
 struct CallRefused;
 
 class WarmUp;
--- a/packages/balancing/include/trefoilbend/balancing/messages.h
+++ b/packages/balancing/include/trefoilbend/balancing/messages.h
@@ -37,12 +37,19 @@
   core::Refusal refusal;
 };
 
+/** @brief A call whose answer broke within its body and cannot go on. */
+struct CallBroken {
+  /** @brief The call. */
+  core::CallId call;
+};
+
 /** @brief Messages to the duty that talks to callers. */
-using ToCallers = std::variant<std::monostate, CallRefused>;
+using ToCallers = std::variant<std::monostate, CallRefused, CallBroken>;
 
 /** @brief What the dispatcher wants done. */
-using Decision = std::variant<forwarding::StartExchange,
-                              forwarding::CancelExchange, CallRefused>;
+using Decision =
+    std::variant<forwarding::StartExchange, forwarding::CancelExchange,
+                 CallRefused, CallBroken>;
 
 /** @brief Decisions in the order in which they take effect. */
 using Decisions = std::vector<Decision>;
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds kLeastHedgeDelay{5};
 constexpr std::chrono::milliseconds kOverload{500};
 constexpr double kPercent = 100;
+constexpr std::uint32_t kMostResumes = 8;
 /** Requests that wait at targets for each slot, above which hedges stop. */
 constexpr double kMostCrowding = 0.6;
 constexpr std::uint16_t kFirstServerError = 500;
@@ -175,8 +176,17 @@
   call.began = call.began || ended.result == ExchangeResult::kAnswered ||
                ended.result == ExchangeResult::kBrokenWithinAnswer;
   call.perhaps_run = call.perhaps_run || !IsKnownNotRun(service, ended);
+  if (ended.result == ExchangeResult::kAnswered) {
+    call.broken = false;
+  } else if (ended.result != ExchangeResult::kCancelled &&
+             (ended.resume || call.broken)) {
+    call.broken = true;
+    call.resume = ended.resume;
+  }
   if (call.exchanges.empty()) {
-    if (call.began || call.cancelled) {
+    if (call.broken && !call.cancelled) {
+      this->ResumeOrBreak(service, ended, now, decisions);
+    } else if (call.began || call.cancelled) {
       this->calls.erase(found);
     } else {
       this->RetryOrRefuse(service, ended, now, decisions);
@@ -242,7 +252,8 @@
       .address = target->address,
       .request = call.request,
       .beside = beside,
-      .holds_refusals = call.request->idempotent || service.trusts_refusals});
+      .holds_refusals = call.request->idempotent || service.trusts_refusals,
+      .resume = call.resume});
   return true;
 }
 
@@ -299,7 +310,8 @@
   if (call.tried.empty() && call.version.Empty()) {
     call.version = this->versions.Choose(name);
   }
-  const bool prefers_new = call.tried.empty() && call.version != stable &&
+  const bool is_bound = call.tried.empty() || call.broken;
+  const bool prefers_new = is_bound && call.version != stable &&
                            this->versions.Serves(name, call.version);
   if (prefers_new) {
     if (const auto* target = service.targets.Choose(
@@ -343,6 +355,30 @@
   }
 }
 
+void Dispatcher::ResumeOrBreak(ServiceState& service,
+                               const forwarding::ExchangeEnded& ended,
+                               const core::TimePoint now,
+                               Decisions& decisions) {
+  CallState& call = this->calls.at(ended.call);
+  const bool may_resume =
+      call.resume && now < call.request->deadline &&
+      ++call.resumes <= kMostResumes &&
+      (ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended) ||
+       service.budget.Take(now));
+  if (may_resume) {
+    call.tried = {ended.target};
+    if (this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
+      return;
+    }
+    call.tried.clear();
+    if (this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
+      return;
+    }
+  }
+  this->calls.erase(ended.call);
+  decisions.push_back(CallBroken{ended.call});
+}
+
 void Dispatcher::Refuse(const core::CallId id, const core::RefusalReason reason,
                         Decisions& decisions) {
   const auto found = this->calls.find(id);
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -107,6 +107,9 @@
               [this](CallRefused& refused) {
                 return this->outlets.callers->TryPush(ToCallers{refused});
               },
+              [this](CallBroken& broken) {
+                return this->outlets.callers->TryPush(ToCallers{broken});
+              },
               [this](auto& order) {
                 return this->outlets.forwarding->TryPush(std::move(order));
               }},
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -62,13 +62,16 @@
         expire_timer(this->duty.Context()),
         late_timer(this->duty.Context()),
         metrics(registry) {
-    this->duty.Read(this->from_balancing,
-                    [this](const balancing::ToCallers& message) {
-                      if (const auto* call =
-                              std::get_if<balancing::CallRefused>(&message)) {
-                        this->OnRefused(*call);
-                      }
-                    });
+    this->duty.Read(
+        this->from_balancing, [this](const balancing::ToCallers& message) {
+          if (const auto* refused =
+                  std::get_if<balancing::CallRefused>(&message)) {
+            this->OnRefused(*refused);
+          } else if (const auto* broken =
+                         std::get_if<balancing::CallBroken>(&message)) {
+            this->BreakAnswer(broken->call);
+          }
+        });
     this->duty.Read(
         this->from_forwarding, [this](forwarding::ToCallers&& message) {
           std::visit([this](auto& answer) { this->OnAnswer(answer); }, message);
@@ -439,7 +442,11 @@
                              .reason = core::RefusalReason::kTargetFailed})) {
       return;
     }
-    const std::shared_ptr<internal::Session> session = this->Find(answer.call);
+    this->BreakAnswer(answer.call);
+  }
+
+  void BreakAnswer(const core::CallId call) {
+    const std::shared_ptr<internal::Session> session = this->Find(call);
     if (session != nullptr) {
       session->Break();
     }
--- a/packages/forwarding/include/trefoilbend/forwarding/fwd.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/fwd.h
@@ -3,6 +3,7 @@
 
 namespace trefoilbend::forwarding {
 
+struct ResumePoint;
 struct StartExchange;
 struct CancelExchange;
 struct ContinueAnswer;
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <variant>
 
 #include "trefoilbend/core/call.h"
@@ -14,6 +15,17 @@
 
 namespace trefoilbend::forwarding {
 
+/** @brief Where a download goes on that broke after its caller got a part (RFC
+ * 9110, sections 13.1.5 and 14.2). */
+struct ResumePoint {
+  /** @brief Strong validator of the answer that broke. */
+  std::string validator;
+  /** @brief Bytes of the body that were passed on. */
+  std::uint64_t offset{};
+  /** @brief Length of the whole body in bytes, when the target told it. */
+  std::optional<std::uint64_t> length;
+};
+
 /** @brief Order to send a call to a target. */
 struct StartExchange {
   /** @brief Call that is sent. */
@@ -32,6 +44,8 @@
   /** @brief Whether a refusal of the target (status 503) is reported in place
    * of being passed on, so that another target can be asked. */
   bool holds_refusals{};
+  /** @brief Where the answer goes on if a part of it was passed on before. */
+  std::optional<ResumePoint> resume{};
 };
 
 /** @brief Order to give up an exchange and to close its connection. */
@@ -136,6 +150,9 @@
   core::Duration latency{};
   /** @brief Load that the target told with its answer. */
   std::optional<LoadReport> load;
+  /** @brief Where the answer can go on after it broke; nothing if the caller
+   * was told that it broke or has its answer. */
+  std::optional<ResumePoint> resume{};
 };
 
 /** @brief The head of a long answer came; the rest follows. */
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <utility>
 
 #include "trefoilbend/forwarding/fields.h"
 #include "trefoilbend/forwarding/load_report.h"
+#include "trefoilbend/forwarding/resumption.h"
 
 namespace trefoilbend::forwarding::internal {
 
@@ -22,8 +24,13 @@
   return {text.data(), text.size()};
 }
 
+std::string_view View(const beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
 beast::http::request<beast::http::string_body> Encode(
-    const core::CallRequest& request, const core::TimePoint now) {
+    const StartExchange& order, const core::TimePoint now) {
+  const core::CallRequest& request = *order.request;
   beast::http::request<beast::http::string_body> message;
   message.version(kHttp11);
   message.method_string(request.method);
@@ -36,6 +43,11 @@
   message.set(beast::http::field::host, request.service.Text());
   message.set("Trefoilbend-Timeout",
               std::to_string(std::max<std::int64_t>(left.count(), 0)));
+  if (order.resume) {
+    message.set(beast::http::field::range,
+                "bytes=" + std::to_string(order.resume->offset) + '-');
+    message.set(beast::http::field::if_range, order.resume->validator);
+  }
   message.body() = request.body;
   message.prepare_payload();
   return message;
@@ -50,10 +62,11 @@
 Exchange::Exchange(ExchangeOwner& owner, StartExchange order)
     : owner(owner),
       order(std::move(order)),
-      started(std::chrono::steady_clock::now()) {}
+      started(std::chrono::steady_clock::now()),
+      resume(this->order.resume) {}
 
 void Exchange::Start() {
-  this->out = Encode(*this->order.request, this->started);
+  this->out = Encode(this->order, this->started);
   this->connection = this->owner.Pool().Take(this->order.address);
   if (this->connection) {
     this->connection->expires_at(ExpiryOf(*this->order.request));
@@ -122,13 +135,17 @@
   this->latency = this->Elapsed();
   const auto report = this->parser->get().find(View(kLoadField));
   if (report != this->parser->get().end()) {
-    this->load =
-        ParseLoadReport({report->value().data(), report->value().size()});
+    this->load = ParseLoadReport(View(report->value()));
   }
   if (this->order.holds_refusals &&
       this->parser->get().result_int() == kRefusalStatus) {
     this->refused = true;
     this->abandoned = true;
+  } else if (this->order.resume &&
+             !Continues(*this->order.resume, this->MakeHead())) {
+    this->resume.reset();
+    this->Finish(ExchangeResult::kBrokenWithinAnswer);
+    return;
   }
   if (this->parser->is_done()) {
     this->Deliver("", true);
@@ -169,34 +186,65 @@
     this->ReadPart();
     return;
   }
+  if (this->resume) {
+    this->resume->offset += length;
+  }
+  if (complete && this->order.resume && !this->IsWholeBody()) {
+    this->resume.reset();
+    this->Finish(ExchangeResult::kBrokenWithinAnswer);
+    return;
+  }
   this->Deliver(std::string{this->part.data(), length}, complete);
 }
 
-void Exchange::Deliver(std::string body, const bool complete) {
-  if (!this->abandoned && this->head_passed) {
+bool Exchange::IsWholeBody() const noexcept {
+  const auto range = ParseContentRange(
+      View(this->parser->get()[beast::http::field::content_range]));
+  return range && this->resume->offset == range->length;
+}
+
+core::AnswerHead Exchange::MakeHead() const {
+  const auto& message = this->parser->get();
+  core::AnswerHead head{
+      .status = static_cast<std::uint16_t>(message.result_int()),
+      .fields = {},
+      .length = std::nullopt,
+      .body = {}};
+  if (const auto length = this->parser->content_length()) {
+    head.length = *length;
+  }
+  for (const auto& field : message) {
+    const std::string_view name = View(field.name_string());
+    if (!IsHopByHop(name)) {
+      head.fields.emplace_back(name, field.value());
+    }
+  }
+  return head;
+}
+
+void Exchange::PassOn(std::string body, const bool complete) {
+  const bool is_first = !std::exchange(this->head_passed, true);
+  if (is_first) {
+    this->owner.Begin({this->order.call, this->order.exchange}, complete);
+  }
+  if (!is_first || this->order.resume) {
     this->owner.Answer(AnswerContinued{
         this->order.call, {.body = std::move(body), .complete = complete}});
-  } else if (!this->abandoned) {
-    this->head_passed = true;
-    this->owner.Begin({this->order.call, this->order.exchange}, complete);
-    const auto& message = this->parser->get();
-    core::AnswerHead head{
-        .status = static_cast<std::uint16_t>(message.result_int()),
-        .fields = {},
-        .length = std::nullopt,
-        .body = std::move(body),
-        .complete = complete};
-    if (const auto length = this->parser->content_length()) {
-      head.length = *length;
-    }
-    for (const auto& field : message) {
-      const std::string_view name{field.name_string().data(),
-                                  field.name_string().size()};
-      if (!IsHopByHop(name)) {
-        head.fields.emplace_back(name, field.value());
-      }
-    }
-    this->owner.Answer(AnswerStarted{this->order.call, std::move(head)});
+    return;
+  }
+  core::AnswerHead head = this->MakeHead();
+  this->resume = ResumptionOf(*this->order.request, head);
+  if (this->resume) {
+    this->resume->offset = body.size();
+  }
+  head.body = std::move(body);
+  head.complete = complete;
+  this->owner.Answer(AnswerStarted{this->order.call, std::move(head)});
+}
+
+void Exchange::Deliver(std::string body, const bool complete) {
+  if (!this->abandoned) {
+    this->PassOn(std::move(body), complete);
   }
   if (complete) {
     this->Finish(this->refused ? ExchangeResult::kRefused
@@ -229,7 +277,7 @@
     return;
   }
   if (this->head_passed) {
-    if (!this->abandoned) {
+    if (!this->abandoned && !this->resume) {
       this->owner.Answer(AnswerBroken{this->order.call});
     }
     this->Finish(ExchangeResult::kBrokenWithinAnswer);
@@ -266,7 +314,8 @@
                    .result = result,
                    .status = status,
                    .latency = answered ? this->latency : this->Elapsed(),
-                   .load = this->load});
+                   .load = this->load,
+                   .resume = answered ? std::nullopt : this->resume});
 }
 
 core::Duration Exchange::Elapsed() const noexcept {
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -86,6 +86,9 @@
   void Deliver(std::string body, bool complete);
   void Fail(boost::system::error_code error);
   void Finish(ExchangeResult result);
+  [[nodiscard]] core::AnswerHead MakeHead() const;
+  [[nodiscard]] bool IsWholeBody() const noexcept;
+  void PassOn(std::string body, bool complete);
   [[nodiscard]] core::Duration Elapsed() const noexcept;
 
   ExchangeOwner& owner;
@@ -100,6 +103,7 @@
       parser;
   std::array<char, kPartSize> part;
   std::optional<LoadReport> load;
+  std::optional<ResumePoint> resume;
   bool sent{};
   bool head_passed{};
   bool abandoned{};
--- a/stand_ins/target/faults.h
+++ b/stand_ins/target/faults.h
@@ -18,6 +18,10 @@
   std::int64_t fast_fail_percent = 0;
   /** @brief Share of answers, in percent, that are cut within their body. */
   std::int64_t truncate_percent = 0;
+  /** @brief Number of the next sheets that are cut within their body. */
+  std::int64_t truncate_next = 0;
+  /** @brief Edition of the sheets, which their content and validator name. */
+  std::int64_t edition = 0;
   /** @brief Share of requests, in percent, that run but get a reset in place of
    * an answer. */
   std::int64_t reset_percent = 0;
@@ -47,6 +51,8 @@
         {"fail_percent", &Faults::fail_percent},
         {"fast_fail_percent", &Faults::fast_fail_percent},
         {"truncate_percent", &Faults::truncate_percent},
+        {"truncate_next", &Faults::truncate_next},
+        {"edition", &Faults::edition},
         {"reset_percent", &Faults::reset_percent},
         {"late_ms", &Faults::late_ms},
         {"cold", &Faults::cold},
--- a/stand_ins/target/target.cc
+++ b/stand_ins/target/target.cc
@@ -95,6 +95,7 @@
               {"most_running", this->most_running},
               {"probes", this->probes},
               {"shed", this->shed},
+              {"ranges", this->ranges},
               {"cold_overruns", this->cold_overruns},
               {"keys", this->runs_by_key.size()},
               {"keys_run_twice", doubled}};
@@ -170,17 +171,24 @@
   const std::size_t bytes =
       query.contains("bytes") ? std::stoul(query["bytes"]) : kDefaultBytes;
   const bool is_sheet = path.starts_with("/sheet/");
-  const std::string subject = is_sheet ? path : FieldOf(request, "Call-Id");
+  const std::string edition =
+      this->faults.edition == 0 ? "" : std::to_string(this->faults.edition);
+  const std::string subject =
+      is_sheet ? path + edition : FieldOf(request, "Call-Id");
   Reply reply;
   reply.response.content_type = "text/plain";
   reply.response.body = MakeContent(subject, bytes);
   if (is_sheet) {
-    reply.response.fields.emplace_back(
-        "ETag", '"' + path + '-' + std::to_string(bytes) + '"');
+    const std::string validator =
+        '"' + path + edition + '-' + std::to_string(bytes) + '"';
+    reply.response.fields.emplace_back("ETag", validator);
     reply.response.fields.emplace_back("Accept-Ranges", "bytes");
     const std::string range = FieldOf(request, "Range");
     const std::string prefix = "bytes=";
-    if (range.starts_with(prefix)) {
+    const std::string condition = FieldOf(request, "If-Range");
+    if (range.starts_with(prefix) &&
+        (condition.empty() || condition == validator)) {
+      ++this->ranges;
       const std::size_t from =
           std::min(bytes, std::stoul(range.substr(prefix.size())));
       reply.response.status = 206;
@@ -193,6 +201,10 @@
   }
   reply.reset = this->Strikes(this->faults.reset_percent, request);
   reply.truncate = this->Strikes(this->faults.truncate_percent, request);
+  if (is_sheet && this->faults.truncate_next > 0) {
+    --this->faults.truncate_next;
+    reply.truncate = true;
+  }
   return reply;
 }
 
--- a/stand_ins/target/target.h
+++ b/stand_ins/target/target.h
@@ -116,6 +116,7 @@
   std::uint64_t handled = 0;
   std::uint64_t probes = 0;
   std::uint64_t shed = 0;
+  std::uint64_t ranges = 0;
   std::uint64_t cold_overruns = 0;
   std::uint32_t most_running = 0;
   std::map<std::string, std::uint64_t> runs_by_key;
