--- a/stand_ins/target/main.cc
+++ b/stand_ins/target/main.cc
@@ -40,6 +40,7 @@
                  "Spread of the log-normal service time");
   app.add_option("--cold-bears", options.cold_bears,
                  "Requests that a cold target bears");
+  app.add_flag("--cold", options.cold, "Start cold");
   app.add_option("--seed", options.seed, "Seed of service times and faults");
   app.add_option("--stop-notice-ms", stop_notice_ms,
                  "Time in milliseconds for which a target that stops tells so");
