--- a/tests/calls/not_run_test.cc
+++ b/tests/calls/not_run_test.cc
@@ -17,6 +17,9 @@
 
 using namespace std::chrono_literals;
 
+/** Calls that are sent at once. */
+constexpr std::size_t kWave = 20;
+
 /** Calls that were refused as not run, by the reason that was given. */
 using NotRunCalls = std::map<std::string, std::vector<std::string>>;
 
@@ -55,6 +58,7 @@
   /** Sends requests to an entry at once and notes what was not run. */
   void Send(const std::string& entry, const std::vector<http::Request>& all) {
     std::vector<std::future<http::ResponseOutcome>> outcomes;
+    outcomes.reserve(all.size());
     for (const http::Request& request : all) {
       outcomes.push_back(this->Start(entry, request));
     }
@@ -83,7 +87,8 @@
                  {"Host", "stock"}}) {
     for (int wave = 0; wave < waves; ++wave) {
       std::vector<http::Request> all;
-      for (int call = 0; call < 20; ++call) {
+      all.reserve(kWave);
+      for (std::size_t call = 0; call < kWave; ++call) {
         all.push_back(this->Reservation(fields));
       }
       this->Send(entry, all);
@@ -145,6 +150,7 @@
   fleet->Fault("stock-1", "slow", 100);
   fleet->Fault("stock-2", "slow", 100);
   std::vector<std::future<http::ResponseOutcome>> in_the_way;
+  in_the_way.reserve(4);
   for (int call = 0; call < 4; ++call) {
     in_the_way.push_back(Start("entry-1", Reservation({{"Host", "stock"}})));
   }
