--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -140,6 +140,7 @@
     AttemptBudget budget;
     Quantile hedge_delay;
     core::TimePoint overloaded_until{};
+    bool trusts_refusals{};
   };
 
   struct CallState {
@@ -150,6 +151,10 @@
     bool began{};
     bool cancelled{};
     bool perhaps_run{};
+    /** Whether the caller has a part of an answer that broke. */
+    bool broken{};
+    std::optional<forwarding::ResumePoint> resume;
+    std::uint32_t resumes{};
   };
 
   struct Hedge {
@@ -175,9 +180,15 @@
   [[nodiscard]] const inventory::Instance* ChooseTarget(ServiceState& service,
                                                         CallState& call,
                                                         core::TimePoint now);
+  [[nodiscard]] static bool IsKnownNotRun(
+      const ServiceState& service,
+      const forwarding::ExchangeEnded& ended) noexcept;
   void RetryOrRefuse(ServiceState& service,
                      const forwarding::ExchangeEnded& ended,
                      core::TimePoint now, Decisions& decisions);
+  void ResumeOrBreak(ServiceState& service,
+                     const forwarding::ExchangeEnded& ended,
+                     core::TimePoint now, Decisions& decisions);
   void Refuse(core::CallId id, core::RefusalReason reason,
               Decisions& decisions);
 
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -14,8 +14,8 @@
 constexpr std::chrono::milliseconds kFirstHedgeDelay{100};
 constexpr std::chrono::milliseconds kLeastHedgeDelay{5};
 constexpr std::chrono::milliseconds kOverload{500};
-constexpr std::uint16_t kShed = 503;
 constexpr double kPercent = 100;
+constexpr std::uint32_t kMostResumes = 8;
 /** Requests that wait at targets for each slot, above which hedges stop. */
 constexpr double kMostCrowding = 0.6;
 constexpr std::uint16_t kFirstServerError = 500;
@@ -26,13 +26,19 @@
       1, whole / static_cast<std::uint32_t>(std::max<std::size_t>(1, entries)));
 }
 
+bool IsDrainingRefusal(const forwarding::ExchangeEnded& ended) noexcept {
+  return ended.status == forwarding::kRefusalStatus && ended.load &&
+         ended.load->draining;
+}
+
 rollout::ExchangeSummary SummaryOf(const forwarding::ExchangeEnded& ended,
                                    const core::RouteName& route) {
   const bool spared = ended.result == ExchangeResult::kAnswered ||
                       ended.result == ExchangeResult::kCancelled;
+  const bool failed = !spared || ended.status >= kFirstServerError;
   return {.target = ended.target,
           .route = route,
-          .failed = !spared || ended.status >= kFirstServerError,
+          .failed = failed && !IsDrainingRefusal(ended),
           .cold = ended.load && ended.load->cold,
           .latency = ended.latency};
 }
@@ -77,6 +83,7 @@
                    kFirstHedgeDelay}};
       known = this->services.emplace(name, std::move(state)).first;
     }
+    known->second.trusts_refusals = view.service->trusts_refusals;
     std::vector<TargetTable::Member> members;
     for (const inventory::Instance* target : view.targets) {
       members.push_back({.instance = *target,
@@ -113,7 +120,7 @@
     return decisions;
   }
   ServiceState& state = service->second;
-  if (!state.targets.HasUsable(this->versions.Stable(service->first))) {
+  if (!state.targets.HasUsable(this->versions.Stable(service->first), now)) {
     this->Refuse(call.call, core::RefusalReason::kNoTarget, decisions);
     return decisions;
   }
@@ -168,10 +175,18 @@
   this->NoteOverload(service, ended, now);
   call.began = call.began || ended.result == ExchangeResult::kAnswered ||
                ended.result == ExchangeResult::kBrokenWithinAnswer;
-  call.perhaps_run =
-      call.perhaps_run || ended.result != ExchangeResult::kNotSent;
+  call.perhaps_run = call.perhaps_run || !IsKnownNotRun(service, ended);
+  if (ended.result == ExchangeResult::kAnswered) {
+    call.broken = false;
+  } else if (ended.result != ExchangeResult::kCancelled &&
+             (ended.resume || call.broken)) {
+    call.broken = true;
+    call.resume = ended.resume;
+  }
   if (call.exchanges.empty()) {
-    if (call.began || call.cancelled) {
+    if (call.broken && !call.cancelled) {
+      this->ResumeOrBreak(service, ended, now, decisions);
+    } else if (call.began || call.cancelled) {
       this->calls.erase(found);
     } else {
       this->RetryOrRefuse(service, ended, now, decisions);
@@ -230,12 +245,15 @@
   this->last_exchange = this->last_exchange.Next();
   call.exchanges.push_back(this->last_exchange);
   call.tried.push_back(target->name);
-  decisions.push_back(forwarding::StartExchange{.call = id,
-                                                .exchange = this->last_exchange,
-                                                .target = target->name,
-                                                .address = target->address,
-                                                .request = call.request,
-                                                .beside = beside});
+  decisions.push_back(forwarding::StartExchange{
+      .call = id,
+      .exchange = this->last_exchange,
+      .target = target->name,
+      .address = target->address,
+      .request = call.request,
+      .beside = beside,
+      .holds_refusals = call.request->idempotent || service.trusts_refusals,
+      .resume = call.resume});
   return true;
 }
 
@@ -276,7 +294,7 @@
                               const forwarding::ExchangeEnded& ended,
                               const core::TimePoint now) const {
   const bool answered = ended.result == ExchangeResult::kAnswered;
-  if (answered && ended.status == kShed) {
+  if (ended.status == forwarding::kRefusalStatus && !IsDrainingRefusal(ended)) {
     service.overloaded_until = now + kOverload;
   }
   if (answered && ended.latency < service.hedge_delay.Value()) {
@@ -292,7 +310,8 @@
   if (call.tried.empty() && call.version.Empty()) {
     call.version = this->versions.Choose(name);
   }
-  const bool prefers_new = call.tried.empty() && call.version != stable &&
+  const bool is_bound = call.tried.empty() || call.broken;
+  const bool prefers_new = is_bound && call.version != stable &&
                            this->versions.Serves(name, call.version);
   if (prefers_new) {
     if (const auto* target = service.targets.Choose(
@@ -304,24 +323,60 @@
                                 now);
 }
 
+bool Dispatcher::IsKnownNotRun(
+    const ServiceState& service,
+    const forwarding::ExchangeEnded& ended) noexcept {
+  return ended.result == ExchangeResult::kNotSent ||
+         (ended.result == ExchangeResult::kRefused && service.trusts_refusals);
+}
+
 void Dispatcher::RetryOrRefuse(ServiceState& service,
                                const forwarding::ExchangeEnded& ended,
                                const core::TimePoint now,
                                Decisions& decisions) {
   CallState& call = this->calls.at(ended.call);
-  const bool not_run = ended.result == ExchangeResult::kNotSent;
+  const bool refused = ended.result == ExchangeResult::kRefused;
+  const bool is_free =
+      ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended);
   if (ended.result == ExchangeResult::kTimedOut ||
       now >= call.request->deadline) {
     this->Refuse(ended.call, core::RefusalReason::kDeadline, decisions);
     return;
   }
-  const bool may_retry =
-      call.tried.size() < this->options.attempts &&
-      (not_run || (call.request->idempotent && service.budget.Take(now)));
+  const bool may_run = call.request->idempotent || !call.perhaps_run;
+  const bool may_retry = call.tried.size() < this->options.attempts &&
+                         may_run && (is_free || service.budget.Take(now));
   if (!may_retry ||
       !this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
-    this->Refuse(ended.call, core::RefusalReason::kTargetFailed, decisions);
+    this->Refuse(ended.call,
+                 refused ? core::RefusalReason::kBusy
+                         : core::RefusalReason::kTargetFailed,
+                 decisions);
+  }
+}
+
+void Dispatcher::ResumeOrBreak(ServiceState& service,
+                               const forwarding::ExchangeEnded& ended,
+                               const core::TimePoint now,
+                               Decisions& decisions) {
+  CallState& call = this->calls.at(ended.call);
+  const bool may_resume =
+      call.resume && now < call.request->deadline &&
+      ++call.resumes <= kMostResumes &&
+      (ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended) ||
+       service.budget.Take(now));
+  if (may_resume) {
+    call.tried = {ended.target};
+    if (this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
+      return;
+    }
+    call.tried.clear();
+    if (this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
+      return;
+    }
   }
+  this->calls.erase(ended.call);
+  decisions.push_back(CallBroken{ended.call});
 }
 
 void Dispatcher::Refuse(const core::CallId id, const core::RefusalReason reason,
--- a/stand_ins/target/faults.h
+++ b/stand_ins/target/faults.h
@@ -18,6 +18,10 @@
   std::int64_t fast_fail_percent = 0;
   /** @brief Share of answers, in percent, that are cut within their body. */
   std::int64_t truncate_percent = 0;
+  /** @brief Number of the next sheets that are cut within their body. */
+  std::int64_t truncate_next = 0;
+  /** @brief Edition of the sheets, which their content and validator name. */
+  std::int64_t edition = 0;
   /** @brief Share of requests, in percent, that run but get a reset in place of
    * an answer. */
   std::int64_t reset_percent = 0;
@@ -26,8 +30,12 @@
   /** @brief Whether the target is cold: it bears cold_bears requests and falls
    * over above. */
   std::int64_t cold = 0;
-  /** @brief Whether the target drains: it tells so and refuses new work. */
+  /** @brief Whether the target drains: 1 tells so and refuses new work, 2 only
+   * tells so. */
   std::int64_t drain = 0;
+  /** @brief Share of requests, in percent, that are refused with status 503
+   * after they have run. */
+  std::int64_t refuse_after_run_percent = 0;
   /** @brief Whether load reports say that the target is idle. */
   std::int64_t lie = 0;
   /** @brief Age of load reports in milliseconds. */
@@ -43,10 +51,13 @@
         {"fail_percent", &Faults::fail_percent},
         {"fast_fail_percent", &Faults::fast_fail_percent},
         {"truncate_percent", &Faults::truncate_percent},
+        {"truncate_next", &Faults::truncate_next},
+        {"edition", &Faults::edition},
         {"reset_percent", &Faults::reset_percent},
         {"late_ms", &Faults::late_ms},
         {"cold", &Faults::cold},
         {"drain", &Faults::drain},
+        {"refuse_after_run_percent", &Faults::refuse_after_run_percent},
         {"lie", &Faults::lie},
         {"report_lag_ms", &Faults::report_lag_ms},
         {"one_route", &Faults::one_route}};
--- a/stand_ins/target/target.cc
+++ b/stand_ins/target/target.cc
@@ -97,6 +97,7 @@
               {"most_running", this->most_running},
               {"probes", this->probes},
               {"shed", this->shed},
+              {"ranges", this->ranges},
               {"cold_overruns", this->cold_overruns},
               {"cold_handled", this->cold_handled},
               {"most_in_flight_cold", this->most_in_flight_cold},
@@ -111,7 +112,7 @@
 
 void Target::Admit(http::Request request, Done done) {
   this->CountCold();
-  if (this->faults.drain != 0 || this->waiting.size() >= this->options.queue) {
+  if (this->faults.drain == 1 || this->waiting.size() >= this->options.queue) {
     ++this->shed;
     done(Refusal());
     return;
@@ -174,22 +175,32 @@
   if (this->Strikes(this->faults.fail_percent, request)) {
     return Plain(500, {{"error", "failed"}});
   }
+  if (this->Strikes(this->faults.refuse_after_run_percent, request)) {
+    return Refusal();
+  }
   const std::string path{http::PathOf(request.target)};
   auto query = http::QueryOf(request.target);
   const std::size_t bytes =
       query.contains("bytes") ? std::stoul(query["bytes"]) : kDefaultBytes;
   const bool is_sheet = path.starts_with("/sheet/");
-  const std::string subject = is_sheet ? path : FieldOf(request, "Call-Id");
+  const std::string edition =
+      this->faults.edition == 0 ? "" : std::to_string(this->faults.edition);
+  const std::string subject =
+      is_sheet ? path + edition : FieldOf(request, "Call-Id");
   Reply reply;
   reply.response.content_type = "text/plain";
   reply.response.body = MakeContent(subject, bytes);
   if (is_sheet) {
-    reply.response.fields.emplace_back(
-        "ETag", '"' + path + '-' + std::to_string(bytes) + '"');
+    const std::string validator =
+        '"' + path + edition + '-' + std::to_string(bytes) + '"';
+    reply.response.fields.emplace_back("ETag", validator);
     reply.response.fields.emplace_back("Accept-Ranges", "bytes");
     const std::string range = FieldOf(request, "Range");
     const std::string prefix = "bytes=";
-    if (range.starts_with(prefix)) {
+    const std::string condition = FieldOf(request, "If-Range");
+    if (range.starts_with(prefix) &&
+        (condition.empty() || condition == validator)) {
+      ++this->ranges;
       const std::size_t from =
           std::min(bytes, std::stoul(range.substr(prefix.size())));
       reply.response.status = 206;
@@ -202,6 +213,10 @@
   }
   reply.reset = this->Strikes(this->faults.reset_percent, request);
   reply.truncate = this->Strikes(this->faults.truncate_percent, request);
+  if (is_sheet && this->faults.truncate_next > 0) {
+    --this->faults.truncate_next;
+    reply.truncate = true;
+  }
   return reply;
 }
 
