Share and pace the connections to targets

Cause: a target bears about 200 connections and needs about 1 ms for a new one; entries opened as many as they had calls in flight, limited by the registered entries, never closed idle ones, and opened all at once after a target restarted.

Change: ShareOfConnections and EntryCounter divide the limit among the listed entries, where more count at once and fewer after share-delay; forwarding's pool grants connections within the share and the pace, lets exchanges wait for their turn until their deadline, closes idle ones, and counts a cancelled one until the target has closed it. Settings forwarding share-delay, connection-percent, idle-timeout; three metrics. The target stand-in counts open and new connections.

--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -14,6 +14,7 @@
 
 #include "trefoilbend/admission/queue.h"
 #include "trefoilbend/balancing/attempt_budget.h"
+#include "trefoilbend/balancing/entry_counter.h"
 #include "trefoilbend/balancing/messages.h"
 #include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/target_table.h"
@@ -40,6 +41,12 @@
   /** @brief Part of the idempotent calls that are hedged, in percent; 0 for
    * none. */
   std::uint32_t hedge_percent = 8;
+  /** @brief Time until which an entry may not know that another one has come or
+   * gone. */
+  core::Duration share_delay{};
+  /** @brief Part of a target's time that new connections of all entries may
+   * cost, in percent; 0 for no pacing. */
+  std::uint32_t connection_percent = 10;
 };
 
 /**
@@ -181,7 +188,12 @@
   void Refuse(core::CallId id, core::RefusalReason reason,
               Decisions& decisions);
 
+  void CountEntries(const configuration::Update& update, core::TimePoint now);
+  void ShareConnections(core::TimePoint now);
+
   DispatcherOptions options;
+  EntryCounter entry_counter;
+  EntryCount entry_count;
   std::map<core::ServiceName, ServiceState> services;
   rollout::VersionChooser versions;
   rollout::EvidenceBook evidence;
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "trefoilbend/balancing/cold_share.h"
+#include "trefoilbend/balancing/connection_share.h"
 #include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/strategy.h"
 #include "trefoilbend/balancing/warm_up.h"
@@ -100,6 +101,12 @@
    */
   void SetMembers(std::vector<Member> members, core::TimePoint now);
 
+  /**
+   * @brief Divides the targets' connections among the entries anew.
+   * @param entries Entries that share them.
+   */
+  void ShareConnections(const EntryCount& entries) noexcept;
+
   /**
    * @brief Chooses a target and counts the call as in flight there.
    * @param excluded Targets that already had the call.
--- /dev/null
+++ b/packages/balancing/src/connection_share.cc
@@ -0,0 +1,35 @@
+#include "trefoilbend/balancing/connection_share.h"
+
+#include <algorithm>
+
+namespace trefoilbend::balancing {
+
+namespace {
+
+/** Part of the limit that the base shares may take together. */
+constexpr std::uint32_t kBasePart = 4;
+constexpr std::uint32_t kWholePercent = 100;
+
+}  // namespace
+
+std::uint32_t ShareOfConnections(const std::uint32_t connections,
+                                 const EntryCount& entries) noexcept {
+  const std::uint32_t registered = std::max(1U, entries.registered);
+  const std::uint32_t base = std::max(1U, connections / kBasePart / registered);
+  const std::uint32_t reserved = base * registered;
+  if (!entries.settled || connections <= reserved) {
+    return base;
+  }
+  return base + (connections - reserved) / std::max(1U, entries.listed);
+}
+
+core::Duration ConnectionInterval(const core::Duration cost,
+                                  const std::uint32_t percent,
+                                  const EntryCount& entries) noexcept {
+  if (percent == 0) {
+    return core::Duration::zero();
+  }
+  return cost * kWholePercent / percent * std::max(1U, entries.registered);
+}
+
+}  // namespace trefoilbend::balancing
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -20,12 +20,6 @@
 constexpr double kMostCrowding = 0.6;
 constexpr std::uint16_t kFirstServerError = 500;
 
-std::uint32_t ShareOf(const std::uint32_t whole,
-                      const std::size_t entries) noexcept {
-  return std::max<std::uint32_t>(
-      1, whole / static_cast<std::uint32_t>(std::max<std::size_t>(1, entries)));
-}
-
 rollout::ExchangeSummary SummaryOf(const forwarding::ExchangeEnded& ended,
                                    const core::RouteName& route) {
   const bool spared = ended.result == ExchangeResult::kAnswered ||
@@ -40,7 +34,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
-    : options(std::move(options)) {}
+    : options(std::move(options)), entry_counter(this->options.share_delay) {}
 
 Decisions Dispatcher::Configure(const configuration::Update& update,
                                 const core::TimePoint now) {
@@ -57,6 +51,7 @@
   };
   this->versions.Configure(configuration);
   this->evidence.Configure(update.configuration);
+  this->CountEntries(update, now);
   std::vector<core::InstanceName> entries;
   for (const inventory::Instance* entry : configuration.Entries()) {
     const auto state = listed.find(entry->name);
@@ -79,13 +74,13 @@
     }
     std::vector<TargetTable::Member> members;
     for (const inventory::Instance* target : view.targets) {
-      members.push_back({.instance = *target,
-                         .usable = is_usable(*target),
-                         .limit = ShareOf(target->connections,
-                                          configuration.Entries().size()),
-                         .cold_share = ShareOfColdTarget(
-                             target->name, this->options.self, entries,
-                             view.service->cold_allowance)});
+      members.push_back(
+          {.instance = *target,
+           .usable = is_usable(*target),
+           .limit = ShareOfConnections(target->connections, this->entry_count),
+           .cold_share =
+               ShareOfColdTarget(target->name, this->options.self, entries,
+                                 view.service->cold_allowance)});
     }
     known->second.targets.SetMembers(std::move(members), now);
     this->Serve(known->second, now, decisions);
@@ -98,6 +93,35 @@
   return decisions;
 }
 
+void Dispatcher::CountEntries(const configuration::Update& update,
+                              const core::TimePoint now) {
+  std::uint32_t listed = 0;
+  bool self_listed = false;
+  for (const platform::ListedInstance& instance : *update.listed) {
+    const auto* known =
+        update.configuration->Find<inventory::Instance>(instance.name.Text());
+    if (known != nullptr && known->role == inventory::Role::kEntry) {
+      ++listed;
+      self_listed = self_listed || instance.name == this->options.self;
+    }
+  }
+  this->entry_counter.Note(
+      static_cast<std::uint32_t>(update.configuration->Entries().size()),
+      listed, self_listed, now);
+  this->entry_count = this->entry_counter.At(now);
+}
+
+void Dispatcher::ShareConnections(const core::TimePoint now) {
+  const EntryCount count = this->entry_counter.At(now);
+  if (count == this->entry_count) {
+    return;
+  }
+  this->entry_count = count;
+  for (auto& [name, service] : this->services) {
+    service.targets.ShareConnections(count);
+  }
+}
+
 Decisions Dispatcher::Submit(const SubmitCall& call,
                              const core::TimePoint now) {
   Decisions decisions;
@@ -198,6 +222,7 @@
 
 Decisions Dispatcher::Tick(const core::TimePoint now) {
   Decisions decisions;
+  this->ShareConnections(now);
   this->HedgeLateCalls(now, decisions);
   for (auto& [name, service] : this->services) {
     for (const core::CallId id : service.queue.Expire(now)) {
@@ -230,12 +255,17 @@
   this->last_exchange = this->last_exchange.Next();
   call.exchanges.push_back(this->last_exchange);
   call.tried.push_back(target->name);
-  decisions.push_back(forwarding::StartExchange{.call = id,
-                                                .exchange = this->last_exchange,
-                                                .target = target->name,
-                                                .address = target->address,
-                                                .request = call.request,
-                                                .beside = beside});
+  decisions.push_back(forwarding::StartExchange{
+      .call = id,
+      .exchange = this->last_exchange,
+      .target = target->name,
+      .address = target->address,
+      .request = call.request,
+      .beside = beside,
+      .connections = ShareOfConnections(target->connections, this->entry_count),
+      .connection_interval = ConnectionInterval(
+          target->connection_cost, this->options.connection_percent,
+          this->entry_count)});
   return true;
 }
 
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -62,6 +62,12 @@
   }
 }
 
+void TargetTable::ShareConnections(const EntryCount& entries) noexcept {
+  for (TargetState& target : this->targets) {
+    target.limit = ShareOfConnections(target.instance.connections, entries);
+  }
+}
+
 const inventory::Instance* TargetTable::Choose(
     const std::vector<core::InstanceName>& excluded,
     const core::VersionName& version, const core::ExchangeId exchange,
--- a/packages/entry/include/trefoilbend/entry/settings.h
+++ b/packages/entry/include/trefoilbend/entry/settings.h
@@ -8,6 +8,7 @@
 #include "trefoilbend/callers/duty.h"
 #include "trefoilbend/configuration/duty.h"
 #include "trefoilbend/core/outcome.h"
+#include "trefoilbend/forwarding/duty.h"
 #include "trefoilbend/membership/duty.h"
 #include "trefoilbend/operations/duty.h"
 #include "trefoilbend/settings/document.h"
@@ -21,6 +22,8 @@
   callers::Options callers;
   /** @brief Options of the decisions about targets. */
   balancing::DispatcherOptions balancing;
+  /** @brief Options of the duty that carries exchanges. */
+  forwarding::Options forwarding;
   /** @brief Options of the duty that follows the configuration. */
   configuration::Options configuration;
   /** @brief Options of the duty that talks to the peers. */
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -31,7 +31,9 @@
 
 struct Entry::Duties {
   explicit Duties(const Settings& settings)
-      : forwarding(settings.callers.limits.calls),
+      : forwarding({.max_calls = settings.callers.limits.calls,
+                    .idle_timeout = settings.forwarding.idle_timeout},
+                   this->registry),
         balancing(settings.balancing, settings.callers.limits.calls),
         relay(settings.callers.limits.calls),
         callers(settings.callers, this->registry),
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -23,6 +23,8 @@
 constexpr std::uint64_t kMostAttempts = 10;
 constexpr std::uint64_t kMostHedgePercent = 50;
 constexpr std::uint64_t kWholePercent = 100;
+/** Longer than a configuration or list needs to be known everywhere. */
+constexpr std::chrono::seconds kShareDelay{10};
 
 std::chrono::milliseconds Milliseconds(const std::chrono::microseconds time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time);
@@ -46,6 +48,7 @@
                 {"callers", &Reader::ReadCallers},
                 {"keys", &Reader::ReadKeys},
                 {"balancing", &Reader::ReadBalancing},
+                {"forwarding", &Reader::ReadForwarding},
                 {"platform", &Reader::ReadPlatform},
                 {"membership", &Reader::ReadMembership},
                 {"operations", &Reader::ReadOperations},
@@ -151,6 +154,16 @@
                         options.further_attempts_percent));
   }
 
+  void ReadForwarding(Section& section) {
+    balancing::DispatcherOptions& options = this->result.balancing;
+    options.share_delay =
+        section.Time("share-delay", {0ms, 10min}, kShareDelay);
+    options.connection_percent = static_cast<std::uint32_t>(section.Integer(
+        "connection-percent", {0, kWholePercent}, options.connection_percent));
+    this->result.forwarding.idle_timeout = Milliseconds(section.Time(
+        "idle-timeout", {100ms, 1h}, this->result.forwarding.idle_timeout));
+  }
+
   void ReadPlatform(Section& section) {
     configuration::Options& options = this->result.configuration;
     options.platform = section.Address("address");
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -73,6 +73,22 @@
   BOOST_TEST(places == expected, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(names_bounds_of_connections_that_are_out_of_range) {
+  const auto outcome = Read(
+      "[forwarding]\nshare-delay = 1h\nconnection-percent = 101\n"
+      "idle-timeout = 1ms\n");
+  BOOST_REQUIRE(!core::Succeeded(outcome));
+  std::vector<std::string> keys;
+  for (const settings::Mistake& mistake : core::ProblemOf(outcome)) {
+    if (mistake.place == "section [forwarding]") {
+      keys.push_back(mistake.key);
+    }
+  }
+  const std::vector<std::string> expected{"share-delay", "connection-percent",
+                                          "idle-timeout"};
+  BOOST_TEST(keys == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/forwarding/include/trefoilbend/forwarding/duty.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/duty.h
@@ -1,6 +1,7 @@
 #ifndef TREFOILBEND_FORWARDING_DUTY_H_
 #define TREFOILBEND_FORWARDING_DUTY_H_
 
+#include <chrono>
 #include <cstddef>
 #include <memory>
 
@@ -8,8 +9,21 @@
 #include "trefoilbend/core/ring.h"
 #include "trefoilbend/forwarding/messages.h"
 
+namespace prometheus {
+class Registry;
+}  // namespace prometheus
+
 namespace trefoilbend::forwarding {
 
+/** @brief Options of the forwarding duty. */
+struct Options {
+  /** @brief Greatest number of calls in flight, which sizes the rings. */
+  std::size_t max_calls{};
+  /** @brief Time after which an idle connection is closed, unless it is the
+   * only one to its target. */
+  std::chrono::milliseconds idle_timeout{5'000};
+};
+
 /** @brief Rings that the forwarding duty writes to. */
 struct Outlets {
   /** @brief Answers for the duty that talks to callers. */
@@ -23,9 +37,10 @@
  public:
   /**
    * @brief Makes the duty; it runs after Start.
-   * @param max_calls Greatest number of calls in flight, which sizes the rings.
+   * @param options Options of the duty.
+   * @param registry Takes the duty's metrics.
    */
-  explicit ForwardingDuty(std::size_t max_calls);
+  ForwardingDuty(const Options& options, prometheus::Registry& registry);
   ~ForwardingDuty();
 
   ForwardingDuty(const ForwardingDuty&) = delete;
--- a/packages/forwarding/include/trefoilbend/forwarding/fwd.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/fwd.h
@@ -3,6 +3,7 @@
 
 namespace trefoilbend::forwarding {
 
+struct Options;
 struct StartExchange;
 struct CancelExchange;
 struct ContinueAnswer;
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -14,6 +14,9 @@
 
 namespace trefoilbend::forwarding {
 
+/** @brief Number of connections that stands for no limit. */
+inline constexpr std::uint32_t kAnyConnections = UINT32_MAX;
+
 /** @brief Order to send a call to a target. */
 struct StartExchange {
   /** @brief Call that is sent. */
@@ -29,6 +32,11 @@
   /** @brief Exchange of the same call that this one hedges; unless it still
    * waits for its answer, this one ends as cancelled and nothing is sent. */
   std::optional<core::ExchangeId> beside{};
+  /** @brief Connections that this entry may have open to the target. */
+  std::uint32_t connections = kAnyConnections;
+  /** @brief Least time between two new connections of this entry to the target.
+   */
+  core::Duration connection_interval{};
 };
 
 /** @brief Order to give up an exchange and to close its connection. */
--- a/packages/forwarding/src/connection_pool.cc
+++ b/packages/forwarding/src/connection_pool.cc
@@ -1,9 +1,21 @@
 #include "internal/connection_pool.h"
 
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+#include "internal/closing_connection.h"
+
 namespace trefoilbend::forwarding::internal {
 
 namespace {
 
+constexpr std::chrono::seconds kSweep{1};
+/** Time after which the only connection to a target is closed too. */
+constexpr std::chrono::seconds kOnlyIdleTimeout{60};
+
+/** Time for which a cut connection counts as open. */
+constexpr std::chrono::seconds kCutConnection{5};
+
 bool IsUntouched(boost::beast::tcp_stream& stream) {
   boost::system::error_code error;
   stream.socket().non_blocking(true, error);
@@ -13,23 +25,197 @@
   return error == boost::asio::error::would_block;
 }
 
+core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
+
 }  // namespace
 
-Connection ConnectionPool::Take(const http::Address& address) {
-  auto& connections = this->idle[address];
-  while (!connections.empty()) {
-    Connection connection = std::move(connections.back());
-    connections.pop_back();
+ConnectionPool::ConnectionPool(boost::asio::io_context& context,
+                               const std::chrono::milliseconds idle_timeout,
+                               ConnectionMetrics& metrics)
+    : context(context),
+      idle_timeout(idle_timeout),
+      metrics(metrics),
+      pace(context),
+      sweep(context) {
+  this->Sweep();
+}
+
+void ConnectionPool::Acquire(const http::Address& address,
+                             const ConnectionBounds& bounds,
+                             const core::TimePoint deadline, Ready ready) {
+  const core::TimePoint now = Now();
+  Server& server = this->servers[address];
+  server.bounds = bounds;
+  if (server.waiters.empty()) {
+    if (Connection connection = this->TakeIdle(server)) {
+      ready(Grant::kReuse, std::move(connection));
+      return;
+    }
+    if (this->MayOpen(server, now)) {
+      this->CountOpened(server, now);
+      ready(Grant::kOpen, nullptr);
+      return;
+    }
+  }
+  this->metrics.waits.Increment();
+  server.waiters.push_back({deadline, std::move(ready)});
+  this->ServeLater();
+}
+
+void ConnectionPool::Keep(const http::Address& address, Connection connection) {
+  Server& server = this->servers[address];
+  if (server.open > server.bounds.open) {
+    connection->close();
+    this->CountClosed(server);
+    return;
+  }
+  connection->expires_never();
+  server.idle.push_back({std::move(connection), Now()});
+  this->Serve(server, Now());
+}
+
+void ConnectionPool::Release(const http::Address& address) {
+  Server& server = this->servers[address];
+  this->CountClosed(server);
+  this->Serve(server, Now());
+}
+
+void ConnectionPool::ReleaseLater(const http::Address& address) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
+  timer->expires_after(kCutConnection);
+  timer->async_wait(
+      [this, timer, address](const boost::system::error_code error) {
+        if (!error) {
+          this->Release(address);
+        }
+      });
+}
+
+void ConnectionPool::CloseGracefully(const http::Address& address,
+                                     Connection connection) {
+  std::make_shared<ClosingConnection>(std::move(connection), [this, address] {
+    this->Release(address);
+  })->Start();
+}
+
+Connection ConnectionPool::TakeIdle(Server& server) {
+  while (!server.idle.empty()) {
+    Connection connection = std::move(server.idle.back().connection);
+    server.idle.pop_back();
     if (IsUntouched(*connection)) {
       return connection;
     }
+    this->CountClosed(server);
   }
   return nullptr;
 }
 
-void ConnectionPool::Keep(const http::Address& address, Connection connection) {
-  connection->expires_never();
-  this->idle[address].push_back(std::move(connection));
+bool ConnectionPool::MayOpen(const Server& server,
+                             const core::TimePoint now) const {
+  return server.open < server.bounds.open && server.next_open <= now;
+}
+
+void ConnectionPool::CountOpened(Server& server, const core::TimePoint now) {
+  ++server.open;
+  server.next_open = now + server.bounds.interval;
+  this->metrics.open.Increment();
+  this->metrics.opened.Increment();
+}
+
+void ConnectionPool::CountClosed(Server& server) {
+  --server.open;
+  this->metrics.open.Decrement();
+}
+
+void ConnectionPool::Serve(Server& server, const core::TimePoint now) {
+  this->DropLate(server, now);
+  while (!server.waiters.empty()) {
+    Connection connection = this->TakeIdle(server);
+    if (!connection && !this->MayOpen(server, now)) {
+      return;
+    }
+    Waiter waiter = std::move(server.waiters.front());
+    server.waiters.pop_front();
+    if (connection) {
+      this->Post(std::move(waiter), Grant::kReuse, std::move(connection));
+    } else {
+      this->CountOpened(server, now);
+      this->Post(std::move(waiter), Grant::kOpen, nullptr);
+    }
+  }
+}
+
+void ConnectionPool::DropLate(Server& server, const core::TimePoint now) {
+  auto& waiters = server.waiters;
+  const auto late = std::stable_partition(
+      waiters.begin(), waiters.end(),
+      [&](const Waiter& waiter) { return waiter.deadline > now; });
+  std::for_each(late, waiters.end(), [this](Waiter& waiter) {
+    this->Post(std::move(waiter), Grant::kGiveUp, nullptr);
+  });
+  waiters.erase(late, waiters.end());
+}
+
+void ConnectionPool::ServeLater() {
+  core::TimePoint next = core::TimePoint::max();
+  for (const auto& [address, server] : this->servers) {
+    for (const Waiter& waiter : server.waiters) {
+      next = std::min(next, waiter.deadline);
+    }
+    if (!server.waiters.empty() && server.open < server.bounds.open) {
+      next = std::min(next, server.next_open);
+    }
+  }
+  if (next == core::TimePoint::max()) {
+    return;
+  }
+  this->pace.expires_at(next);
+  this->pace.async_wait([this](const boost::system::error_code error) {
+    if (error) {
+      return;
+    }
+    for (auto& [address, server] : this->servers) {
+      this->Serve(server, Now());
+    }
+    this->ServeLater();
+  });
+}
+
+void ConnectionPool::Sweep() {
+  this->sweep.expires_after(kSweep);
+  this->sweep.async_wait([this](const boost::system::error_code error) {
+    if (error) {
+      return;
+    }
+    for (auto& [address, server] : this->servers) {
+      this->CloseIdle(server, Now());
+    }
+    this->Sweep();
+  });
+}
+
+void ConnectionPool::CloseIdle(Server& server, const core::TimePoint now) {
+  auto& idle = server.idle;
+  while (!idle.empty()) {
+    const core::Duration age = now - idle.front().since;
+    const core::Duration limit =
+        server.open > 1 ? core::Duration{this->idle_timeout} : kOnlyIdleTimeout;
+    if (age < limit) {
+      return;
+    }
+    idle.front().connection->close();
+    idle.erase(idle.begin());
+    this->CountClosed(server);
+  }
+}
+
+void ConnectionPool::Post(Waiter waiter, const Grant grant,
+                          Connection connection) {
+  boost::asio::post(this->context,
+                    [ready = std::move(waiter.ready), grant,
+                     connection = std::move(connection)]() mutable {
+                      ready(grant, std::move(connection));
+                    });
 }
 
 }  // namespace trefoilbend::forwarding::internal
--- a/packages/forwarding/src/duty.cc
+++ b/packages/forwarding/src/duty.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "internal/connection_metrics.h"
 #include "internal/exchange.h"
 #include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/outcome.h"
@@ -18,9 +19,12 @@
 
 class ForwardingDuty::Loop final : public internal::ExchangeOwner {
  public:
-  explicit Loop(const std::size_t max_calls)
-      : from_balancing(max_calls * kOrdersPerCall),
-        from_callers(max_calls * kOrdersPerCall) {
+  Loop(const Options& options, prometheus::Registry& registry)
+      : from_balancing(options.max_calls * kOrdersPerCall),
+        from_callers(options.max_calls * kOrdersPerCall),
+        connection_metrics(registry),
+        pool(this->duty.Context(), options.idle_timeout,
+             this->connection_metrics) {
     this->duty.Read(this->from_balancing, [this](FromBalancing&& message) {
       std::visit(
           core::Visitor{
@@ -137,6 +141,7 @@
     }
   }
 
+  internal::ConnectionMetrics connection_metrics;
   internal::ConnectionPool pool;
   std::unordered_map<core::ExchangeId, std::shared_ptr<internal::Exchange>>
       exchanges;
@@ -144,8 +149,9 @@
       exchanges_of_call;
 };
 
-ForwardingDuty::ForwardingDuty(const std::size_t max_calls)
-    : loop(std::make_unique<Loop>(max_calls)) {}
+ForwardingDuty::ForwardingDuty(const Options& options,
+                               prometheus::Registry& registry)
+    : loop(std::make_unique<Loop>(options, registry)) {}
 
 ForwardingDuty::~ForwardingDuty() { this->Stop(); }
 
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -50,13 +50,36 @@
 
 void Exchange::Start() {
   this->out = Encode(*this->order.request, this->started);
-  this->connection = this->owner.Pool().Take(this->order.address);
-  if (this->connection) {
-    this->connection->expires_at(this->order.request->deadline);
-    this->Write();
+  this->owner.Pool().Acquire(
+      this->order.address,
+      {.open = this->order.connections,
+       .interval = this->order.connection_interval},
+      this->order.request->deadline,
+      [self = this->shared_from_this()](const Grant grant, Connection granted) {
+        self->TakeConnection(grant, std::move(granted));
+      });
+}
+
+void Exchange::TakeConnection(const Grant grant, Connection granted) {
+  if (grant == Grant::kGiveUp) {
+    this->Finish(ExchangeResult::kNotSent);
+    return;
+  }
+  if (this->ended && granted) {
+    this->owner.Pool().Keep(this->order.address, std::move(granted));
+    return;
+  }
+  if (this->ended) {
+    this->owner.Pool().Release(this->order.address);
+    return;
+  }
+  if (grant == Grant::kOpen) {
+    this->Connect();
     return;
   }
-  this->Connect();
+  this->connection = std::move(granted);
+  this->connection->expires_at(this->order.request->deadline);
+  this->Write();
 }
 
 void Exchange::Connect() {
@@ -104,6 +127,7 @@
   this->parser->header_limit(kHeadLimit);
   this->parser->body_limit(kNoLimit);
   this->parser->skip(this->out.method() == beast::http::verb::head);
+  this->awaits_head = true;
   beast::http::async_read_header(
       *this->connection, this->buffer, *this->parser,
       [self = this->shared_from_this()](const boost::system::error_code error,
@@ -111,7 +135,12 @@
 }
 
 void Exchange::OnHead(const boost::system::error_code error) {
-  if (error || this->ended) {
+  this->awaits_head = false;
+  if (this->ended) {
+    this->CloseAfterCancel();
+    return;
+  }
+  if (error) {
     this->Fail(error);
     return;
   }
@@ -243,12 +272,7 @@
   const auto status =
       answered ? static_cast<std::uint16_t>(this->parser->get().result_int())
                : std::uint16_t{0};
-  if (answered && this->parser->keep_alive() && this->buffer.size() == 0) {
-    this->owner.Pool().Keep(this->order.address, std::move(this->connection));
-  } else if (this->connection) {
-    this->connection->cancel();
-    this->connection->close();
-  }
+  this->GiveBackConnection(result);
   this->owner.End({.call = this->order.call,
                    .exchange = this->order.exchange,
                    .target = this->order.target,
@@ -258,6 +282,33 @@
                    .load = this->load});
 }
 
+void Exchange::GiveBackConnection(const ExchangeResult result) {
+  ConnectionPool& pool = this->owner.Pool();
+  if (!this->connection) {
+    return;
+  }
+  if (result == ExchangeResult::kAnswered && this->parser->keep_alive() &&
+      this->buffer.size() == 0) {
+    pool.Keep(this->order.address, std::move(this->connection));
+    return;
+  }
+  this->connection->cancel();
+  if (this->awaits_head) {
+    return;
+  }
+  this->connection->close();
+  if (result == ExchangeResult::kTimedOut) {
+    pool.ReleaseLater(this->order.address);
+  } else {
+    pool.Release(this->order.address);
+  }
+}
+
+void Exchange::CloseAfterCancel() {
+  this->owner.Pool().CloseGracefully(this->order.address,
+                                     std::move(this->connection));
+}
+
 core::Duration Exchange::Elapsed() const noexcept {
   return std::chrono::steady_clock::now() - this->started;
 }
--- a/packages/forwarding/src/internal/connection_pool.h
+++ b/packages/forwarding/src/internal/connection_pool.h
@@ -2,12 +2,19 @@
 #define TREFOILBEND_FORWARDING_INTERNAL_CONNECTION_POOL_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <utility>
 #include <vector>
 
+#include "internal/connection_metrics.h"
+#include "trefoilbend/core/clock.h"
 #include "trefoilbend/http/address.h"
 
 namespace trefoilbend::forwarding::internal {
@@ -15,26 +22,123 @@
 /** @brief A connection to a target. */
 using Connection = std::unique_ptr<boost::beast::tcp_stream>;
 
-/** @brief Keeps idle connections to targets. */
+/** @brief What an exchange may do about its connection. */
+enum class Grant : std::uint8_t {
+  /** @brief Use the idle connection that comes with the grant. */
+  kReuse,
+  /** @brief Open a new connection. */
+  kOpen,
+  /** @brief Give up, since the deadline has passed. */
+  kGiveUp,
+};
+
+/** @brief Bounds of this entry's connections to one target. */
+struct ConnectionBounds {
+  /** @brief Connections that may be open. */
+  std::uint32_t open{};
+  /** @brief Least time between two new connections. */
+  core::Duration interval{};
+};
+
+/**
+ * @brief Decides who uses which connection to a target, and when a new one is
+ * opened.
+ *
+ * A connection counts as open from the grant until the target is known to have
+ * given it up.
+ */
 class ConnectionPool {
  public:
+  /** @brief Takes a grant, and the idle connection or null. */
+  using Ready = std::function<void(Grant, Connection)>;
+
+  /**
+   * @brief Makes an empty pool.
+   * @param context Event loop that carries the connections.
+   * @param idle_timeout Time after which an idle connection is closed, unless
+   * it is the only one to its target.
+   * @param metrics Metrics to update; outlives the pool.
+   */
+  ConnectionPool(boost::asio::io_context& context,
+                 std::chrono::milliseconds idle_timeout,
+                 ConnectionMetrics& metrics);
+
   /**
-   * @brief Takes an idle connection on which nothing has happened since it was
-   * kept.
+   * @brief Asks for a connection. The grant comes at once if nothing stands in
+   * its way.
    * @param address Address of the target.
-   * @return The connection, or null.
+   * @param bounds Bounds of the connections to that target from now on.
+   * @param deadline Time at which the request gives up.
+   * @param ready Takes the grant.
    */
-  [[nodiscard]] Connection Take(const http::Address& address);
+  void Acquire(const http::Address& address, const ConnectionBounds& bounds,
+               core::TimePoint deadline, Ready ready);
 
   /**
-   * @brief Keeps a connection for a later exchange.
+   * @brief Keeps a connection for a later exchange, or closes it if too many
+   * are open.
    * @param address Address of the target.
    * @param connection Connection whose last answer was whole.
    */
   void Keep(const http::Address& address, Connection connection);
 
+  /**
+   * @brief Takes note that a connection was closed or not made.
+   * @param address Address of the target.
+   */
+  void Release(const http::Address& address);
+
+  /**
+   * @brief Takes note that a connection was cut whose target may not know yet;
+   * it counts as open for a few seconds.
+   * @param address Address of the target.
+   */
+  void ReleaseLater(const http::Address& address);
+
+  /**
+   * @brief Closes a connection whose answer has not begun. It counts as open
+   * until the target has closed it too, for a few seconds at most.
+   * @param address Address of the target.
+   * @param connection Connection to close.
+   */
+  void CloseGracefully(const http::Address& address, Connection connection);
+
  private:
-  std::map<http::Address, std::vector<Connection>> idle;
+  struct IdleConnection {
+    Connection connection;
+    core::TimePoint since;
+  };
+
+  struct Waiter {
+    core::TimePoint deadline;
+    Ready ready;
+  };
+
+  struct Server {
+    ConnectionBounds bounds;
+    std::uint32_t open{};
+    core::TimePoint next_open{};
+    std::vector<IdleConnection> idle;
+    std::deque<Waiter> waiters;
+  };
+
+  [[nodiscard]] Connection TakeIdle(Server& server);
+  [[nodiscard]] bool MayOpen(const Server& server, core::TimePoint now) const;
+  void CountOpened(Server& server, core::TimePoint now);
+  void CountClosed(Server& server);
+  void Serve(Server& server, core::TimePoint now);
+  void DropLate(Server& server, core::TimePoint now);
+  void ServeLater();
+  void Sweep();
+  void CloseIdle(Server& server, core::TimePoint now);
+  void Post(Waiter waiter, Grant grant, Connection connection);
+
+  boost::asio::io_context& context;
+  std::chrono::milliseconds idle_timeout;
+  ConnectionMetrics& metrics;
+  std::map<http::Address, Server> servers;
+  boost::asio::steady_timer pace;
+  boost::asio::steady_timer sweep;
 };
 
 }  // namespace trefoilbend::forwarding::internal
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -56,7 +56,7 @@
    */
   Exchange(ExchangeOwner& owner, StartExchange order);
 
-  /** @brief Connects and sends the request. */
+  /** @brief Asks for a connection and sends the request on it. */
   void Start();
 
   /** @brief Reads the next part of the answer. */
@@ -77,6 +77,7 @@
  private:
   static constexpr std::size_t kPartSize = 16U << 10U;
 
+  void TakeConnection(Grant grant, Connection granted);
   void Connect();
   void Write();
   void ReadHead();
@@ -86,6 +87,8 @@
   void Deliver(std::string body, bool complete);
   void Fail(boost::system::error_code error);
   void Finish(ExchangeResult result);
+  void GiveBackConnection(ExchangeResult result);
+  void CloseAfterCancel();
   [[nodiscard]] core::Duration Elapsed() const noexcept;
 
   ExchangeOwner& owner;
@@ -104,6 +107,7 @@
   bool head_passed{};
   bool abandoned{};
   bool reading{};
+  bool awaits_head{};
   bool ended{};
 };
 
--- a/packages/forwarding/test/hedge_test.cc
+++ b/packages/forwarding/test/hedge_test.cc
@@ -1,3 +1,5 @@
+#include <prometheus/registry.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
@@ -90,7 +92,8 @@
 
   core::Ring<ToCallers> to_callers{16};
   core::Ring<ToBalancing> to_balancing{16};
-  ForwardingDuty duty{4};
+  prometheus::Registry registry;
+  ForwardingDuty duty{{.max_calls = 4}, registry};
   boost::asio::io_context context;
   std::vector<http::Respond> kept;
   std::size_t length = 10;
--- a/stand_ins/target/session.cc
+++ b/stand_ins/target/session.cc
@@ -14,6 +14,12 @@
   this->stream.socket().set_option(tcp::no_delay(true), ignored);
 }
 
+Session::~Session() {
+  if (this->counted) {
+    this->target.CountClosed();
+  }
+}
+
 void Session::Read() {
   this->in = {};
   beast::http::async_read(
@@ -33,6 +39,10 @@
   for (const auto& field : this->in) {
     request.fields.emplace_back(field.name_string(), field.value());
   }
+  if (!this->counted && !request.target.starts_with("/control/")) {
+    this->counted = true;
+    this->target.CountOpened();
+  }
   this->target.Handle(std::move(request),
                       [self = this->shared_from_this()](Reply reply) {
                         self->Write(std::move(reply));
--- a/stand_ins/target/session.h
+++ b/stand_ins/target/session.h
@@ -22,6 +22,11 @@
    */
   Session(boost::asio::ip::tcp::socket socket, Target& target);
 
+  ~Session();
+
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
   /** @brief Reads the next request. */
   void Read();
 
@@ -36,6 +41,7 @@
   boost::beast::http::request<boost::beast::http::string_body> in;
   boost::beast::http::response<boost::beast::http::string_body> out;
   std::string cut;
+  bool counted{};
 };
 
 }  // namespace trefoilbend::stand_ins
--- a/stand_ins/target/target.cc
+++ b/stand_ins/target/target.cc
@@ -57,6 +57,19 @@
   this->Admit(std::move(request), with_report);
 }
 
+void Target::CountOpened() {
+  ++this->opened;
+  this->most_open = std::max(this->most_open, ++this->open);
+  const auto now = std::chrono::steady_clock::now();
+  auto& recent = this->recently_opened;
+  recent.push_back(now);
+  while (recent.front() <= now - std::chrono::seconds{1}) {
+    recent.pop_front();
+  }
+  this->most_opened_in_a_second =
+      std::max(this->most_opened_in_a_second, recent.size());
+}
+
 std::string Target::LoadReport() {
   Sample shown{
       .at = {}, .running = this->running, .queued = this->waiting.size()};
@@ -96,6 +109,10 @@
               {"running", this->running},
               {"most_running", this->most_running},
               {"probes", this->probes},
+              {"open", this->open},
+              {"most_open", this->most_open},
+              {"opened", this->opened},
+              {"most_opened_in_a_second", this->most_opened_in_a_second},
               {"shed", this->shed},
               {"cold_overruns", this->cold_overruns},
               {"cold_handled", this->cold_handled},
--- a/stand_ins/target/target.h
+++ b/stand_ins/target/target.h
@@ -66,6 +66,13 @@
    */
   void Handle(http::Request request, Done done);
 
+  /** @brief Counts a new connection with its first request; those for control
+   * do not count. */
+  void CountOpened();
+
+  /** @brief Counts a connection that was closed. */
+  void CountClosed() { --this->open; }
+
   /** @return Value of the load report field. */
   [[nodiscard]] std::string LoadReport();
 
@@ -108,6 +115,11 @@
   std::uint64_t cold_handled = 0;
   std::size_t most_in_flight_cold = 0;
   std::uint32_t most_running = 0;
+  std::uint32_t open = 0;
+  std::uint32_t most_open = 0;
+  std::uint64_t opened = 0;
+  std::deque<std::chrono::steady_clock::time_point> recently_opened;
+  std::size_t most_opened_in_a_second = 0;
   std::map<std::string, std::uint64_t> runs_by_key;
   std::map<std::string, std::uint64_t> runs_by_call;
 };
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -80,6 +80,7 @@
   std::size_t entries{};
   std::size_t targets{};
   std::size_t new_targets{};
+  std::uint32_t connections{};
   std::vector<std::string> target_arguments;
   std::vector<std::string> settings;
   std::string rules;
@@ -118,8 +119,9 @@
       out << "[instance " << name << "]\ndata-centre = xela-" << i % 2 + 1
           << "\nservice = stock\naddress = "
           << ToString(this->Address(name, kServicePort))
-          << "\nslots = 6\nconnections = 200\nversion = "
-          << (i + this->new_targets > this->targets ? 2 : 1) << '\n';
+          << "\nslots = 6\nconnections = " << this->connections
+          << "\nversion = " << (i + this->new_targets > this->targets ? 2 : 1)
+          << '\n';
     }
   }
 
@@ -321,6 +323,7 @@
   state->entries = this->entries;
   state->targets = this->targets;
   state->new_targets = this->new_targets;
+  state->connections = this->connections;
   state->target_arguments = this->target_arguments;
   state->settings = this->settings;
   state->rules = this->rules;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -195,6 +195,16 @@
     return *this;
   }
 
+  /**
+   * @brief Sets how many connections the register gives each target.
+   * @param count Number of connections.
+   * @return This builder.
+   */
+  Builder& WithConnections(std::uint32_t count) {
+    this->connections = count;
+    return *this;
+  }
+
   /**
    * @brief Sets how many of the last targets run version 2.
    * @param count Number of targets.
@@ -232,6 +242,7 @@
   std::size_t entries = 3;
   std::size_t targets = 4;
   std::size_t new_targets = 0;
+  std::uint32_t connections = 200;
   std::vector<std::string> target_arguments;
   std::vector<std::string> settings;
   std::string rules;
