--- a/packages/forwarding/include/trefoilbend/forwarding/fwd.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/fwd.h
@@ -4,6 +4,7 @@
 namespace trefoilbend::forwarding {
 
 struct ResumePoint;
+struct Options;
 struct StartExchange;
 struct CancelExchange;
 struct ContinueAnswer;
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -15,6 +15,9 @@
 
 namespace trefoilbend::forwarding {
 
+/** @brief Number of connections that stands for no limit. */
+inline constexpr std::uint32_t kAnyConnections = UINT32_MAX;
+
 /** @brief Where a download goes on that broke after its caller got a part (RFC
  * 9110, sections 13.1.5 and 14.2). */
 struct ResumePoint {
@@ -46,6 +49,11 @@
   bool holds_refusals{};
   /** @brief Where the answer goes on if a part of it was passed on before. */
   std::optional<ResumePoint> resume{};
+  /** @brief Connections that this entry may have open to the target. */
+  std::uint32_t connections = kAnyConnections;
+  /** @brief Least time between two new connections of this entry to the target.
+   */
+  core::Duration connection_interval{};
 };
 
 /** @brief Order to give up an exchange and to close its connection. */
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -56,7 +56,7 @@
    */
   Exchange(ExchangeOwner& owner, StartExchange order);
 
-  /** @brief Connects and sends the request. */
+  /** @brief Asks for a connection and sends the request on it. */
   void Start();
 
   /** @brief Reads the next part of the answer. */
@@ -77,6 +77,7 @@
  private:
   static constexpr std::size_t kPartSize = 16U << 10U;
 
+  void TakeConnection(Grant grant, Connection granted);
   void Connect();
   void Write();
   void ReadHead();
@@ -89,6 +90,8 @@
   [[nodiscard]] core::AnswerHead MakeHead() const;
   [[nodiscard]] bool IsWholeBody() const noexcept;
   void PassOn(std::string body, bool complete);
+  void GiveBackConnection(ExchangeResult result, bool answered);
+  void CloseAfterCancel();
   [[nodiscard]] core::Duration Elapsed() const noexcept;
 
   ExchangeOwner& owner;
@@ -109,6 +112,7 @@
   bool abandoned{};
   bool refused{};
   bool reading{};
+  bool awaits_head{};
   bool ended{};
 };
 
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -80,7 +80,7 @@
   std::size_t entries{};
   std::size_t targets{};
   std::size_t new_targets{};
-  std::size_t connections{};
+  std::uint32_t connections{};
   std::vector<std::string> target_arguments;
   std::vector<std::string> settings;
   std::string rules;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -196,22 +196,22 @@
   }
 
   /**
-   * @brief Sets how many of the last targets run version 2.
-   * @param count Number of targets.
+   * @brief Sets how many connections the register gives each target.
+   * @param count Number of connections.
    * @return This builder.
    */
-  Builder& WithNewVersion(std::size_t count) {
-    this->new_targets = count;
+  Builder& WithConnections(std::uint32_t count) {
+    this->connections = count;
     return *this;
   }
 
   /**
-   * @brief Sets the connections that each target bears.
-   * @param count Number of connections, from all entries together.
+   * @brief Sets how many of the last targets run version 2.
+   * @param count Number of targets.
    * @return This builder.
    */
-  Builder& WithConnections(std::size_t count) {
-    this->connections = count;
+  Builder& WithNewVersion(std::size_t count) {
+    this->new_targets = count;
     return *this;
   }
 
@@ -242,7 +242,7 @@
   std::size_t entries = 3;
   std::size_t targets = 4;
   std::size_t new_targets = 0;
-  std::size_t connections = 200;
+  std::uint32_t connections = 200;
   std::vector<std::string> target_arguments;
   std::vector<std::string> settings;
   std::string rules;
