Delete claims of callers' own keys after a retention

Cause: a claim in the platform's table was never deleted, so the table grew with each own key.

The rest of calls_fleet was not run again with this change.

Ruled out: deletion by the claiming entry alone (claims of entries that are gone would stay).

--- a/packages/callers/include/trefoilbend/callers/duty.h
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -58,6 +58,11 @@
   /** @brief Time after a call's deadline up to which its answer is awaited and
    * kept for a repeat. */
   std::chrono::milliseconds late_answer{10'000};
+  /** @brief Time after which the claim of a caller's own key is deleted from
+   * the platform's table; a key counts as new from then on. */
+  std::chrono::milliseconds claim_retention{std::chrono::hours{24}};
+  /** @brief Time between two looks of this entry for claims to delete. */
+  std::chrono::milliseconds claim_sweep{30'000};
 };
 
 /** @brief Options of the callers' duty. */
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -15,6 +15,7 @@
 #include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/http/client.h"
+#include "trefoilbend/idempotency/claim_sweep.h"
 #include "trefoilbend/platform/client.h"
 
 namespace trefoilbend::callers {
@@ -61,6 +62,8 @@
         drain_timer(this->duty.Context()),
         expire_timer(this->duty.Context()),
         late_timer(this->duty.Context()),
+        sweep_timer(this->duty.Context()),
+        sweep(this->options.keys.claim_retention),
         metrics(registry) {
     this->duty.Read(
         this->from_balancing, [this](const balancing::ToCallers& message) {
@@ -109,6 +112,7 @@
     this->log.Info("Serves callers on {}.",
                    http::ToString(this->options.address));
     this->AwaitExpiry();
+    this->AwaitSweep();
     this->duty.Start();
     return listening;
   }
@@ -375,6 +379,34 @@
     });
   }
 
+  void AwaitSweep() {
+    this->sweep_timer.expires_after(this->options.keys.claim_sweep);
+    this->sweep_timer.async_wait([this](const boost::system::error_code error) {
+      if (!error) {
+        this->SweepClaims();
+        this->AwaitSweep();
+      }
+    });
+  }
+
+  /** A page that cannot be read or deleted now is left to a later sweep. */
+  void SweepClaims() {
+    this->platform.ReadRange(
+        idempotency::kClaimRows, this->sweep.After(),
+        idempotency::ClaimSweep::kPage,
+        [this](const platform::RangeOutcome& outcome) {
+          const auto* rows = std::get_if<std::vector<platform::Row>>(&outcome);
+          if (rows == nullptr) {
+            return;
+          }
+          const auto deletion = this->sweep.Take(*rows, this->WallNow());
+          if (!deletion.writes.empty()) {
+            this->platform.Transact(deletion,
+                                    [](const platform::TransactOutcome&) {});
+          }
+        });
+  }
+
   [[nodiscard]] bool IsIdle() const noexcept {
     return this->calls.empty() && this->keyed.Runs() == 0 &&
            this->received.empty() && this->listener.OpenSessions() == 0;
@@ -475,6 +507,8 @@
   boost::asio::steady_timer expire_timer;
   boost::asio::steady_timer late_timer;
   core::TimePoint late_due = core::TimePoint::max();
+  boost::asio::steady_timer sweep_timer;
+  idempotency::ClaimSweep sweep;
   std::unordered_map<core::CallId, OpenCall> calls;
   std::unordered_map<core::CallId, relay::ReceivedId> received;
   std::size_t passes{};
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -136,6 +136,13 @@
     limits.answer = section.Bytes("max-answer", {0, kMostBody}, limits.answer);
     limits.late_answer =
         Milliseconds(section.Time("late-answer", {0s, 1h}, limits.late_answer));
+    limits.claim_retention = Milliseconds(
+        section.Time("claim-retention", {1s, 8'760h}, limits.claim_retention));
+    if (limits.claim_retention < limits.retention) {
+      section.Refuse("claim-retention", "a time not shorter than retention");
+    }
+    limits.claim_sweep = Milliseconds(
+        section.Time("claim-sweep", {100ms, 24h}, limits.claim_sweep));
   }
 
   void ReadBalancing(Section& section) {
--- a/packages/idempotency/include/trefoilbend/idempotency/fwd.h
+++ b/packages/idempotency/include/trefoilbend/idempotency/fwd.h
@@ -3,6 +3,7 @@
 
 namespace trefoilbend::idempotency {
 
+class ClaimSweep;
 struct Home;
 struct Key;
 struct RequestDigest;
--- a/packages/idempotency/src/claim.cc
+++ b/packages/idempotency/src/claim.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "trefoilbend/core/outcome.h"
+#include "trefoilbend/idempotency/claim_sweep.h"
 
 namespace trefoilbend::idempotency {
 
@@ -11,8 +12,6 @@
 
 using nlohmann::json;
 
-constexpr const char* kRowPrefix = "keys/";
-
 std::string Encode(const Home& home) {
   return json{{"entry", home.entry.Text()},
               {"incarnation", home.incarnation.Value()},
@@ -39,7 +38,7 @@
 
 std::string ClaimRow(const core::ServiceName& service,
                      const std::string& text) {
-  return kRowPrefix + service.Text() + '/' + text;
+  return kClaimRows + service.Text() + '/' + text;
 }
 
 platform::Transaction MakeClaim(const std::string& row, const Home& home) {
--- a/tests/calls/at_most_once_test.cc
+++ b/tests/calls/at_most_once_test.cc
@@ -234,6 +234,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_claim_of_a_callers_own_key)
+
+BOOST_AUTO_TEST_CASE(is_deleted_after_its_retention_whoever_made_it) {
+  const auto fleet = Fleet::Builder{}
+                         .WithEntries(2)
+                         .WithTargets(1)
+                         .WithSetting("keys.retention=1s")
+                         .WithSetting("keys.claim-retention=5s")
+                         .WithSetting("keys.claim-sweep=100ms")
+                         .Build();
+  const Caller caller{*fleet};
+  const auto claims = [&] {
+    const auto outcome = Fleet::Send(
+        fleet->AddressOf("platform"),
+        {.method = "GET", .target = "/table/rows?prefix=keys/&limit=10"});
+    return core::Succeeded(outcome)
+               ? nlohmann::json::parse(core::ValueOf(outcome).body)
+                     .at("rows")
+                     .size()
+               : 0;
+  };
+  BOOST_TEST(caller.Reserve("entry-1", "own-5").status == 200);
+  BOOST_TEST(claims() == 1U);
+  fleet->Signal("entry-1", SIGKILL);
+  BOOST_TEST(Fleet::Await([&] { return claims() == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(many_reservations_under_random_faults, Fixture)
 
 BOOST_AUTO_TEST_CASE(run_at_most_once_and_not_run_is_true) {
