--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -27,11 +27,16 @@
   "at-most-once|decision|idempotency|$packages/idempotency/idempotency_test"
   "at-most-once|path|relay|$packages/relay/relay_test"
   "at-most-once|fleet|calls_fleet|$tests/calls_fleet_test"
+  "not-run-is-true|fleet|calls_fleet|$tests/calls_fleet_test --run_test=a_refusal_that_says_not_run"
+  "leaving-target|fleet|calls_fleet|$tests/calls_fleet_test --run_test=a_target_that_leaves"
   "leaving-target|decision|balancing|$packages/balancing/balancing_test --run_test=*/with_free_targets"
   "graceful-stop|path|entry|$packages/entry/entry_test --run_test=*/when_it_is_asked_to_stop"
   "graceful-stop|fleet|path_fleet|$tests/path_fleet_test --run_test=*/when_an_entry_is_stopped"
+  "graceful-stop|fleet|calls_fleet|$tests/calls_fleet_test --run_test=a_planned_stop_under_load,a_target_that_leaves"
   "configuration|decision|configuration|$packages/configuration/configuration_test"
   "configuration|fleet|configuration_fleet|$tests/configuration_fleet_test --run_test=*/when_two_operators_act_at_once,when_the_platform_loses_its_answer"
+  "configuration|decision|membership|$packages/membership/membership_test"
+  "configuration|fleet|configuration_fleet|$tests/configuration_fleet_test --run_test=five_entries_that_gossip,a_fleet_whose_platform_is_in_trouble"
 )
 
 rows=(cost-of-measuring cold-start data-centre-out bad-version own-whole-answer not-run-is-true
