Give the story of true refusals the connections it assumes

Change: share-delay is 0 in these stories, which gives the two connections that they assume, and the story goes on when the entry answers a reservation again. No check is changed.

--- a/tests/calls/not_run_test.cc
+++ b/tests/calls/not_run_test.cc
@@ -26,7 +26,7 @@
 /** Small targets and queues, so that a few calls at a time are too many. */
 struct Fixture {
   explicit Fixture(const std::string& rule = "no",
-                   const std::size_t connections = 200)
+                   const std::uint32_t connections = 200)
       : fleet(
             Fleet::Builder{}
                 .WithEntries(3)
@@ -34,6 +34,7 @@
                                  "--queue", "1"})
                 .WithConnections(connections)
                 .WithSetting("balancing.queue=2")
+                .WithSetting("forwarding.share-delay=0ms")
                 .WithRules("[service stock]\ntimeout = 2s\ntrust-refusals = " +
                            rule + '\n')
                 .Build()) {}
@@ -164,6 +165,11 @@
   CheckThatNoneRan("busy", 50);
   fleet->Fault("stock-1", "slow", 0);
   fleet->Fault("stock-2", "slow", 0);
+  BOOST_REQUIRE(Fleet::Await([&] {
+    const auto outcome = Fleet::Send(fleet->AddressOf("entry-1"),
+                                     Reservation({{"Host", "stock"}}));
+    return core::Succeeded(outcome) && core::ValueOf(outcome).status == 200;
+  }));
 
   Flood("entry-1", 1, {{"Host", "stock"}, {"Large", std::string(20'000, 'a')}});
   CheckThatNoneRan("431", 20);
