Build operators' change requests in one place

Cause: three commands filled the same change request field by field, two read the wall clock in the same three lines, and the dispatcher told twice which further attempts cost the budget nothing.

Change: MakeRequest, WallNow and IsFreeOfCharge; behaviour is the same.

--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -25,6 +25,11 @@
          ended.load->draining;
 }
 
+/** Whether a further attempt costs the budget nothing. */
+bool IsFreeOfCharge(const forwarding::ExchangeEnded& ended) noexcept {
+  return ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended);
+}
+
 rollout::ExchangeSummary SummaryOf(const forwarding::ExchangeEnded& ended,
                                    const core::RouteName& route) {
   const bool spared = ended.result == ExchangeResult::kAnswered ||
@@ -381,8 +386,6 @@
                                Decisions& decisions) {
   CallState& call = this->calls.at(ended.call);
   const bool refused = ended.result == ExchangeResult::kRefused;
-  const bool is_free =
-      ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended);
   if (ended.result == ExchangeResult::kTimedOut ||
       now >= call.request->deadline) {
     this->Refuse(ended.call, core::RefusalReason::kDeadline, decisions);
@@ -390,7 +393,8 @@
   }
   const bool may_run = call.request->idempotent || !call.perhaps_run;
   const bool may_retry = call.tried.size() < this->options.attempts &&
-                         may_run && (is_free || service.budget.Take(now));
+                         may_run &&
+                         (IsFreeOfCharge(ended) || service.budget.Take(now));
   if (!may_retry ||
       !this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
     this->Refuse(ended.call,
@@ -405,11 +409,9 @@
                                const core::TimePoint now,
                                Decisions& decisions) {
   CallState& call = this->calls.at(ended.call);
-  const bool may_resume =
-      call.resume && now < call.request->deadline &&
-      ++call.resumes <= kMostResumes &&
-      (ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended) ||
-       service.budget.Take(now));
+  const bool may_resume = call.resume && now < call.request->deadline &&
+                          ++call.resumes <= kMostResumes &&
+                          (IsFreeOfCharge(ended) || service.budget.Take(now));
   if (may_resume) {
     call.tried = {ended.target};
     if (this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -291,14 +291,8 @@
     }
     const std::optional<inventory::Object> outage{inventory::Outage{name}};
     const bool is_out = this->update.configuration->IsOut(name);
-    configuration::ChangeRequest request{
-        .request = {},
-        .change_id = body.value("id", ""),
-        .who = Name(command, body),
-        .why = body.value("why", ""),
-        .changes = {},
-        .based_on = this->update.configuration->Revision(),
-        .fences = {}};
+    configuration::ChangeRequest request = MakeRequest(command, body, {});
+    request.based_on = this->update.configuration->Revision();
     if (is_out != out) {
       request.changes.push_back({.before = is_out ? outage : std::nullopt,
                                  .after = out ? outage : std::nullopt});
@@ -322,19 +316,12 @@
          .service = core::ServiceName{body.value("service", "")},
          .version = core::VersionName{body.value("version", "")},
          .deadline = std::chrono::sys_seconds{deadline}},
-        std::chrono::floor<std::chrono::seconds>(
-            std::chrono::system_clock::now()));
+        WallNow());
     if (!core::Succeeded(prepared)) {
       command.respond(Problem(kBadRequest, core::ProblemOf(prepared)));
       return;
     }
-    this->Change({.request = {},
-                  .change_id = body.value("id", ""),
-                  .who = Name(command, body),
-                  .why = body.value("why", ""),
-                  .changes = core::ValueOf(std::move(prepared)),
-                  .based_on = std::nullopt,
-                  .fences = {}},
+    this->Change(MakeRequest(command, body, core::ValueOf(std::move(prepared))),
                  command.respond);
   }
 
@@ -367,6 +354,23 @@
     return false;
   }
 
+  static std::chrono::sys_seconds WallNow() {
+    return std::chrono::floor<std::chrono::seconds>(
+        std::chrono::system_clock::now());
+  }
+
+  static configuration::ChangeRequest MakeRequest(
+      const Command& command, const json& body,
+      std::vector<inventory::Change> changes) {
+    return {.request = {},
+            .change_id = body.value("id", ""),
+            .who = Name(command, body),
+            .why = body.value("why", ""),
+            .changes = std::move(changes),
+            .based_on = std::nullopt,
+            .fences = {}};
+  }
+
   static std::string Name(const Command& command, const json& body) {
     const std::string person = body.value("who", "");
     return person.empty() || person == command.who
@@ -405,9 +409,7 @@
             ? this->update.configuration
             : inventory::Configuration::Builder{}.Build();
     auto prepared =
-        rollout::PrepareApply(*current, *core::ValueOf(wanted),
-                              std::chrono::floor<std::chrono::seconds>(
-                                  std::chrono::system_clock::now()));
+        rollout::PrepareApply(*current, *core::ValueOf(wanted), WallNow());
     if (!core::Succeeded(prepared)) {
       respond(Answer(kBadRequest,
                      {{"error",
@@ -416,13 +418,7 @@
                       {"mistakes", core::ProblemOf(prepared)}}));
       return;
     }
-    this->Change({.request = {},
-                  .change_id = body.value("id", ""),
-                  .who = Name(command, body),
-                  .why = body.value("why", ""),
-                  .changes = core::ValueOf(std::move(prepared)),
-                  .based_on = std::nullopt,
-                  .fences = {}},
+    this->Change(MakeRequest(command, body, core::ValueOf(std::move(prepared))),
                  respond);
   }
 
