Wake calls that wait for a connection whenever their turn may come

Cause, found when reading the pool again: the timer was set when a call began to wait, and only for its deadline if all connections were in use. When one then failed or was closed before the next might be opened, nothing woke the waiting call until its deadline.

Change: each place that serves the waiters of a target also sets the timer while some remain; a connection above the bound is given up by the same Release.

--- a/packages/forwarding/src/connection_pool.cc
+++ b/packages/forwarding/src/connection_pool.cc
@@ -66,18 +66,18 @@
   Server& server = this->servers[address];
   if (server.open > server.bounds.open) {
     connection->close();
-    this->CountClosed(server);
+    this->Release(address);
     return;
   }
   connection->expires_never();
   server.idle.push_back({std::move(connection), Now()});
-  this->Serve(server, Now());
+  this->Serve(server);
 }
 
 void ConnectionPool::Release(const http::Address& address) {
   Server& server = this->servers[address];
   this->CountClosed(server);
-  this->Serve(server, Now());
+  this->Serve(server);
 }
 
 void ConnectionPool::ReleaseLater(const http::Address& address) {
@@ -127,7 +127,14 @@
   this->metrics.open.Decrement();
 }
 
-void ConnectionPool::Serve(Server& server, const core::TimePoint now) {
+void ConnectionPool::Serve(Server& server) {
+  this->ServeNow(server, Now());
+  if (!server.waiters.empty()) {
+    this->ServeLater();
+  }
+}
+
+void ConnectionPool::ServeNow(Server& server, const core::TimePoint now) {
   this->DropLate(server, now);
   while (!server.waiters.empty()) {
     Connection connection = this->TakeIdle(server);
@@ -175,7 +182,7 @@
       return;
     }
     for (auto& [address, server] : this->servers) {
-      this->Serve(server, Now());
+      this->ServeNow(server, Now());
     }
     this->ServeLater();
   });
--- a/packages/forwarding/src/internal/connection_pool.h
+++ b/packages/forwarding/src/internal/connection_pool.h
@@ -126,7 +126,9 @@
   [[nodiscard]] bool MayOpen(const Server& server, core::TimePoint now) const;
   void CountOpened(Server& server, core::TimePoint now);
   void CountClosed(Server& server);
-  void Serve(Server& server, core::TimePoint now);
+  /** Serves the waiters, now and when the next may have its turn. */
+  void Serve(Server& server);
+  void ServeNow(Server& server, core::TimePoint now);
   void DropLate(Server& server, core::TimePoint now);
   void ServeLater();
   void Sweep();
