--- a/apps/trefoilbend/main.cc
+++ b/apps/trefoilbend/main.cc
@@ -2,8 +2,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +22,8 @@
 
 constexpr int kBadSettings = 2;
 constexpr int kCannotStart = 1;
+/** Time between two looks at the settings' file. */
+constexpr std::chrono::seconds kFileLook{2};
 
 int Refuse(const settings::Mistakes& mistakes) {
   for (const settings::Mistake& mistake : mistakes) {
@@ -39,11 +44,123 @@
   return true;
 }
 
-int Run(entry::Settings settings) {
+/** Where the settings come from. */
+struct Source {
+  std::string path;
+  std::vector<std::string> flags;
+};
+
+using Loaded = core::Outcome<settings::Document, settings::Mistakes>;
+
+Loaded Load(const Source& source) {
+  Loaded document = settings::Document::Load(source.path);
+  if (!core::Succeeded(document)) {
+    return document;
+  }
+  for (const std::string& flag : source.flags) {
+    if (!ApplyFlag(std::get<0>(document), flag)) {
+      return settings::Mistakes{
+          {"command line", "--set " + flag, "", "SECTION.KEY=VALUE"}};
+    }
+  }
+  return document;
+}
+
+/** Reads the settings again on SIGHUP, and when their file has changed. */
+class Reloader {
+ public:
+  Reloader(boost::asio::io_context& context, Source source,
+           settings::Document document)
+      : source(std::move(source)),
+        document(std::move(document)),
+        changed_at(this->ChangeTime()),
+        signals(context, SIGHUP),
+        timer(context) {
+    this->AwaitSignal();
+    this->AwaitChange();
+  }
+
+ private:
+  void AwaitSignal() {
+    this->signals.async_wait(
+        [this](const boost::system::error_code error, int) {
+          if (!error) {
+            this->Reload();
+            this->AwaitSignal();
+          }
+        });
+  }
+
+  void AwaitChange() {
+    this->timer.expires_after(kFileLook);
+    this->timer.async_wait([this](const boost::system::error_code error) {
+      if (error) {
+        return;
+      }
+      this->TellDroppedLines();
+      if (const auto time = this->ChangeTime(); time != this->changed_at) {
+        this->changed_at = time;
+        this->Reload();
+      }
+      this->AwaitChange();
+    });
+  }
+
+  void TellDroppedLines() {
+    const std::uint64_t dropped = core::DroppedLogLines();
+    if (dropped != this->dropped_lines) {
+      this->log.Warn("Dropped lines, the reader is too slow. lines={}",
+                     dropped - this->dropped_lines);
+      this->dropped_lines = dropped;
+    }
+  }
+
+  [[nodiscard]] std::filesystem::file_time_type ChangeTime() const {
+    std::error_code ignored;
+    return std::filesystem::last_write_time(this->source.path, ignored);
+  }
+
+  /** Log levels change at once; other settings with the next start. */
+  void Reload() {
+    const Loaded loaded = Load(this->source);
+    const auto checked =
+        core::Succeeded(loaded)
+            ? entry::ReadSettings(core::ValueOf(loaded))
+            : core::Outcome<entry::Settings, settings::Mistakes>{
+                  core::ProblemOf(loaded)};
+    if (!core::Succeeded(checked)) {
+      for (const settings::Mistake& mistake : core::ProblemOf(checked)) {
+        this->log.Warn("Settings not taken: {}.", settings::ToString(mistake));
+      }
+      return;
+    }
+    const entry::Settings& next = core::ValueOf(checked);
+    core::ConfigureLogs(next.log_level, next.log_levels);
+    const bool same =
+        core::ValueOf(loaded).Sections() == this->document.Sections();
+    this->document = core::ValueOf(loaded);
+    this->log.Info("Read the settings again: {}.",
+                   same ? "unchanged"
+                        : "log levels are in force, other changes take "
+                          "effect at the next start");
+  }
+
+  Source source;
+  settings::Document document;
+  std::filesystem::file_time_type changed_at;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer timer;
+  std::uint64_t dropped_lines = 0;
+  core::Log log{"entry"};
+};
+
+int Run(entry::Settings settings, const Source& source,
+        const settings::Document& document) {
   core::ConfigureLogs(settings.log_level, settings.log_levels);
   const core::Log log{"entry"};
   boost::asio::io_context context{1};
   boost::asio::signal_set signals{context, SIGTERM, SIGINT};
+  const Reloader reloader{context, source, document};
   const auto entry =
       entry::Entry::Builder{}.WithSettings(std::move(settings)).Build();
   const auto started = entry->Start();
@@ -83,16 +200,11 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : kBadSettings;
   }
-  auto document = settings::Document::Load(path);
+  const Source source{.path = path, .flags = flags};
+  const Loaded document = Load(source);
   if (!core::Succeeded(document)) {
     return Refuse(core::ProblemOf(document));
   }
-  for (const std::string& flag : flags) {
-    if (!ApplyFlag(std::get<0>(document), flag)) {
-      return Refuse(
-          {{"command line", "--set " + flag, "", "SECTION.KEY=VALUE"}});
-    }
-  }
   auto settings = entry::ReadSettings(core::ValueOf(document));
   if (!core::Succeeded(settings)) {
     return Refuse(core::ProblemOf(settings));
@@ -101,5 +213,5 @@
     std::printf("%s: the settings are right\n", path.c_str());
     return 0;
   }
-  return Run(std::move(std::get<0>(settings)));
+  return Run(std::move(std::get<0>(settings)), source, core::ValueOf(document));
 }
--- a/apps/trefoilctl/main.cc
+++ b/apps/trefoilctl/main.cc
@@ -4,10 +4,12 @@
 #include <cstdlib>
 #include <fstream>
 #include <string>
+#include <vector>
 
 #include "audit.h"
 #include "commands.h"
 #include "data_centre.h"
+#include "explain.h"
 #include "release.h"
 
 namespace {
@@ -122,6 +124,14 @@
                             "Latest time, such as 2026-12-04");
   audit_command->add_option("--limit", audit.limit, "Most entries to show");
   watch->add_option("--seconds", watch_seconds, "Seconds to watch; 0 for ever");
+  std::string request_id;
+  std::vector<std::string> log_files;
+  CLI::App* explain = app.add_subcommand(
+      "explain", "Tells the story of one request from entries' logs");
+  explain->add_option("--id", request_id, "Identity of the request")
+      ->required();
+  explain->add_option("logs", log_files, "Files with logs; - is standard input")
+      ->required();
   CLI::App* show =
       app.add_subcommand("show", "Shows the configuration in force");
   add_common(show);
@@ -134,6 +144,9 @@
     return app.exit(error) == 0 ? 0 : ctl::kMistake;
   }
   entry = OrEnvironment(entry, "TREFOILCTL_ENTRY");
+  if (explain->parsed()) {
+    return ctl::ExplainFiles(request_id, log_files);
+  }
   if (!check->parsed() && !http::ParseAddress(entry)) {
     std::fprintf(stderr,
                  "trefoilctl: give an entry's operations address by --entry or "
--- a/bench/balancing/simulation.cc
+++ b/bench/balancing/simulation.cc
@@ -268,6 +268,7 @@
                 this->End(flight, ExchangeResult::kCancelled);
               }
             },
+            [](const forwarding::StartProbe&) {},
             [](const balancing::CallBroken&) {},
             [&](const balancing::CallRefused& refused) {
               const Call& call = this->calls[refused.call.Value()];
--- a/cmake/TrefoilbendPackage.cmake
+++ b/cmake/TrefoilbendPackage.cmake
@@ -1,6 +1,8 @@
-add_library(trefoilbend_test_main OBJECT "${PROJECT_SOURCE_DIR}/cmake/test_main.cc")
-target_compile_definitions(trefoilbend_test_main PUBLIC BOOST_TEST_DYN_LINK)
-target_link_libraries(trefoilbend_test_main PUBLIC Boost::unit_test_framework)
+if(TREFOILBEND_TESTS)
+  add_library(trefoilbend_test_main OBJECT "${PROJECT_SOURCE_DIR}/cmake/test_main.cc")
+  target_compile_definitions(trefoilbend_test_main PUBLIC BOOST_TEST_DYN_LINK)
+  target_link_libraries(trefoilbend_test_main PUBLIC Boost::unit_test_framework)
+endif()
 
 # trefoilbend_package(NAME [DEPENDS packages...] [LIBRARIES libraries...])
 # Builds packages/NAME from its src folder and its test folder's program.
@@ -28,7 +30,7 @@
 # trefoilbend_test(NAME libraries...) builds the test folder beside the caller.
 function(trefoilbend_test name)
   file(GLOB tests CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/test/*.cc")
-  if(NOT tests)
+  if(NOT TREFOILBEND_TESTS OR NOT tests)
     return()
   endif()
   add_executable(${name}_test ${tests})
--- a/packages/balancing/include/trefoilbend/balancing/availability.h
+++ b/packages/balancing/include/trefoilbend/balancing/availability.h
@@ -27,11 +27,14 @@
   /** @return Whether the platform lists an instance as live. */
   [[nodiscard]] bool IsLive(const core::InstanceName& name) const;
 
+  /** @return Time until which a target is cold by its own account. */
+  [[nodiscard]] core::TimePoint ColdUntil(const core::InstanceName& name) const;
+
   /** @return Whether a target may take new calls. */
   [[nodiscard]] bool IsUsable(const inventory::Instance& target) const;
 
  private:
-  std::unordered_map<std::string_view, platform::InstanceState> listed;
+  std::unordered_map<std::string_view, const platform::ListedInstance*> listed;
   std::vector<core::DataCentreName> out;
 };
 
--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -15,7 +15,9 @@
 #include "trefoilbend/admission/queue.h"
 #include "trefoilbend/balancing/attempt_budget.h"
 #include "trefoilbend/balancing/availability.h"
+#include "trefoilbend/balancing/call_trace.h"
 #include "trefoilbend/balancing/entry_counter.h"
+#include "trefoilbend/balancing/lookups.h"
 #include "trefoilbend/balancing/messages.h"
 #include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/target_table.h"
@@ -45,6 +47,16 @@
   /** @brief Time until which an entry may not know that another one has come or
    * gone. */
   core::Duration share_delay{};
+  /** @brief Further attempts that all entries may make together. */
+  FleetAllowance fleet_attempts{};
+  /** @brief Whether an idempotent call that a target failed (status 500 and
+   * above) is sent to another one. */
+  bool retries_failures = false;
+  /** @brief Targets that are probed at a time before one is chosen; 0 to choose
+   * by what is known. */
+  std::uint32_t probes = 0;
+  /** @brief Data centre of this entry; empty if distance does not matter. */
+  core::DataCentreName data_centre{};
   /** @brief Part of a target's time that new connections of all entries may
    * cost, in percent; 0 for no pacing. */
   std::uint32_t connection_percent = 10;
@@ -107,6 +119,15 @@
    */
   void Began(const forwarding::ExchangeBegan& began);
 
+  /**
+   * @brief Takes note of a probe that ended.
+   * @param ended Report of the probe.
+   * @param now Current time.
+   * @return Decisions for the calls that waited for it.
+   */
+  [[nodiscard]] Decisions Probed(const forwarding::ProbeEnded& ended,
+                                 core::TimePoint now);
+
   /**
    * @brief Hedges calls whose answers are late, refuses waiting calls whose
    * deadline has passed and serves those
@@ -117,11 +138,13 @@
   [[nodiscard]] Decisions Tick(core::TimePoint now);
 
   /**
-   * @brief Tells when the next hedge may be due.
+   * @brief Tells when something may be due.
+   * @param now Current time.
    * @param latest Time to return if none is due before.
    * @return Time of the next Tick.
    */
-  [[nodiscard]] core::TimePoint NextTick(core::TimePoint latest) const;
+  [[nodiscard]] core::TimePoint NextTick(core::TimePoint now,
+                                         core::TimePoint latest) const;
 
   /**
    * @brief Gives a release's version no more calls.
@@ -136,6 +159,11 @@
     return this->evidence.Take();
   }
 
+  /** @return Traces of the calls that are over since the last call. */
+  [[nodiscard]] std::vector<CallTrace> TakeTraces() {
+    return std::exchange(this->traces, {});
+  }
+
   /** @return Number of calls that wait or are in flight. */
   [[nodiscard]] std::size_t Calls() const noexcept {
     return this->calls.size();
@@ -150,11 +178,15 @@
     core::TimePoint overloaded_until{};
     bool trusts_refusals{};
     std::uint32_t cold_allowance{};
+    std::uint32_t cold_rate{};
+    std::string health_path;
   };
 
   struct CallState {
     std::shared_ptr<const core::CallRequest> request;
     std::vector<core::InstanceName> tried;
+    /** Targets that have the request or may have run it. */
+    std::uint32_t sends{};
     core::VersionName version;
     std::vector<core::ExchangeId> exchanges;
     bool began{};
@@ -164,6 +196,9 @@
     bool broken{};
     std::optional<forwarding::ResumePoint> resume;
     std::uint32_t resumes{};
+    /** Rounds of probes that were made for the call. */
+    std::uint32_t rounds{};
+    CallTrace trace{};
   };
 
   struct Hedge {
@@ -177,6 +212,12 @@
   };
 
   void Serve(ServiceState& service, core::TimePoint now, Decisions& decisions);
+  /** Probes targets for a call; returns false if it need not wait. */
+  [[nodiscard]] bool Look(ServiceState& service, core::CallId id,
+                          core::TimePoint now, Decisions& decisions);
+  void EndLookup(core::CallId id, core::TimePoint now, Decisions& decisions);
+  /** Version that a call's next attempt goes to if its targets have room. */
+  [[nodiscard]] core::VersionName PreferredVersion(CallState& call);
   [[nodiscard]] bool TryStart(ServiceState& service, core::CallId id,
                               std::optional<core::ExchangeId> beside,
                               core::TimePoint now, Decisions& decisions);
@@ -198,10 +239,13 @@
   void ResumeOrBreak(ServiceState& service,
                      const forwarding::ExchangeEnded& ended,
                      core::TimePoint now, Decisions& decisions);
-  void Refuse(core::CallId id, core::RefusalReason reason,
+  void Refuse(core::CallId id, core::RefusalReason reason, core::TimePoint now,
               Decisions& decisions);
+  /** Forgets a call that is over and keeps its trace. */
+  void Forget(core::CallId id);
 
   [[nodiscard]] ServiceState& StateOf(const core::ServiceName& name);
+  [[nodiscard]] std::uint32_t AttemptsOf(const CallState& call) const noexcept;
   [[nodiscard]] std::vector<TargetTable::Member> MembersOf(
       const inventory::ServiceView& view,
       const Availability& availability) const;
@@ -222,6 +266,11 @@
   std::unordered_map<core::CallId, CallState> calls;
   std::priority_queue<Hedge, std::vector<Hedge>, std::greater<>> hedges;
   core::ExchangeId last_exchange;
+  Lookups lookups;
+  std::unordered_map<forwarding::ProbeId, core::ServiceName> probed_services;
+  forwarding::ProbeId last_probe;
+  core::Revision revision;
+  std::vector<CallTrace> traces;
 };
 
 }  // namespace trefoilbend::balancing
--- a/packages/balancing/include/trefoilbend/balancing/duty.h
+++ b/packages/balancing/include/trefoilbend/balancing/duty.h
@@ -6,9 +6,14 @@
 
 #include "trefoilbend/balancing/dispatcher.h"
 #include "trefoilbend/balancing/messages.h"
+#include "trefoilbend/balancing/trace_sampler.h"
 #include "trefoilbend/core/ring.h"
 #include "trefoilbend/rollout/messages.h"
 
+namespace prometheus {
+class Registry;
+}  // namespace prometheus
+
 namespace trefoilbend::balancing {
 
 /** @brief Rings that the balancing duty writes to. */
@@ -28,8 +33,11 @@
    * @brief Makes the duty; it runs after Start.
    * @param options Options of the decisions.
    * @param max_calls Greatest number of calls in flight, which sizes the rings.
+   * @param traces Bounds of the traces of calls.
+   * @param registry Takes the duty's metrics.
    */
-  BalancingDuty(DispatcherOptions options, std::size_t max_calls);
+  BalancingDuty(DispatcherOptions options, std::size_t max_calls,
+                const TraceOptions& traces, prometheus::Registry& registry);
   ~BalancingDuty();
 
   BalancingDuty(const BalancingDuty&) = delete;
--- a/packages/balancing/include/trefoilbend/balancing/messages.h
+++ b/packages/balancing/include/trefoilbend/balancing/messages.h
@@ -49,7 +49,7 @@
 /** @brief What the dispatcher wants done. */
 using Decision =
     std::variant<forwarding::StartExchange, forwarding::CancelExchange,
-                 CallRefused, CallBroken>;
+                 forwarding::StartProbe, CallRefused, CallBroken>;
 
 /** @brief Decisions in the order in which they take effect. */
 using Decisions = std::vector<Decision>;
--- a/packages/balancing/include/trefoilbend/balancing/strategy.h
+++ b/packages/balancing/include/trefoilbend/balancing/strategy.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -36,6 +37,11 @@
   /** @brief Age of the oldest answer that the target owes this entry, in the
    * service's median latencies. */
   double owed{};
+  /** @brief Time that work took at the last report, in multiples of the usual,
+   * if the target tells it. */
+  std::optional<double> slowdown{};
+  /** @brief Whether the target stands in another data centre. */
+  bool far{};
 };
 
 /** @brief Way of choosing a target. */
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "trefoilbend/balancing/availability.h"
+#include "trefoilbend/balancing/cold_pace.h"
 #include "trefoilbend/balancing/cold_share.h"
 #include "trefoilbend/balancing/connection_share.h"
 #include "trefoilbend/balancing/quantile.h"
@@ -57,6 +58,16 @@
   std::uint32_t failures{};
   /** @brief Exchanges that wait for the head of their answer, oldest first. */
   std::vector<Owed> owed;
+  /** @brief Time until which the target bears only a few requests a second. */
+  core::TimePoint cold_until{};
+  /** @brief Time for which it stays cold after a start. */
+  core::Duration cold_time{};
+  /** @brief Pace of this entry's requests while it is cold. */
+  ColdPace cold_pace;
+  /** @brief Whether it stands in another data centre than this entry. */
+  bool far{};
+  /** @brief Whether its version's share is too small for it to take calls. */
+  bool held_back{};
   /** @brief Time until which the target is left out because it failed, unless
    * all others are left out too. */
   core::TimePoint avoided_until{};
@@ -90,6 +101,15 @@
     std::uint32_t limit{};
     /** @brief Part of this entry in what it bears while it is cold. */
     ColdShare cold_share{};
+    /** @brief Requests a second of this entry that it bears while it is cold; 0
+     * if only the calls in flight are bounded. */
+    double cold_rate{};
+    /** @brief Time for which it stays cold after a start. */
+    core::Duration cold_time{};
+    /** @brief Time until which it is cold by its own account. */
+    core::TimePoint cold_until{};
+    /** @brief Whether it stands in another data centre than this entry. */
+    bool far{};
   };
 
   /**
@@ -102,6 +122,15 @@
    */
   void SetMembers(std::vector<Member> members, core::TimePoint now);
 
+  /**
+   * @brief Lets only some targets of a version take calls, so that a small
+   * share of the traffic loads each of them as the whole would load them all,
+   * and a fault under load shows.
+   * @param version Version whose targets are held back; empty for none.
+   * @param share Share of the traffic that the version gets, in thousandths.
+   */
+  void HoldBack(const core::VersionName& version, std::uint32_t share);
+
   /**
    * @brief Tells whether SetMembers would change nothing.
    * @param instances Targets of the service.
@@ -131,6 +160,37 @@
       const core::VersionName& version, core::ExchangeId exchange,
       core::TimePoint now);
 
+  /** @return What was known of the target that was chosen last. */
+  [[nodiscard]] const Candidate& LastChoice() const noexcept {
+    return this->last_choice;
+  }
+
+  /** @return Number of targets among which the last one was chosen. */
+  [[nodiscard]] std::size_t LastCandidates() const noexcept {
+    return this->candidates.size();
+  }
+
+  /**
+   * @brief Lists the targets to probe before one is chosen.
+   * @param excluded Targets that already had the call.
+   * @param version Version that the target must run.
+   * @param most Greatest number of targets.
+   * @param now Current time.
+   * @return The targets that would be chosen first and of which nothing fresh
+   * is known; none once a target of the same data centre is known to be quiet,
+   * and only those of it once a far one is.
+   */
+  [[nodiscard]] std::vector<const inventory::Instance*> ToProbe(
+      const std::vector<core::InstanceName>& excluded,
+      const core::VersionName& version, std::size_t most, core::TimePoint now);
+
+  /**
+   * @brief Takes note of a probe's answer.
+   * @param ended Report of the probe.
+   * @param now Current time.
+   */
+  void Probed(const forwarding::ProbeEnded& ended, core::TimePoint now);
+
   /**
    * @brief Takes note that the head of a long answer came.
    * @param exchange Exchange that has its answer.
@@ -155,6 +215,23 @@
   [[nodiscard]] bool HasUsable(const core::VersionName& version,
                                core::TimePoint now) const noexcept;
 
+  /**
+   * @brief Tells whether a target was slowed down by its neighbours at its last
+   * report.
+   * @param name Name of the target.
+   * @return False for an unknown target.
+   */
+  [[nodiscard]] bool IsDisturbed(const core::InstanceName& name) const;
+
+  /**
+   * @brief Tells whether a target is cold and bears a few requests a second.
+   * @param name Name of the target.
+   * @param now Current time.
+   * @return False for an unknown target.
+   */
+  [[nodiscard]] bool IsPaced(const core::InstanceName& name,
+                             core::TimePoint now) const;
+
   /** @return Requests that wait at a target for each of its slots, by the
    * reports of the recent answers. */
   [[nodiscard]] double Crowding() const noexcept { return this->crowding; }
@@ -177,6 +254,7 @@
                   core::TimePoint now) const;
   void NoteFailures(TargetState& target, const forwarding::ExchangeEnded& ended,
                     core::TimePoint now) const;
+  void Chill(TargetState& target, core::TimePoint now) const noexcept;
   [[nodiscard]] bool MostAreWarm() const noexcept;
   [[nodiscard]] Candidate Describe(std::size_t at, core::TimePoint now) const;
 
@@ -189,6 +267,7 @@
   bool has_had_usable{};
   std::unordered_map<core::InstanceName, std::size_t> positions;
   std::vector<Candidate> candidates;
+  Candidate last_choice;
 };
 
 }  // namespace trefoilbend::balancing
--- a/packages/balancing/src/availability.cc
+++ b/packages/balancing/src/availability.cc
@@ -7,7 +7,7 @@
 Availability::Availability(const configuration::Update& update) {
   this->listed.reserve(update.listed->size());
   for (const platform::ListedInstance& instance : *update.listed) {
-    this->listed.emplace(instance.name.Text(), instance.state);
+    this->listed.emplace(instance.name.Text(), &instance);
   }
   const auto& objects = update.configuration->Objects();
   for (auto at = objects.lower_bound({inventory::Kind::kOutage, ""});
@@ -24,7 +24,13 @@
 bool Availability::IsLive(const core::InstanceName& name) const {
   const auto found = this->listed.find(name.Text());
   return found != this->listed.end() &&
-         found->second == platform::InstanceState::kLive;
+         found->second->state == platform::InstanceState::kLive;
+}
+
+core::TimePoint Availability::ColdUntil(const core::InstanceName& name) const {
+  const auto found = this->listed.find(name.Text());
+  return found == this->listed.end() ? core::TimePoint{}
+                                     : found->second->cold_until;
 }
 
 bool Availability::IsUsable(const inventory::Instance& target) const {
--- /dev/null
+++ b/packages/balancing/src/call_trace.cc
@@ -0,0 +1,168 @@
+#include "trefoilbend/balancing/call_trace.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "trefoilbend/core/outcome.h"
+
+namespace trefoilbend::balancing {
+
+namespace {
+
+constexpr std::uint16_t kFirstServerError = 500;
+
+double Milliseconds(const core::Duration time) noexcept {
+  return std::chrono::duration<double, std::milli>{time}.count();
+}
+
+std::string_view TextOf(const AttemptKind kind) noexcept {
+  static constexpr std::array<std::string_view, 3> kTexts{
+      "Sent.", "Sent again.", "Hedged."};
+  return kTexts.at(static_cast<std::size_t>(kind));
+}
+
+std::string LineOf(const TraceProbed& step) {
+  std::string targets;
+  for (const core::InstanceName& target : step.targets) {
+    targets += (targets.empty() ? "" : ",") + target.Text();
+  }
+  return "Asked targets for their load. targets=" + targets;
+}
+
+std::string LineOf(const TraceSent& step) {
+  const bool told = step.known.slowdown.has_value();
+  return fmt::format(
+      "{} target={} candidates={} own_in_flight={} told_requests={} slots={} "
+      "told_slowdown={:.2f} told_age_ms={:.0f} far={}",
+      TextOf(step.kind), step.target.Text(), step.candidates,
+      step.known.in_flight, step.known.reported, step.known.slots,
+      step.known.slowdown.value_or(0),
+      told ? Milliseconds(step.known.report_age) : -1.0, step.known.far);
+}
+
+std::string LineOf(const TraceEnded& step) {
+  return fmt::format("Attempt ended. target={} result={} status={}",
+                     step.target.Text(), ToString(step.result), step.status);
+}
+
+std::string LineOf(const TraceRefused& step) {
+  const bool not_run = step.refusal.run == core::RunState::kNotRun;
+  return fmt::format("Refused. reason={} run={} retry_after_ms={}",
+                     core::ToString(step.refusal.reason),
+                     not_run ? "not-run" : "unknown",
+                     step.refusal.retry_after.count());
+}
+
+std::string LineOf(const TraceCallerLeft& /*step*/) { return "Caller left."; }
+
+std::string LineOf(const TraceBroken& /*step*/) { return "Answer broke."; }
+
+bool IsTrouble(const TraceStep& step) noexcept {
+  const auto* ended = std::get_if<TraceEnded>(&step);
+  const auto* sent = std::get_if<TraceSent>(&step);
+  return std::holds_alternative<TraceRefused>(step) ||
+         std::holds_alternative<TraceBroken>(step) ||
+         std::holds_alternative<TraceCallerLeft>(step) ||
+         (sent != nullptr && sent->kind != AttemptKind::kFirst) ||
+         (ended != nullptr &&
+          (ended->result != forwarding::ExchangeResult::kAnswered ||
+           ended->status >= kFirstServerError));
+}
+
+}  // namespace
+
+std::string_view ToString(const CallEnd end) noexcept {
+  static constexpr std::array<std::string_view, 4> kWords{
+      "answered", "refused", "caller-left", "broken"};
+  return kWords.at(static_cast<std::size_t>(end));
+}
+
+std::string_view ToString(const forwarding::ExchangeResult result) noexcept {
+  static constexpr std::array<std::string_view, 9> kWords{
+      "answered",
+      "not-sent",
+      "broken-before-answer",
+      "broken-within-answer",
+      "timed-out",
+      "cancelled",
+      "refused",
+      "misdirected",
+      "failed"};
+  return kWords.at(static_cast<std::size_t>(result));
+}
+
+const core::ServiceName& CallTrace::Service() const noexcept {
+  static const core::ServiceName kNone;
+  return this->request == nullptr ? kNone : this->request->service;
+}
+
+CallOutcome CallTrace::Outcome() const noexcept {
+  CallOutcome outcome;
+  for (const Timed& one : this->steps) {
+    outcome.duration = one.at;
+    if (const auto* refused = std::get_if<TraceRefused>(&one.step)) {
+      outcome.end = CallEnd::kRefused;
+      outcome.reason = refused->refusal.reason;
+    } else if (std::holds_alternative<TraceBroken>(one.step)) {
+      outcome.end = CallEnd::kBroken;
+    } else if (std::holds_alternative<TraceCallerLeft>(one.step)) {
+      outcome.end = CallEnd::kCallerLeft;
+    }
+  }
+  return outcome;
+}
+
+void CallTrace::Add(TraceStep step, const core::TimePoint now) {
+  if (this->request != nullptr && this->steps.size() < kMostSteps) {
+    this->steps.push_back({std::move(step), now - this->arrived});
+  }
+}
+
+bool CallTrace::IsNotable(const core::Duration slow) const noexcept {
+  if (this->steps.empty()) {
+    return false;
+  }
+  const core::Duration limit = this->request->objective.count() > 0
+                                   ? core::Duration{this->request->objective}
+                                   : slow;
+  return this->steps.back().at > limit ||
+         std::any_of(this->steps.begin(), this->steps.end(),
+                     [](const Timed& one) { return IsTrouble(one.step); });
+}
+
+const std::string& CallTrace::Id() const noexcept {
+  static const std::string kNone;
+  return this->request == nullptr ? kNone : this->request->id;
+}
+
+std::vector<std::string> CallTrace::Lines() const {
+  std::vector<std::string> lines;
+  if (this->request == nullptr) {
+    return lines;
+  }
+  lines.push_back(fmt::format(
+      "Arrived. id={} at_ms=0 service={} route={} idempotent={} urgent={} "
+      "left_ms={:.0f} objective_ms={} revision={}",
+      this->request->id, this->request->service.Text(),
+      this->request->route.Text(), this->request->idempotent,
+      this->request->urgency == core::Urgency::kUrgent,
+      Milliseconds(this->request->deadline - this->arrived),
+      this->request->objective.count(), this->revision.Value()));
+  for (const Timed& one : this->steps) {
+    const std::string line =
+        std::visit([](const auto& step) { return LineOf(step); }, one.step);
+    const std::size_t sentence = line.find(". ");
+    const std::size_t end =
+        sentence == std::string::npos ? line.size() : sentence + 1;
+    lines.push_back(fmt::format("{} id={} at_ms={:.1f}{}", line.substr(0, end),
+                                this->request->id, Milliseconds(one.at),
+                                line.substr(end)));
+  }
+  return lines;
+}
+
+}  // namespace trefoilbend::balancing
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "internal/refusals.h"
 #include "trefoilbend/core/invariant.h"
 
 namespace trefoilbend::balancing {
@@ -10,35 +11,26 @@
 
 using forwarding::ExchangeResult;
 
-constexpr std::chrono::milliseconds kRetryAfter{1'000};
 constexpr std::chrono::milliseconds kFirstHedgeDelay{100};
 constexpr std::chrono::milliseconds kLeastHedgeDelay{5};
 constexpr std::chrono::milliseconds kOverload{500};
 constexpr double kPercent = 100;
-constexpr std::uint32_t kMostResumes = 8;
 /** Requests that wait at targets for each slot, above which hedges stop. */
 constexpr double kMostCrowding = 0.6;
 constexpr std::uint16_t kFirstServerError = 500;
-
-bool IsDrainingRefusal(const forwarding::ExchangeEnded& ended) noexcept {
-  return ended.status == forwarding::kRefusalStatus && ended.load &&
-         ended.load->draining;
-}
-
-/** Whether a further attempt costs the budget nothing. */
-bool IsFreeOfCharge(const forwarding::ExchangeEnded& ended) noexcept {
-  return ended.result == ExchangeResult::kNotSent || IsDrainingRefusal(ended);
-}
+/** Time between two looks at the calls that wait. */
+constexpr std::chrono::milliseconds kQueueTick{5};
 
 rollout::ExchangeSummary SummaryOf(const forwarding::ExchangeEnded& ended,
-                                   const core::RouteName& route) {
+                                   const core::RouteName& route,
+                                   const bool cold) {
   const bool spared = ended.result == ExchangeResult::kAnswered ||
                       ended.result == ExchangeResult::kCancelled;
   const bool failed = !spared || ended.status >= kFirstServerError;
   return {.target = ended.target,
           .route = route,
           .failed = failed && !IsDrainingRefusal(ended),
-          .cold = ended.load && ended.load->cold,
+          .cold = cold || (ended.load && ended.load->cold),
           .latency = ended.latency};
 }
 
@@ -51,6 +43,7 @@
                                 const core::TimePoint now) {
   const Availability availability{update};
   const inventory::Configuration& configuration = *update.configuration;
+  this->revision = configuration.Revision();
   this->versions.Configure(configuration);
   this->evidence.Configure(update.configuration);
   this->CountEntries(update, availability, now);
@@ -60,12 +53,23 @@
     ServiceState& service = this->StateOf(name);
     const bool same = same_entries &&
                       service.cold_allowance == view.service->cold_allowance &&
+                      service.cold_rate == view.service->cold_rate &&
                       service.targets.Matches(view.targets, availability);
+    service.budget.Divide(this->options.fleet_attempts,
+                          configuration.Entries().size());
     if (!same) {
       service.cold_allowance = view.service->cold_allowance;
+      service.cold_rate = view.service->cold_rate;
       service.targets.SetMembers(this->MembersOf(view, availability), now);
     }
+    const auto* release = configuration.Find<inventory::Release>(name.Text());
+    const bool under_way = release != nullptr && rollout::IsUnderWay(*release);
+    service.targets.HoldBack(under_way && this->options.probes > 0
+                                 ? release->version
+                                 : core::VersionName{},
+                             under_way ? release->share : 0);
     service.trusts_refusals = view.service->trusts_refusals;
+    service.health_path = view.service->health_path;
     this->Serve(service, now, decisions);
   }
   for (auto& [name, state] : this->services) {
@@ -94,14 +98,25 @@
     const Availability& availability) const {
   std::vector<TargetTable::Member> members;
   members.reserve(view.targets.size());
+  const auto owners = std::clamp<std::uint32_t>(
+      static_cast<std::uint32_t>(this->entries.size()), 1, kMostColdOwners);
   for (const inventory::Instance* target : view.targets) {
+    const ColdShare share =
+        ShareOfColdTarget(target->name, this->options.self, this->entries,
+                          view.service->cold_allowance);
     members.push_back(
         {.instance = *target,
          .usable = availability.IsUsable(*target),
          .limit = ShareOfConnections(target->connections, this->entry_count),
-         .cold_share =
-             ShareOfColdTarget(target->name, this->options.self, this->entries,
-                               view.service->cold_allowance)});
+         .cold_share = share,
+         .cold_rate =
+             share.rank < owners
+                 ? static_cast<double>(view.service->cold_rate) / owners
+                 : 0,
+         .cold_time = view.service->warm_up,
+         .cold_until = availability.ColdUntil(target->name),
+         .far = !this->options.data_centre.Empty() &&
+                target->data_centre != this->options.data_centre});
   }
   return members;
 }
@@ -153,26 +168,30 @@
 Decisions Dispatcher::Submit(const SubmitCall& call,
                              const core::TimePoint now) {
   Decisions decisions;
-  const bool fresh = this->calls
-                         .emplace(call.call, CallState{.request = call.request,
-                                                       .tried = {},
-                                                       .exchanges = {}})
-                         .second;
+  const bool fresh =
+      this->calls
+          .emplace(call.call,
+                   CallState{.request = call.request,
+                             .tried = {},
+                             .exchanges = {},
+                             .trace = {call.request, this->revision, now}})
+          .second;
   core::CheckInvariant(fresh, "a call is submitted once");
   const auto service = this->services.find(call.request->service);
   if (service == this->services.end()) {
-    this->Refuse(call.call, core::RefusalReason::kUnknownService, decisions);
+    this->Refuse(call.call, core::RefusalReason::kUnknownService, now,
+                 decisions);
     return decisions;
   }
   ServiceState& state = service->second;
   if (!state.targets.HasUsable(this->versions.Stable(service->first), now)) {
-    this->Refuse(call.call, core::RefusalReason::kNoTarget, decisions);
+    this->Refuse(call.call, core::RefusalReason::kNoTarget, now, decisions);
     return decisions;
   }
   if (!state.queue.Add({.id = call.call,
                         .urgency = call.request->urgency,
                         .deadline = call.request->deadline})) {
-    this->Refuse(call.call, core::RefusalReason::kBusy, decisions);
+    this->Refuse(call.call, core::RefusalReason::kBusy, now, decisions);
     return decisions;
   }
   if (call.request->idempotent) {
@@ -183,15 +202,18 @@
 }
 
 Decisions Dispatcher::Cancel(const CancelCall& call,
-                             const core::TimePoint /*now*/) {
+                             const core::TimePoint now) {
   const auto found = this->calls.find(call.call);
   if (found == this->calls.end()) {
     return {};
   }
   CallState& state = found->second;
+  state.trace.Add(TraceCallerLeft{}, now);
   if (state.exchanges.empty()) {
-    this->services.at(state.request->service).queue.Remove(call.call);
-    this->calls.erase(found);
+    if (!this->lookups.Forget(call.call)) {
+      this->services.at(state.request->service).queue.Remove(call.call);
+    }
+    this->Forget(call.call);
     return {};
   }
   state.cancelled = true;
@@ -214,13 +236,21 @@
           std::erase(found->second.exchanges, ended.exchange) == 1,
       "an exchange that ended belongs to a call in flight");
   CallState& call = found->second;
+  call.trace.Add(TraceEnded{.target = ended.target,
+                            .result = ended.result,
+                            .status = ended.status},
+                 now);
   ServiceState& service = this->services.at(call.request->service);
   service.targets.Ended(ended, now);
-  this->evidence.Add(SummaryOf(ended, call.request->route));
+  const bool beside_the_point = service.targets.IsPaced(ended.target, now) ||
+                                service.targets.IsDisturbed(ended.target);
+  this->evidence.Add(SummaryOf(ended, call.request->route, beside_the_point));
   this->NoteOverload(service, ended, now);
   call.began = call.began || ended.result == ExchangeResult::kAnswered ||
                ended.result == ExchangeResult::kBrokenWithinAnswer;
-  call.perhaps_run = call.perhaps_run || !IsKnownNotRun(service, ended);
+  const bool not_run = IsKnownNotRun(service, ended);
+  call.perhaps_run = call.perhaps_run || !not_run;
+  call.sends -= not_run ? 1 : 0;
   if (ended.result == ExchangeResult::kAnswered) {
     call.broken = false;
   } else if (ended.result != ExchangeResult::kCancelled &&
@@ -232,7 +262,7 @@
     if (call.broken && !call.cancelled) {
       this->ResumeOrBreak(service, ended, now, decisions);
     } else if (call.began || call.cancelled) {
-      this->calls.erase(found);
+      this->Forget(ended.call);
     } else {
       this->RetryOrRefuse(service, ended, now, decisions);
     }
@@ -251,18 +281,31 @@
       .targets.Began(began.exchange, call->second.tried.back());
 }
 
-core::TimePoint Dispatcher::NextTick(const core::TimePoint latest) const {
-  return this->hedges.empty() ? latest
-                              : std::min(latest, this->hedges.top().due);
+core::TimePoint Dispatcher::NextTick(const core::TimePoint now,
+                                     const core::TimePoint latest) const {
+  core::TimePoint next = latest;
+  const bool waits = std::any_of(
+      this->services.begin(), this->services.end(),
+      [](const auto& entry) { return entry.second.queue.Size() > 0; });
+  if (waits) {
+    next = std::min(next, now + kQueueTick);
+  }
+  if (!this->hedges.empty()) {
+    next = std::min(next, this->hedges.top().due);
+  }
+  return std::min(next, this->lookups.Next().value_or(next));
 }
 
 Decisions Dispatcher::Tick(const core::TimePoint now) {
   Decisions decisions;
   this->ShareConnections(now);
   this->HedgeLateCalls(now, decisions);
+  for (const core::CallId id : this->lookups.Expire(now)) {
+    this->EndLookup(id, now, decisions);
+  }
   for (auto& [name, service] : this->services) {
     for (const core::CallId id : service.queue.Expire(now)) {
-      this->Refuse(id, core::RefusalReason::kDeadline, decisions);
+      this->Refuse(id, core::RefusalReason::kDeadline, now, decisions);
     }
     this->Serve(service, now, decisions);
   }
@@ -272,6 +315,10 @@
 void Dispatcher::Serve(ServiceState& service, const core::TimePoint now,
                        Decisions& decisions) {
   for (auto next = service.queue.Next(); next; next = service.queue.Next()) {
+    if (this->Look(service, *next, now, decisions)) {
+      service.queue.Remove(*next);
+      continue;
+    }
     if (!this->TryStart(service, *next, std::nullopt, now, decisions)) {
       return;
     }
@@ -290,7 +337,16 @@
   }
   this->last_exchange = this->last_exchange.Next();
   call.exchanges.push_back(this->last_exchange);
+  const AttemptKind kind = beside               ? AttemptKind::kHedge
+                           : call.tried.empty() ? AttemptKind::kFirst
+                                                : AttemptKind::kRepeat;
+  call.trace.Add(TraceSent{.kind = kind,
+                           .target = target->name,
+                           .known = service.targets.LastChoice(),
+                           .candidates = service.targets.LastCandidates()},
+                 now);
   call.tried.push_back(target->name);
+  ++call.sends;
   decisions.push_back(forwarding::StartExchange{
       .call = id,
       .exchange = this->last_exchange,
@@ -299,6 +355,9 @@
       .request = call.request,
       .beside = beside,
       .holds_refusals = call.request->idempotent || service.trusts_refusals,
+      .holds_failures = this->options.retries_failures &&
+                        call.request->idempotent &&
+                        call.sends < this->AttemptsOf(call),
       .resume = call.resume,
       .connections = ShareOfConnections(target->connections, this->entry_count),
       .connection_interval = ConnectionInterval(
@@ -332,7 +391,8 @@
     }
     ServiceState& service = this->services.at(found->second.request->service);
     service.hedge_delay.Above();
-    if (service.queue.Size() == 0 && service.overloaded_until <= now &&
+    if (found->second.sends < this->AttemptsOf(found->second) &&
+        service.queue.Size() == 0 && service.overloaded_until <= now &&
         service.targets.Crowding() < kMostCrowding &&
         service.budget.Take(now)) {
       (void)this->TryStart(service, hedge.call, hedge.exchange, now, decisions);
@@ -355,17 +415,11 @@
 const inventory::Instance* Dispatcher::ChooseTarget(ServiceState& service,
                                                     CallState& call,
                                                     const core::TimePoint now) {
-  const core::ServiceName& name = call.request->service;
-  const core::VersionName stable = this->versions.Stable(name);
-  if (call.tried.empty() && call.version.Empty()) {
-    call.version = this->versions.Choose(name);
-  }
-  const bool is_bound = call.tried.empty() || call.broken;
-  const bool prefers_new = is_bound && call.version != stable &&
-                           this->versions.Serves(name, call.version);
-  if (prefers_new) {
+  const core::VersionName stable = this->versions.Stable(call.request->service);
+  const core::VersionName preferred = this->PreferredVersion(call);
+  if (preferred != stable) {
     if (const auto* target = service.targets.Choose(
-            call.tried, call.version, this->last_exchange.Next(), now)) {
+            call.tried, preferred, this->last_exchange.Next(), now)) {
       return target;
     }
   }
@@ -373,70 +427,15 @@
                                 now);
 }
 
-bool Dispatcher::IsKnownNotRun(
-    const ServiceState& service,
-    const forwarding::ExchangeEnded& ended) noexcept {
-  return ended.result == ExchangeResult::kNotSent ||
-         (ended.result == ExchangeResult::kRefused && service.trusts_refusals);
-}
-
-void Dispatcher::RetryOrRefuse(ServiceState& service,
-                               const forwarding::ExchangeEnded& ended,
-                               const core::TimePoint now,
-                               Decisions& decisions) {
-  CallState& call = this->calls.at(ended.call);
-  const bool refused = ended.result == ExchangeResult::kRefused;
-  if (ended.result == ExchangeResult::kTimedOut ||
-      now >= call.request->deadline) {
-    this->Refuse(ended.call, core::RefusalReason::kDeadline, decisions);
-    return;
-  }
-  const bool may_run = call.request->idempotent || !call.perhaps_run;
-  const bool may_retry = call.tried.size() < this->options.attempts &&
-                         may_run &&
-                         (IsFreeOfCharge(ended) || service.budget.Take(now));
-  if (!may_retry ||
-      !this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
-    this->Refuse(ended.call,
-                 refused ? core::RefusalReason::kBusy
-                         : core::RefusalReason::kTargetFailed,
-                 decisions);
-  }
-}
-
-void Dispatcher::ResumeOrBreak(ServiceState& service,
-                               const forwarding::ExchangeEnded& ended,
-                               const core::TimePoint now,
-                               Decisions& decisions) {
-  CallState& call = this->calls.at(ended.call);
-  const bool may_resume = call.resume && now < call.request->deadline &&
-                          ++call.resumes <= kMostResumes &&
-                          (IsFreeOfCharge(ended) || service.budget.Take(now));
-  if (may_resume) {
-    call.tried = {ended.target};
-    if (this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
-      return;
-    }
-    call.tried.clear();
-    if (this->TryStart(service, ended.call, std::nullopt, now, decisions)) {
-      return;
-    }
+core::VersionName Dispatcher::PreferredVersion(CallState& call) {
+  const core::ServiceName& name = call.request->service;
+  if (call.tried.empty() && call.version.Empty()) {
+    call.version = this->versions.Choose(name);
   }
-  this->calls.erase(ended.call);
-  decisions.push_back(CallBroken{ended.call});
-}
-
-void Dispatcher::Refuse(const core::CallId id, const core::RefusalReason reason,
-                        Decisions& decisions) {
-  const auto found = this->calls.find(id);
-  const bool perhaps_run = found->second.perhaps_run;
-  this->calls.erase(found);
-  decisions.push_back(
-      CallRefused{.call = id,
-                  .refusal = {.run = perhaps_run ? core::RunState::kUnknown
-                                                 : core::RunState::kNotRun,
-                              .reason = reason,
-                              .retry_after = kRetryAfter}});
+  const bool is_bound = call.tried.empty() || call.broken;
+  return is_bound && this->versions.Serves(name, call.version)
+             ? call.version
+             : this->versions.Stable(name);
 }
 
 }  // namespace trefoilbend::balancing
--- /dev/null
+++ b/packages/balancing/src/dispatcher_lookups.cc
@@ -0,0 +1,87 @@
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "trefoilbend/balancing/connection_share.h"
+#include "trefoilbend/balancing/dispatcher.h"
+#include "trefoilbend/core/invariant.h"
+
+namespace trefoilbend::balancing {
+
+namespace {
+
+/** Rounds of probes for one call. */
+constexpr std::uint32_t kMostRounds = 2;
+/** Probes under way at a time. */
+constexpr std::size_t kMostProbes = 256;
+/** Time for which a call waits for the answers to its probes. */
+constexpr std::chrono::milliseconds kLookupTimeout{12};
+/** Time after which a probe is given up. */
+constexpr std::chrono::milliseconds kProbeTimeout{150};
+
+}  // namespace
+
+bool Dispatcher::Look(ServiceState& service, const core::CallId id,
+                      const core::TimePoint now, Decisions& decisions) {
+  CallState& call = this->calls.at(id);
+  if (this->options.probes == 0 || service.health_path.empty() ||
+      call.rounds >= kMostRounds || this->lookups.Probes() >= kMostProbes) {
+    return false;
+  }
+  ++call.rounds;
+  const auto targets = service.targets.ToProbe(
+      call.tried, this->PreferredVersion(call), this->options.probes, now);
+  if (targets.empty()) {
+    return false;
+  }
+  std::vector<forwarding::ProbeId> probes;
+  for (const inventory::Instance* target : targets) {
+    this->last_probe = this->last_probe.Next();
+    probes.push_back(this->last_probe);
+    this->probed_services.emplace(this->last_probe, call.request->service);
+    decisions.push_back(forwarding::StartProbe{
+        .probe = this->last_probe,
+        .target = target->name,
+        .address = target->address,
+        .path = service.health_path,
+        .connections =
+            ShareOfConnections(target->connections, this->entry_count),
+        .deadline = now + kProbeTimeout});
+  }
+  TraceProbed probed;
+  for (const inventory::Instance* target : targets) {
+    probed.targets.push_back(target->name);
+  }
+  call.trace.Add(std::move(probed), now);
+  this->lookups.Begin(id, probes, now + kLookupTimeout);
+  return true;
+}
+
+Decisions Dispatcher::Probed(const forwarding::ProbeEnded& ended,
+                             const core::TimePoint now) {
+  Decisions decisions;
+  const auto name = this->probed_services.find(ended.probe);
+  core::CheckInvariant(name != this->probed_services.end(),
+                       "a probe that ended was sent");
+  this->services.at(name->second).targets.Probed(ended, now);
+  this->probed_services.erase(name);
+  if (const auto call = this->lookups.Note(ended.probe)) {
+    this->EndLookup(*call, now, decisions);
+  }
+  return decisions;
+}
+
+void Dispatcher::EndLookup(const core::CallId id, const core::TimePoint now,
+                           Decisions& decisions) {
+  const CallState& call = this->calls.at(id);
+  ServiceState& service = this->services.at(call.request->service);
+  if (!service.queue.Add({.id = id,
+                          .urgency = call.request->urgency,
+                          .deadline = call.request->deadline})) {
+    this->Refuse(id, core::RefusalReason::kBusy, now, decisions);
+    return;
+  }
+  this->Serve(service, now, decisions);
+}
+
+}  // namespace trefoilbend::balancing
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -4,30 +4,36 @@
 #include <chrono>
 #include <utility>
 
+#include "internal/call_metrics.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/invariant.h"
+#include "trefoilbend/core/log.h"
 #include "trefoilbend/core/outcome.h"
 
 namespace trefoilbend::balancing {
 
 namespace {
 
-constexpr std::size_t kMessagesPerCall = 4;
+constexpr std::size_t kMessagesPerCall = 6;
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kBrakes = 1'024;
-constexpr std::chrono::milliseconds kTick{5};
-constexpr std::chrono::milliseconds kReport{250};
+/** Bytes of a line before its text: time, level and part. */
+constexpr std::size_t kLineHead = 48;
+constexpr std::chrono::milliseconds kReport{200};
 
 }  // namespace
 
 class BalancingDuty::Loop {
  public:
-  Loop(DispatcherOptions options, const std::size_t max_calls)
+  Loop(DispatcherOptions options, const std::size_t max_calls,
+       const TraceOptions& traces, prometheus::Registry& registry)
       : from_callers(max_calls * kMessagesPerCall),
         from_forwarding(max_calls * kMessagesPerCall),
         from_configuration(kConfigurations),
         from_rollout(kBrakes),
         dispatcher(std::move(options)),
+        sampler(traces),
+        metrics(registry),
         timer(this->duty.Context()) {
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
       std::visit(
@@ -48,12 +54,17 @@
           } else if (const auto* began =
                          std::get_if<forwarding::ExchangeBegan>(&message)) {
             this->dispatcher.Began(*began);
+          } else if (const auto* probed =
+                         std::get_if<forwarding::ProbeEnded>(&message)) {
+            this->metrics.CountProbe(probed->report.has_value());
+            this->Carry(this->dispatcher.Probed(*probed, Now()));
           }
         });
-    this->duty.Read(this->from_configuration,
-                    [this](const configuration::Update& update) {
-                      this->Carry(this->dispatcher.Configure(update, Now()));
-                    });
+    this->duty.Read(
+        this->from_configuration, [this](const configuration::Update& update) {
+          this->metrics.SetRevision(update.configuration->Revision());
+          this->Carry(this->dispatcher.Configure(update, Now()));
+        });
     this->duty.Read(this->from_rollout,
                     [this](const rollout::BrakeOrder& order) {
                       this->dispatcher.Brake(order.release);
@@ -77,15 +88,23 @@
     return std::chrono::steady_clock::now();
   }
 
+  /** Sets the timer if something is due earlier than it is set for. */
   void Wait() {
-    this->timer.expires_at(this->dispatcher.NextTick(Now() + kTick));
+    const core::TimePoint now = Now();
+    const core::TimePoint next = this->dispatcher.NextTick(now, now + kReport);
+    if (next >= this->due) {
+      return;
+    }
+    this->due = next;
+    this->timer.expires_at(next);
     this->timer.async_wait([this](const boost::system::error_code error) {
       if (error) {
         return;
       }
-      this->Carry(this->dispatcher.Tick(Now()));
+      this->due = core::TimePoint::max();
       this->ReportEvidence(Now());
-      this->Wait();
+      this->TellDropped();
+      this->Carry(this->dispatcher.Tick(Now()));
     });
   }
 
@@ -117,17 +136,55 @@
       core::CheckInvariant(
           pushed, "the rings behind balancing have room for every call");
     }
+    this->WriteTraces();
+    this->Wait();
+  }
+
+  void WriteTraces() {
+    const core::TimePoint now = Now();
+    for (const CallTrace& trace : this->dispatcher.TakeTraces()) {
+      this->metrics.Count(trace);
+      if (!this->sampler.Wants(trace)) {
+        continue;
+      }
+      const std::vector<std::string> lines = trace.Lines();
+      std::size_t bytes = 0;
+      for (const std::string& line : lines) {
+        bytes += line.size() + kLineHead;
+      }
+      if (!this->sampler.Pay(bytes, now)) {
+        continue;
+      }
+      for (const std::string& line : lines) {
+        this->log.Info("{}", line);
+      }
+    }
+  }
+
+  void TellDropped() {
+    if (const std::uint64_t dropped = this->sampler.TakeDropped()) {
+      this->metrics.CountDroppedTraces(dropped);
+      this->log.Warn("Left traces out to keep within the budget. traces={}",
+                     dropped);
+    }
   }
 
   Dispatcher dispatcher;
+  TraceSampler sampler;
+  internal::CallMetrics metrics;
   Outlets outlets;
+  core::Log log{"balancing"};
   core::TimePoint reported{};
+  core::TimePoint due = core::TimePoint::max();
   boost::asio::steady_timer timer;
 };
 
 BalancingDuty::BalancingDuty(DispatcherOptions options,
-                             const std::size_t max_calls)
-    : loop(std::make_unique<Loop>(std::move(options), max_calls)) {}
+                             const std::size_t max_calls,
+                             const TraceOptions& traces,
+                             prometheus::Registry& registry)
+    : loop(std::make_unique<Loop>(std::move(options), max_calls, traces,
+                                  registry)) {}
 
 BalancingDuty::~BalancingDuty() { this->Stop(); }
 
--- /dev/null
+++ b/packages/balancing/src/internal/call_metrics.h
@@ -0,0 +1,60 @@
+#ifndef TREFOILBEND_BALANCING_INTERNAL_CALL_METRICS_H_
+#define TREFOILBEND_BALANCING_INTERNAL_CALL_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+
+#include "trefoilbend/balancing/call_trace.h"
+
+namespace trefoilbend::balancing::internal {
+
+/** @brief Metrics of calls that are over, by service; never by target or
+ * request, so that their number is bounded by the services. */
+class CallMetrics {
+ public:
+  /**
+   * @brief Registers the metrics.
+   * @param registry Takes the metrics; outlives them.
+   */
+  explicit CallMetrics(prometheus::Registry& registry);
+
+  /**
+   * @brief Counts a call that is over.
+   * @param trace What was decided about it.
+   */
+  void Count(const CallTrace& trace);
+
+  /**
+   * @brief Counts a probe that ended.
+   * @param answered Whether the target answered in time.
+   */
+  void CountProbe(bool answered);
+
+  /**
+   * @brief Takes note of the configuration in force.
+   * @param revision Revision of the configuration.
+   */
+  void SetRevision(core::Revision revision);
+
+  /**
+   * @brief Counts traces that the budget did not allow.
+   * @param traces Number of traces.
+   */
+  void CountDroppedTraces(std::uint64_t traces);
+
+ private:
+  prometheus::Family<prometheus::Counter>& calls;
+  prometheus::Family<prometheus::Histogram>& durations;
+  prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Family<prometheus::Counter>& probes;
+  prometheus::Counter& dropped_traces;
+  prometheus::Gauge& revision;
+};
+
+}  // namespace trefoilbend::balancing::internal
+
+#endif  // TREFOILBEND_BALANCING_INTERNAL_CALL_METRICS_H_
--- a/packages/balancing/src/strategy.cc
+++ b/packages/balancing/src/strategy.cc
@@ -142,6 +142,59 @@
   Random random;
 };
 
+/** Least expected time of the work, in multiples of the usual: what the target
+ * told of its slowness, faded towards the mean with its age, times what waits
+ * before a slot is free. */
+class Quiet final : public Strategy {
+ public:
+  explicit Quiet(const std::uint64_t seed) : random(seed) {}
+
+  [[nodiscard]] std::size_t Choose(const std::span<const Candidate> candidates,
+                                   core::TimePoint /*now*/) override {
+    const std::size_t start = Draw(this->random, candidates.size());
+    std::size_t best = start;
+    double least = Cost(candidates[start]);
+    for (std::size_t step = 1; step < candidates.size(); ++step) {
+      const std::size_t at = (start + step) % candidates.size();
+      const double cost = Cost(candidates[at]);
+      if (cost < least) {
+        best = at;
+        least = cost;
+      }
+    }
+    return best;
+  }
+
+ private:
+  /** Slowness of a target of which nothing fresh is known. */
+  static constexpr double kUnknownSlowdown = 2.0;
+  /** Time in which a report loses all but 1/e of its weight. */
+  static constexpr std::chrono::duration<double> kFading{0.4};
+  /** Weight of a free slot that is taken, beside one that is waited for. */
+  static constexpr double kBusyWeight = 0.2;
+  /** Cost of an answer that crosses data centres. */
+  static constexpr double kFarCost = 0.15;
+  static constexpr double kOwedWeight = 0.5;
+  /** Age of an owed answer, in median latencies, that is not yet suspicious. */
+  static constexpr double kUsualAge = 2;
+
+  static double Cost(const Candidate& candidate) noexcept {
+    const double weight = std::exp(-(candidate.report_age / kFading));
+    const double told = candidate.slowdown.value_or(kUnknownSlowdown);
+    const double slowdown = weight * told + (1 - weight) * kUnknownSlowdown;
+    const double slots = candidate.slots;
+    const double others =
+        std::max(0.0, weight * candidate.reported - candidate.in_flight);
+    const double busy = candidate.in_flight + others;
+    const double waits = std::max(0.0, busy + 1 - slots) / slots;
+    const double owed = kOwedWeight * std::max(0.0, candidate.owed - kUsualAge);
+    return slowdown * (1 + waits + kBusyWeight * busy / slots) + owed +
+           (candidate.far ? kFarCost : 0);
+  }
+
+  Random random;
+};
+
 template <typename Concrete>
 std::unique_ptr<Strategy> Make(const std::uint64_t seed) {
   return std::make_unique<Concrete>(seed);
@@ -152,12 +205,13 @@
   std::unique_ptr<Strategy> (*make)(std::uint64_t);
 };
 
-constexpr std::array<NamedStrategy, 5> kStrategies{
+constexpr std::array<NamedStrategy, 6> kStrategies{
     {{"round-robin", Make<RoundRobin>},
      {"random", Make<Uniform>},
      {"least-in-flight", Make<LeastInFlight>},
      {"two-choices", Make<TwoChoices>},
-     {"adaptive", Make<Adaptive>}}};
+     {"adaptive", Make<Adaptive>},
+     {"quiet", Make<Quiet>}}};
 
 }  // namespace
 
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -1,5 +1,7 @@
 #include "trefoilbend/balancing/target_table.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -10,6 +12,13 @@
 
 namespace {
 
+/** Targets of a new version that take calls at least, so that no single one
+ * stands for all. */
+constexpr std::size_t kLeastLoaded = 3;
+/** Age up to which a report tells how slow a target is now. */
+constexpr std::chrono::milliseconds kFreshReport{40};
+/** Slowness up to which a target counts as undisturbed by its neighbours. */
+constexpr double kQuietSlowdown = 1.5;
 constexpr std::chrono::milliseconds kAvoidance{500};
 constexpr std::chrono::milliseconds kFirstAvoidance{100};
 constexpr std::uint32_t kMostDoublings = 4;
@@ -37,7 +46,22 @@
                   const core::TimePoint now) noexcept {
   const bool draining =
       target.report.draining && now - target.reported_at < kDrainMark;
-  return target.usable && !draining;
+  return target.usable && !draining && !target.held_back;
+}
+
+/** Whether the target is cold in the sense of a rate, not of calls in flight.
+ */
+bool IsColdNow(const TargetState& target, const core::TimePoint now) noexcept {
+  return target.cold_time > core::Duration::zero() && now < target.cold_until;
+}
+
+bool HasRoom(const TargetState& target, const core::TimePoint now) noexcept {
+  if (target.cold_time > core::Duration::zero()) {
+    return target.in_flight < target.limit &&
+           (!IsColdNow(target, now) || target.cold_pace.Allows(now));
+  }
+  return target.in_flight <
+         target.warm_up.Allowed(target.cold_share, target.limit, now);
 }
 
 bool SaysThatItDrains(const forwarding::ExchangeEnded& ended) noexcept {
@@ -56,6 +80,10 @@
                             ? TargetState{}
                             : std::move(this->targets[known->second]);
     state.instance = std::move(member.instance);
+    state.cold_time = member.cold_time;
+    state.cold_pace.SetRate(member.cold_rate);
+    state.cold_until = std::max(state.cold_until, member.cold_until);
+    state.far = member.far;
     if (this->has_had_usable && member.usable && !state.usable) {
       state.warm_up.Chill(now);
     }
@@ -79,6 +107,27 @@
   }
 }
 
+void TargetTable::HoldBack(const core::VersionName& version,
+                           const std::uint32_t share) {
+  std::vector<std::pair<std::uint64_t, TargetState*>> ranked;
+  for (TargetState& target : this->targets) {
+    target.held_back = false;
+    if (!version.Empty() && target.instance.version == version &&
+        target.usable) {
+      const std::string& name = target.instance.name.Text();
+      ranked.emplace_back(XXH64(name.data(), name.size(), 0), &target);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const std::size_t loaded =
+      (ranked.size() * share + inventory::kWholeShare - 1) /
+      inventory::kWholeShare;
+  for (std::size_t at = std::max(loaded, kLeastLoaded); at < ranked.size();
+       ++at) {
+    ranked[at].second->held_back = true;
+  }
+}
+
 bool TargetTable::Matches(
     const std::vector<const inventory::Instance*>& instances,
     const Availability& availability) const {
@@ -87,7 +136,8 @@
       instances.end(),
       [&](const TargetState& target, const inventory::Instance* instance) {
         return target.instance == *instance &&
-               target.usable == availability.IsUsable(*instance);
+               target.usable == availability.IsUsable(*instance) &&
+               target.cold_until >= availability.ColdUntil(instance->name);
       });
 }
 
@@ -109,7 +159,11 @@
     return nullptr;
   }
   const std::size_t chosen = this->strategy->Choose(this->candidates, now);
-  TargetState& target = this->targets[this->candidates.at(chosen).target];
+  this->last_choice = this->candidates.at(chosen);
+  TargetState& target = this->targets[this->last_choice.target];
+  if (IsColdNow(target, now)) {
+    target.cold_pace.Take(now);
+  }
   ++target.in_flight;
   ++target.sent_since_report;
   target.owed.push_back({exchange, now});
@@ -126,14 +180,63 @@
                                  target.instance.name) != excluded.end();
     const bool avoided = target.avoided_until > now && !with_avoided;
     if (MayTakeCalls(target, now) && target.instance.version == version &&
-        !tried && !avoided &&
-        target.in_flight <
-            target.warm_up.Allowed(target.cold_share, target.limit, now)) {
+        !tried && !avoided && HasRoom(target, now)) {
       this->candidates.push_back(this->Describe(at, now));
     }
   }
 }
 
+std::vector<const inventory::Instance*> TargetTable::ToProbe(
+    const std::vector<core::InstanceName>& excluded,
+    const core::VersionName& version, const std::size_t most,
+    const core::TimePoint now) {
+  std::vector<const inventory::Instance*> chosen;
+  this->Collect(excluded, version, now, false);
+  bool near_only = false;
+  while (!this->candidates.empty() && chosen.size() < most) {
+    const std::size_t at = this->strategy->Choose(this->candidates, now);
+    const Candidate candidate = this->candidates.at(at);
+    const bool fresh = candidate.report_age < kFreshReport;
+    const bool good = fresh &&
+                      candidate.slowdown.value_or(1) <= kQuietSlowdown &&
+                      candidate.reported < candidate.slots;
+    if (good && !candidate.far) {
+      return chosen;
+    }
+    near_only = near_only || good;
+    if (!fresh && !(near_only && candidate.far)) {
+      chosen.push_back(&this->targets[candidate.target].instance);
+    }
+    this->candidates.erase(this->candidates.begin() +
+                           static_cast<std::ptrdiff_t>(at));
+  }
+  return chosen;
+}
+
+void TargetTable::Probed(const forwarding::ProbeEnded& ended,
+                         const core::TimePoint now) {
+  const auto position = this->positions.find(ended.target);
+  if (position == this->positions.end()) {
+    return;
+  }
+  TargetState& target = this->targets[position->second];
+  const auto& report = ended.report;
+  const bool is_other =
+      report && !report->name.Empty() && report->name != target.instance.name;
+  if (!report || !report->healthy || is_other) {
+    target.avoided_until = now + kAvoidance;
+  }
+  if (!report || is_other) {
+    return;
+  }
+  if (report->load) {
+    this->TakeReport(target, *report->load, now);
+  }
+  if (report->cold_for.count() > 0) {
+    target.cold_until = std::max(target.cold_until, now + report->cold_for);
+  }
+}
+
 Candidate TargetTable::Describe(const std::size_t at,
                                 const core::TimePoint now) const {
   const TargetState& target = this->targets[at];
@@ -149,7 +252,9 @@
                      this->agreement >= kLeastAgreement,
           .report_age = now - target.reported_at,
           .sent_since_report = target.sent_since_report,
-          .owed = owed / median};
+          .owed = owed / median,
+          .slowdown = target.report.slowdown,
+          .far = target.far};
 }
 
 void TargetTable::Began(const core::ExchangeId exchange,
@@ -190,7 +295,7 @@
                              const forwarding::ExchangeEnded& ended,
                              const core::TimePoint now) const {
   if (ended.load && ended.load->cold) {
-    target.warm_up.Chill(now);
+    this->Chill(target, now);
     return;
   }
   if (ended.result != forwarding::ExchangeResult::kAnswered ||
@@ -199,7 +304,7 @@
   }
   if (ended.latency > kColdLatency * this->median.Value()) {
     if (++target.slow_answers >= kSlowAnswersToChill && this->MostAreWarm()) {
-      target.warm_up.Chill(now);
+      this->Chill(target, now);
     }
     return;
   }
@@ -244,10 +349,15 @@
                                const core::TimePoint now) const {
   using forwarding::ExchangeResult;
   if (ended.result == ExchangeResult::kNotSent ||
-      ended.result == ExchangeResult::kBrokenBeforeAnswer) {
+      ended.result == ExchangeResult::kBrokenBeforeAnswer ||
+      ended.result == ExchangeResult::kMisdirected) {
     target.avoided_until = now + kAvoidance;
   }
+  if (ended.result == ExchangeResult::kNotSent) {
+    target.cold_until = now + kAvoidance + target.cold_time;
+  }
   const bool answered = ended.result == ExchangeResult::kAnswered ||
+                        ended.result == ExchangeResult::kFailed ||
                         ended.result == ExchangeResult::kRefused;
   if (!answered || SaysThatItDrains(ended)) {
     return;
@@ -259,7 +369,7 @@
   ++target.failures;
   if (target.failures >= kFailuresToAvoid) {
     if (this->MostAreWarm()) {
-      target.warm_up.Chill(now);
+      this->Chill(target, now);
     }
     const std::uint32_t doublings =
         std::min(target.failures - kFailuresToAvoid, kMostDoublings);
@@ -267,6 +377,12 @@
   }
 }
 
+void TargetTable::Chill(TargetState& target,
+                        const core::TimePoint now) const noexcept {
+  target.warm_up.Chill(now);
+  target.cold_until = std::max(target.cold_until, now + target.cold_time);
+}
+
 bool TargetTable::MostAreWarm() const noexcept {
   std::size_t usable = 0;
   std::size_t cold = 0;
@@ -277,6 +393,20 @@
   return 2 * (cold + 1) <= usable;
 }
 
+bool TargetTable::IsDisturbed(const core::InstanceName& name) const {
+  const auto position = this->positions.find(name);
+  return position != this->positions.end() &&
+         this->targets[position->second].report.slowdown.value_or(1) >
+             kQuietSlowdown;
+}
+
+bool TargetTable::IsPaced(const core::InstanceName& name,
+                          const core::TimePoint now) const {
+  const auto position = this->positions.find(name);
+  return position != this->positions.end() &&
+         IsColdNow(this->targets[position->second], now);
+}
+
 bool TargetTable::HasUsable(const core::VersionName& version,
                             const core::TimePoint now) const noexcept {
   return std::any_of(this->targets.begin(), this->targets.end(),
--- /dev/null
+++ b/packages/balancing/test/probing_test.cc
@@ -0,0 +1,180 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "trefoilbend/balancing/dispatcher.h"
+
+namespace trefoilbend::balancing {
+
+using namespace std::chrono_literals;
+using forwarding::ExchangeResult;
+using forwarding::StartExchange;
+using forwarding::StartProbe;
+
+namespace {
+
+/** One entry that probes, and targets with neighbours that disturb them. */
+class Fixture {
+ public:
+  explicit Fixture(const int targets = 12) {
+    inventory::Configuration::Builder builder;
+    inventory::Service service{.name = core::ServiceName{"stock"},
+                               .trusts_refusals = true};
+    service.health_path = "/health";
+    builder.Put(service);
+    auto listed = std::make_shared<std::vector<platform::ListedInstance>>();
+    for (int number = 0; number < targets; ++number) {
+      inventory::Instance target;
+      target.name = core::InstanceName{"t" + std::to_string(number)};
+      target.service = core::ServiceName{"stock"};
+      target.slots = 6;
+      target.connections = 100;
+      builder.Put(target);
+      listed->push_back({.name = target.name});
+      this->slowness[target.name] = 1;
+    }
+    (void)this->dispatcher.Configure({builder.Build(), listed}, this->now);
+  }
+
+  [[nodiscard]] Decisions Submit() {
+    auto request = std::make_shared<core::CallRequest>();
+    request->service = core::ServiceName{"stock"};
+    request->idempotent = true;
+    request->deadline = this->now + 1s;
+    this->last_call = this->last_call.Next();
+    return this->dispatcher.Submit({this->last_call, request}, this->now);
+  }
+
+  /** Answers probes until the call is sent; returns where to. */
+  [[nodiscard]] core::InstanceName Send() {
+    Decisions decisions = this->Submit();
+    for (std::size_t at = 0; at < decisions.size(); ++at) {
+      if (const auto* probe = std::get_if<StartProbe>(&decisions[at])) {
+        ++this->probes;
+        const Decisions more = this->Answer(*probe);
+        decisions.insert(decisions.end(), more.begin(), more.end());
+      }
+    }
+    const auto* started = std::get_if<StartExchange>(&decisions.back());
+    BOOST_REQUIRE(started != nullptr);
+    this->End(*started);
+    return started->target;
+  }
+
+  [[nodiscard]] Decisions Answer(const StartProbe& probe) {
+    forwarding::HealthReport report{.healthy = true, .name = probe.target};
+    report.load =
+        forwarding::LoadReport{.slowdown = this->slowness.at(probe.target)};
+    return this->dispatcher.Probed(
+        {.probe = probe.probe, .target = probe.target, .report = report},
+        this->now);
+  }
+
+  void End(const StartExchange& started) {
+    (void)this->dispatcher.Ended({.call = started.call,
+                                  .exchange = started.exchange,
+                                  .target = started.target,
+                                  .result = ExchangeResult::kAnswered,
+                                  .status = 200,
+                                  .latency = 75ms},
+                                 this->now);
+  }
+
+  /** Disturbs a part of the targets anew, as their neighbours do. */
+  void Disturb(const double part) {
+    std::bernoulli_distribution disturbed{part};
+    for (auto& [target, slow] : this->slowness) {
+      slow = disturbed(this->random) ? kDisturbed : 1;
+    }
+  }
+
+  static constexpr double kDisturbed = 7;
+
+  Dispatcher dispatcher{DispatcherOptions{.strategy = "quiet", .probes = 2}};
+  std::map<core::InstanceName, double> slowness;
+  std::mt19937_64 random{1};
+  core::CallId last_call;
+  int probes = 0;
+  core::TimePoint now{10s};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(noisy_neighbours, Fixture)
+
+BOOST_AUTO_TEST_SUITE(that_disturb_a_quarter_of_the_targets)
+
+BOOST_AUTO_TEST_CASE(slow_down_few_calls_since_targets_are_asked_first) {
+  constexpr int kCalls = 1'000;
+  constexpr int kMostDisturbed = kCalls / 100;
+  int disturbed = 0;
+  for (int call = 0; call < kCalls; ++call) {
+    if (call % 20 == 0) {
+      Disturb(0.25);
+    }
+    now += 50ms;
+    disturbed += slowness.at(Send()) > 1 ? 1 : 0;
+  }
+  BOOST_TEST(disturbed <= kMostDisturbed);
+  BOOST_TEST(probes <= 3 * kCalls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_are_known_to_be_quiet)
+
+BOOST_AUTO_TEST_CASE(are_not_asked_again_at_once) {
+  (void)Send();
+  const int before = probes;
+  (void)Send();
+  BOOST_TEST(probes == before);
+}
+
+BOOST_AUTO_TEST_CASE(are_asked_again_when_the_report_is_old) {
+  (void)Send();
+  const int before = probes;
+  now += 100ms;
+  (void)Send();
+  BOOST_TEST(probes > before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_targets_do_not_answer)
+
+BOOST_AUTO_TEST_CASE(hold_a_call_up_for_a_moment_only) {
+  Decisions decisions = Submit();
+  BOOST_REQUIRE(std::holds_alternative<StartProbe>(decisions.front()));
+  BOOST_TEST(dispatcher.Tick(now).empty());
+  now = dispatcher.NextTick(now, now + 1s);
+  BOOST_TEST((now <= core::TimePoint{10s} + 20ms));
+  decisions = dispatcher.Tick(now);
+  now += 20ms;
+  for (int tick = 0; tick < 2 && !decisions.empty() &&
+                     std::holds_alternative<StartProbe>(decisions.back());
+       ++tick) {
+    decisions = dispatcher.Tick(now);
+    now += 20ms;
+  }
+  BOOST_REQUIRE(!decisions.empty());
+  BOOST_TEST(std::holds_alternative<StartExchange>(decisions.back()));
+}
+
+BOOST_AUTO_TEST_CASE(forget_a_call_that_its_caller_has_left) {
+  const Decisions decisions = Submit();
+  BOOST_TEST(dispatcher.Cancel({last_call}, now).empty());
+  BOOST_TEST(dispatcher.Calls() == 0U);
+  for (const Decision& decision : decisions) {
+    BOOST_TEST(Answer(std::get<StartProbe>(decision)).empty());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::balancing
--- a/packages/callers/include/trefoilbend/callers/classify.h
+++ b/packages/callers/include/trefoilbend/callers/classify.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "trefoilbend/core/call.h"
@@ -17,6 +18,8 @@
   std::optional<std::chrono::milliseconds> timeout{};
   /** @brief Whether the caller asks for urgent treatment. */
   bool urgent{};
+  /** @brief Identity of the request; empty for none. */
+  std::string id{};
 };
 
 /**
--- a/packages/callers/include/trefoilbend/callers/duty.h
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "trefoilbend/balancing/messages.h"
+#include "trefoilbend/callers/caller_protocol.h"
 #include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/core/number.h"
@@ -78,6 +80,23 @@
   std::chrono::milliseconds keep{2'000};
   /** @brief Time that peers may need to learn that this entry leaves. */
   std::chrono::milliseconds leave_notice{1'500};
+  /** @brief Address that answers which entries to use; if there is none, the
+   * callers' address does. */
+  std::optional<http::Address> directory;
+  /** @brief Address that answers whether this entry is ready; nothing for
+   * none. */
+  std::optional<http::Address> readiness;
+  /** @brief What callers and entries say to each other. */
+  std::shared_ptr<const CallerProtocol> protocol =
+      std::make_shared<OwnCallerProtocol>();
+  /** @brief Whether calls with a key of their callers run once at most. */
+  bool takes_keys = true;
+  /** @brief Whether this entry serves by what it knows when it cannot tell
+   * whether that is current. */
+  bool serves_isolated = false;
+  /** @brief Whether callers are sent to the entries of their data centre only,
+   * as long as there are some. */
+  bool nearest_only = false;
   /** @brief Address of the platform, whose table records callers' own keys. */
   http::Address platform;
   /** @brief Longest wait for an answer of the platform. */
--- a/packages/callers/include/trefoilbend/callers/refusal_text.h
+++ b/packages/callers/include/trefoilbend/callers/refusal_text.h
@@ -15,13 +15,6 @@
 /** @brief Header field that tells why a call was refused. */
 inline constexpr std::string_view kReasonField = "Trefoilbend-Reason";
 
-/**
- * @brief Returns the word for a refusal's reason.
- * @param reason Reason of the refusal.
- * @return Lower-case word with hyphens.
- */
-[[nodiscard]] std::string_view ToString(core::RefusalReason reason) noexcept;
-
 /**
  * @brief Writes a refusal as a response with a problem document (RFC 9457).
  * @param refusal Refusal to write.
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -10,11 +10,13 @@
 #include "internal/listener.h"
 #include "internal/metrics.h"
 #include "internal/session.h"
-#include "trefoilbend/callers/refusal_text.h"
+#include "trefoilbend/callers/router.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/log.h"
+#include "trefoilbend/core/rate_limit.h"
 #include "trefoilbend/http/client.h"
+#include "trefoilbend/http/server.h"
 #include "trefoilbend/idempotency/claim_sweep.h"
 #include "trefoilbend/platform/client.h"
 
@@ -28,6 +30,11 @@
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr std::chrono::milliseconds kExpirePeriod{1'000};
 constexpr std::string_view kKeyField = "Idempotency-Key";
+/** Lines a second about refusals that balancing does not see. */
+constexpr double kRefusalLines = 20;
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kNotFound = 404;
+constexpr std::uint16_t kUnavailable = 503;
 
 idempotency::KeyTableOptions TableOptions(const Options& options) {
   return {.self = options.self,
@@ -52,7 +59,9 @@
         directory({.self = this->options.self,
                    .incarnation = this->options.incarnation,
                    .keep = this->options.keep,
-                   .seed = this->options.seed}),
+                   .seed = this->options.seed,
+                   .nearest_only = this->options.nearest_only}),
+        router(this->options.seed),
         keyed(*this, TableOptions(this->options),
               {.bytes = this->options.keys.answer,
                .late = this->options.keys.late_answer}),
@@ -87,7 +96,7 @@
         this->from_membership, [this](const membership::View& view) {
           core::CheckInvariant(view.self == this->options.incarnation,
                                "all duties know the same incarnation");
-          this->current = view.current;
+          this->current = view.current || this->options.serves_isolated;
           this->directory.Learn(view);
         });
     this->duty.Read(this->from_relay, [this](relay::ToCallers&& message) {
@@ -111,8 +120,14 @@
     }
     this->log.Info("Serves callers on {}.",
                    http::ToString(this->options.address));
-    this->AwaitExpiry();
-    this->AwaitSweep();
+    auto serving = this->ServeQuestions();
+    if (!core::Succeeded(serving)) {
+      return serving;
+    }
+    if (this->options.takes_keys) {
+      this->AwaitExpiry();
+      this->AwaitSweep();
+    }
     this->duty.Start();
     return listening;
   }
@@ -138,6 +153,16 @@
     return this->options.limits;
   }
 
+  [[nodiscard]] const CallerProtocol& Protocol() const noexcept override {
+    return *this->options.protocol;
+  }
+
+  [[nodiscard]] std::optional<discovery::Question> ReadQuestion(
+      const std::string_view target) const override {
+    return this->options.directory ? std::nullopt
+                                   : this->Protocol().ReadQuestion(target);
+  }
+
   [[nodiscard]] bool IsDraining() const noexcept override {
     return this->draining;
   }
@@ -150,30 +175,33 @@
   [[nodiscard]] core::Outcome<core::CallId, core::Refusal> Submit(
       const std::shared_ptr<internal::Session>& session,
       core::CallRequest request, const Wishes& wishes) override {
-    const auto key = http::FindField(request.fields, kKeyField);
+    const auto key = this->options.takes_keys
+                         ? http::FindField(request.fields, kKeyField)
+                         : std::nullopt;
     if (!this->IsReady()) {
-      return this->CountRefusal(
+      return this->TellRefusal(
+          request,
           {.run = key ? core::RunState::kUnknown : core::RunState::kNotRun,
            .reason = core::RefusalReason::kNotReady,
            .retry_after = kRetryAfter});
     }
-    const auto view = this->configuration->Services().find(request.service);
-    if (view == this->configuration->Services().end()) {
-      return this->CountRefusal(
-          {.run = core::RunState::kNotRun,
-           .reason = core::RefusalReason::kUnknownService});
+    if (!this->router.Route(wishes, std::chrono::steady_clock::now(),
+                            request)) {
+      return this->TellRefusal(
+          request, {.run = core::RunState::kNotRun,
+                    .reason = core::RefusalReason::kUnknownService});
     }
-    ApplyRules(view->second, wishes, std::chrono::steady_clock::now(), request);
     const bool keyed_call = !request.idempotent && key && !key->empty();
     const std::string text{keyed_call ? *key : ""};
     const core::CallId id = this->NextCall();
     const auto shared =
         std::make_shared<const core::CallRequest>(std::move(request));
     if (keyed_call ? !this->HasRoom() : !this->Run(id, shared)) {
-      return this->CountRefusal({.run = keyed_call ? core::RunState::kUnknown
-                                                   : core::RunState::kNotRun,
-                                 .reason = core::RefusalReason::kBusy,
-                                 .retry_after = kRetryAfter});
+      return this->TellRefusal(*shared,
+                               {.run = keyed_call ? core::RunState::kUnknown
+                                                  : core::RunState::kNotRun,
+                                .reason = core::RefusalReason::kBusy,
+                                .retry_after = kRetryAfter});
     }
     this->calls.emplace(id, OpenCall{.session = session, .keyed = keyed_call});
     this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
@@ -325,6 +353,14 @@
 
   void Configure(const configuration::Update& update) {
     this->configuration = update.configuration;
+    this->router.Configure(update.configuration);
+    if (update.bounds) {
+      Limits& limits = this->options.limits;
+      limits.header = update.bounds->header;
+      limits.body = update.bounds->body;
+      limits.receive = update.bounds->receive;
+      limits.idle = update.bounds->idle;
+    }
     this->directory.Configure(update);
     this->keyed.Configure(update.configuration);
     const auto* self = update.configuration->Find<inventory::Instance>(
@@ -336,6 +372,58 @@
     }
   }
 
+  [[nodiscard]] core::Outcome<std::monostate, std::string> ServeQuestions() {
+    core::Outcome<std::monostate, std::string> listening;
+    if (this->options.directory) {
+      this->directory_server =
+          http::Server::Builder{}
+              .On(*this->options.directory)
+              .WithHandler([this](const http::Request& request,
+                                  const http::Respond& respond) {
+                this->AnswerQuestion(request, respond);
+              })
+              .Build(this->duty.Context());
+      listening = this->directory_server->Listen();
+    }
+    if (this->options.readiness && core::Succeeded(listening)) {
+      this->readiness_server =
+          http::Server::Builder{}
+              .On(*this->options.readiness)
+              .WithHandler(
+                  [this](const http::Request&, const http::Respond& respond) {
+                    const bool ready = this->IsReady() && !this->draining;
+                    respond({.status = ready ? kOk : kUnavailable,
+                             .content_type = "text/plain",
+                             .fields = {},
+                             .body = ""});
+                  })
+              .Build(this->duty.Context());
+      listening = this->readiness_server->Listen();
+    }
+    return listening;
+  }
+
+  void AnswerQuestion(const http::Request& request,
+                      const http::Respond& respond) {
+    auto question = this->Protocol().ReadQuestion(request.target);
+    if (!question) {
+      respond({.status = kNotFound,
+               .content_type = "text/plain",
+               .fields = {},
+               .body = "no such question"});
+      return;
+    }
+    const discovery::Answer answer = this->Ask(*question);
+    if (answer.entries.empty()) {
+      respond({.status = kUnavailable,
+               .content_type = "text/plain",
+               .fields = {},
+               .body = "no entry is known"});
+      return;
+    }
+    respond(this->Protocol().ToResponse(answer));
+  }
+
   [[nodiscard]] bool IsReady() const noexcept {
     return this->configuration != nullptr && this->current;
   }
@@ -413,7 +501,7 @@
   }
 
   void AwaitLastCall(std::function<void()> done) {
-    this->listener.CloseIdleSessions();
+    this->listener.CloseIdleSessions(core::Duration::zero());
     if (this->IsIdle()) {
       this->log.Info("Has finished all calls.");
       done();
@@ -425,6 +513,23 @@
     });
   }
 
+  /** Counts a refusal that balancing does not see, and writes a line. */
+  core::Refusal TellRefusal(const core::CallRequest& request,
+                            const core::Refusal refusal) {
+    if (this->refusal_lines.Allow(std::chrono::steady_clock::now())) {
+      const std::uint64_t revision =
+          this->configuration == nullptr
+              ? 0
+              : this->configuration->Revision().Value();
+      this->log.Info(
+          "Refused at the door. id={} host={} path={} reason={} calls={} "
+          "revision={}",
+          request.id, request.host, http::PathOf(request.path),
+          core::ToString(refusal.reason), this->calls.size(), revision);
+    }
+    return this->CountRefusal(refusal);
+  }
+
   core::Refusal CountRefusal(const core::Refusal refusal) {
     this->metrics.CountRefusal(refusal);
     return refusal;
@@ -500,9 +605,12 @@
   Outlets outlets;
   inventory::ConfigurationPtr configuration;
   discovery::Directory directory;
+  Router router;
   internal::KeyedCalls keyed;
   platform::Client platform;
   internal::Listener listener;
+  std::shared_ptr<http::Server> directory_server;
+  std::shared_ptr<http::Server> readiness_server;
   boost::asio::steady_timer drain_timer;
   boost::asio::steady_timer expire_timer;
   boost::asio::steady_timer late_timer;
@@ -520,6 +628,7 @@
   bool current = true;
   bool draining = false;
   internal::Metrics metrics;
+  core::RateLimit refusal_lines{kRefusalLines};
   core::Log log{"callers"};
 };
 
--- a/packages/callers/src/internal/listener.h
+++ b/packages/callers/src/internal/listener.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -25,7 +26,7 @@
    * @param owner Duty that carries the sessions; outlives them.
    */
   Listener(boost::asio::io_context& context, SessionOwner& owner)
-      : owner(owner), acceptor(context) {}
+      : owner(owner), acceptor(context), sweep(context) {}
 
   /**
    * @brief Begins to accept connections.
@@ -38,8 +39,11 @@
   /** @brief Accepts no more connections; open ones stay. */
   void Close();
 
-  /** @brief Closes the open connections on which no request is under way. */
-  void CloseIdleSessions();
+  /**
+   * @brief Closes the connections that wait for a request.
+   * @param least Time for which they have waited at least.
+   */
+  void CloseIdleSessions(core::Duration least);
 
   /** @return Number of open connections. */
   [[nodiscard]] std::size_t OpenSessions() const noexcept {
@@ -48,10 +52,12 @@
 
  private:
   void Accept();
+  void Sweep();
   void Begin(boost::asio::ip::tcp::socket socket);
 
   SessionOwner& owner;
   boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::steady_timer sweep;
   std::vector<std::weak_ptr<Session>> sessions;
   std::shared_ptr<const void> token = std::make_shared<int>();
 };
--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "trefoilbend/callers/caller_protocol.h"
 #include "trefoilbend/callers/classify.h"
 #include "trefoilbend/callers/duty.h"
 #include "trefoilbend/core/call.h"
@@ -29,6 +30,17 @@
   /** @return Bounds of what callers may send. */
   [[nodiscard]] virtual const Limits& GetLimits() const noexcept = 0;
 
+  /** @return What callers and entries say to each other. */
+  [[nodiscard]] virtual const CallerProtocol& Protocol() const noexcept = 0;
+
+  /**
+   * @brief Reads a question which entries to use.
+   * @param target Path and query of the request.
+   * @return The question, or nothing if the request is a call.
+   */
+  [[nodiscard]] virtual std::optional<discovery::Question> ReadQuestion(
+      std::string_view target) const = 0;
+
   /** @return Whether connections close after the answer that is under way. */
   [[nodiscard]] virtual bool IsDraining() const noexcept = 0;
 
@@ -115,8 +127,12 @@
    */
   void Continue(core::CallId other) noexcept { this->call = other; }
 
-  /** @brief Closes the connection if no request is under way. */
-  void CloseIfIdle();
+  /**
+   * @brief Closes the connection if it waits for a request of which nothing has
+   * arrived. No byte is read while it waits, so that none is lost.
+   * @param least Time for which it has waited at least.
+   */
+  void CloseIfIdle(core::Duration least);
 
  private:
   template <typename Body>
@@ -126,10 +142,10 @@
   using StreamSerializer =
       boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
 
+  void ReadRequest();
   void OnRead(boost::system::error_code error);
   void RefuseRequest(boost::system::error_code error);
   void Serve();
-  void ServeEntries();
   void ServeCall();
   [[nodiscard]] std::string CallerAddress();
   void WatchCaller();
@@ -158,7 +174,8 @@
   std::optional<core::CallId> call;
   bool keep_alive{};
   bool is_head{};
-  bool waiting_for_request{};
+  /** Since when it waits for a request. */
+  std::optional<core::TimePoint> idle_since;
 };
 
 }  // namespace trefoilbend::callers::internal
--- a/packages/callers/src/listener.cc
+++ b/packages/callers/src/listener.cc
@@ -4,6 +4,12 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+constexpr std::chrono::seconds kSweep{1};
+
+}  // namespace
+
 core::Outcome<std::monostate, std::string> Listener::Open(
     const http::Address& address) {
   boost::system::error_code error;
@@ -21,6 +27,7 @@
            error.message();
   }
   this->Accept();
+  this->Sweep();
   return std::monostate{};
 }
 
@@ -29,14 +36,24 @@
   this->acceptor.close(ignored);
 }
 
-void Listener::CloseIdleSessions() {
+void Listener::CloseIdleSessions(const core::Duration least) {
   for (const std::weak_ptr<Session>& weak : this->sessions) {
     if (const auto session = weak.lock()) {
-      session->CloseIfIdle();
+      session->CloseIfIdle(least);
     }
   }
 }
 
+void Listener::Sweep() {
+  this->sweep.expires_after(kSweep);
+  this->sweep.async_wait([this](const boost::system::error_code error) {
+    if (!error) {
+      this->CloseIdleSessions(this->owner.GetLimits().idle);
+      this->Sweep();
+    }
+  });
+}
+
 void Listener::Accept() {
   this->acceptor.async_accept([this](const boost::system::error_code error,
                                      tcp::socket socket) {
--- a/packages/callers/src/refusal_text.cc
+++ b/packages/callers/src/refusal_text.cc
@@ -9,35 +9,30 @@
 namespace {
 
 struct ReasonText {
-  std::string_view word;
   std::uint16_t status;
   std::string_view title;
 };
 
 const ReasonText& TextOf(const core::RefusalReason reason) noexcept {
   static constexpr std::array<ReasonText, 13> kTexts{
-      {{"unknown-service", 404, "The Host field names no service."},
-       {"no-target", 503, "No target of the service may take calls."},
-       {"busy", 503, "The service has no room for the call."},
-       {"deadline", 504, "The deadline passed."},
-       {"target-failed", 502, "The target failed."},
-       {"stopping", 503, "This entry is stopping."},
-       {"not-ready", 503, "This entry has no current configuration."},
-       {"key-reused", 422, "The key came before with another request."},
-       {"key-expired", 409, "The key's home no longer remembers it."},
-       {"key-not-yet-valid", 409, "The key was issued in the future."},
-       {"answer-not-kept", 409, "The request ran; its answer was not kept."},
-       {"home-unreachable", 503, "The key's home cannot be reached."},
-       {"key-not-claimed", 503, "The platform did not record the key."}}};
+      {{404, "The Host field names no service."},
+       {503, "No target of the service may take calls."},
+       {503, "The service has no room for the call."},
+       {504, "The deadline passed."},
+       {502, "The target failed."},
+       {503, "This entry is stopping."},
+       {503, "This entry has no current configuration."},
+       {422, "The key came before with another request."},
+       {409, "The key's home no longer remembers it."},
+       {409, "The key was issued in the future."},
+       {409, "The request ran; its answer was not kept."},
+       {503, "The key's home cannot be reached."},
+       {503, "The platform did not record the key."}}};
   return kTexts.at(static_cast<std::size_t>(reason));
 }
 
 }  // namespace
 
-std::string_view ToString(const core::RefusalReason reason) noexcept {
-  return TextOf(reason).word;
-}
-
 http::Response ToResponse(const core::Refusal& refusal) {
   const ReasonText& text = TextOf(refusal.reason);
   const std::string outcome =
@@ -46,10 +41,11 @@
       .status = text.status,
       .content_type = "application/problem+json",
       .fields = {{std::string{kOutcomeField}, outcome},
-                 {std::string{kReasonField}, std::string{text.word}}},
+                 {std::string{kReasonField},
+                  std::string{core::ToString(refusal.reason)}}},
       .body = nlohmann::json{{"title", text.title},
                              {"outcome", outcome},
-                             {"reason", text.word}}
+                             {"reason", core::ToString(refusal.reason)}}
                   .dump()};
   if (refusal.retry_after.count() > 0) {
     const auto seconds =
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -1,8 +1,6 @@
 #include "internal/session.h"
 
 #include <array>
-#include <charconv>
-#include <nlohmann/json.hpp>
 
 #include "trefoilbend/callers/refusal_text.h"
 #include "trefoilbend/forwarding/fields.h"
@@ -14,38 +12,12 @@
 namespace beast = boost::beast;
 using boost::asio::ip::tcp;
 
-constexpr std::string_view kEntriesPath = "/v1/entries";
-constexpr std::string_view kTimeoutField = "Trefoilbend-Timeout";
 constexpr unsigned kHttp11 = 11;
 
 std::string_view View(const beast::string_view text) {
   return {text.data(), text.size()};
 }
 
-std::string_view FieldOf(const auto& message, const std::string_view name) {
-  return View(message[beast::string_view{name.data(), name.size()}]);
-}
-
-/** Urgency of RFC 9218 from 0, the most urgent, to 7. */
-bool AsksForUrgency(const std::string_view priority) {
-  return priority.find("u=0") != std::string_view::npos ||
-         priority.find("u=1") != std::string_view::npos;
-}
-
-std::optional<std::chrono::milliseconds> TimeoutOf(
-    const std::string_view text) {
-  std::int64_t count{};
-  const auto [end, problem] =
-      std::from_chars(text.data(), text.data() + text.size(), count);
-  constexpr std::int64_t kMost =
-      std::chrono::milliseconds{std::chrono::hours{24}}.count();
-  if (problem != std::errc{} || end != text.data() + text.size() || count < 1 ||
-      count > kMost) {
-    return std::nullopt;
-  }
-  return std::chrono::milliseconds{count};
-}
-
 }  // namespace
 
 Session::Session(SessionOwner& owner, tcp::socket socket,
@@ -56,16 +28,30 @@
 }
 
 void Session::Read() {
-  this->waiting_for_request = true;
   this->parser.emplace();
   this->parser->header_limit(this->owner.GetLimits().header);
   this->parser->body_limit(this->owner.GetLimits().body);
-  this->stream.expires_after(this->owner.GetLimits().idle);
+  if (this->buffer.size() > 0) {
+    this->ReadRequest();
+    return;
+  }
+  this->idle_since = std::chrono::steady_clock::now();
+  this->stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const boost::system::error_code error) {
+        self->idle_since.reset();
+        if (!error) {
+          self->ReadRequest();
+        }
+      });
+}
+
+void Session::ReadRequest() {
+  this->stream.expires_after(this->owner.GetLimits().receive);
   beast::http::async_read_header(
       this->stream, this->buffer, *this->parser,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) {
-        self->waiting_for_request = false;
         if (error) {
           self->RefuseRequest(error);
           return;
@@ -120,28 +106,13 @@
 }
 
 void Session::Serve() {
-  if (http::PathOf(View(this->parser->get().target())) == kEntriesPath) {
-    this->ServeEntries();
-  } else {
+  auto question = this->owner.ReadQuestion(View(this->parser->get().target()));
+  if (!question) {
     this->ServeCall();
+    return;
   }
-}
-
-void Session::ServeEntries() {
-  const auto query = http::QueryOf(View(this->parser->get().target()));
-  const auto near = query.find("data-centre");
-  const discovery::Answer answer = this->owner.Ask(
-      {.caller = this->CallerAddress(),
-       .near = core::DataCentreName{near == query.end() ? "" : near->second}});
-  nlohmann::json body{{"entries", nlohmann::json::array()},
-                      {"keep_ms", answer.keep.count()}};
-  for (const http::Address& entry : answer.entries) {
-    body["entries"].push_back(http::ToString(entry));
-  }
-  if (answer.home) {
-    body["key_prefix"] = idempotency::FormatPrefix(*answer.home);
-  }
-  this->Send({.status = 200, .fields = {}, .body = body.dump()});
+  question->caller = this->CallerAddress();
+  this->Send(this->owner.Protocol().ToResponse(this->owner.Ask(*question)));
 }
 
 std::string Session::CallerAddress() {
@@ -153,8 +124,7 @@
 void Session::ServeCall() {
   auto& message = this->parser->get();
   core::CallRequest request;
-  request.service =
-      core::ServiceName{std::string{View(message[beast::http::field::host])}};
+  request.host = std::string{View(message[beast::http::field::host])};
   request.method = std::string{View(message.method_string())};
   request.path = std::string{View(message.target())};
   for (const auto& field : message) {
@@ -166,8 +136,8 @@
     }
   }
   request.body = std::move(message.body());
-  const Wishes wishes{.timeout = TimeoutOf(FieldOf(message, kTimeoutField)),
-                      .urgent = AsksForUrgency(FieldOf(message, "Priority"))};
+  const Wishes wishes = this->owner.Protocol().WishesOf(request.fields);
+  request.id = wishes.id;
   auto submitted =
       this->owner.Submit(this->shared_from_this(), std::move(request), wishes);
   if (!core::Succeeded(submitted)) {
@@ -211,7 +181,7 @@
 
 void Session::Refuse(const core::Refusal& refusal) {
   this->call.reset();
-  this->Send(ToResponse(refusal));
+  this->Send(this->owner.Protocol().ToResponse(refusal));
 }
 
 void Session::Send(http::Response response) {
@@ -319,10 +289,11 @@
   this->stream.close();
 }
 
-void Session::CloseIfIdle() {
+void Session::CloseIfIdle(const core::Duration least) {
   boost::system::error_code error;
-  if (this->waiting_for_request && !this->parser->got_some() &&
-      this->buffer.size() == 0 && this->stream.socket().available(error) == 0) {
+  if (this->idle_since &&
+      std::chrono::steady_clock::now() - *this->idle_since >= least &&
+      this->stream.socket().available(error) == 0) {
     this->stream.close();
   }
 }
--- a/packages/configuration/include/trefoilbend/configuration/messages.h
+++ b/packages/configuration/include/trefoilbend/configuration/messages.h
@@ -1,6 +1,7 @@
 #ifndef TREFOILBEND_CONFIGURATION_MESSAGES_H_
 #define TREFOILBEND_CONFIGURATION_MESSAGES_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -20,6 +21,20 @@
 using InstanceList =
     std::shared_ptr<const std::vector<platform::ListedInstance>>;
 
+/** @brief What callers may send and how long they may stay idle. */
+struct CallerBounds {
+  /** @brief Longest head of a request in bytes. */
+  std::uint32_t header{};
+  /** @brief Longest body of a request in bytes. */
+  std::uint64_t body{};
+  /** @brief Longest time in which a request arrives whole. */
+  std::chrono::milliseconds receive{};
+  /** @brief Time after which an idle connection is closed. */
+  std::chrono::milliseconds idle{};
+
+  [[nodiscard]] bool operator==(const CallerBounds&) const = default;
+};
+
 /** @brief The configuration and the list of instances that are in force from
  * now on. */
 struct Update {
@@ -27,6 +42,8 @@
   inventory::ConfigurationPtr configuration;
   /** @brief Instances of the platform's list. */
   InstanceList listed;
+  /** @brief Bounds for callers, if operators set them. */
+  std::optional<CallerBounds> bounds{};
 };
 
 /** @brief Newest revisions, the oldest of them first, shared by the duties. */
--- a/packages/core/include/trefoilbend/core/call.h
+++ b/packages/core/include/trefoilbend/core/call.h
@@ -1,10 +1,13 @@
 #ifndef TREFOILBEND_CORE_CALL_H_
 #define TREFOILBEND_CORE_CALL_H_
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -25,6 +28,10 @@
   ServiceName service;
   /** @brief Route of the service that the request belongs to. */
   RouteName route;
+  /** @brief Identity that the caller gave its request; empty for none. */
+  std::string id;
+  /** @brief Host field of the request, as the caller sent it. */
+  std::string host;
   /** @brief Method of the request, in capitals. */
   std::string method;
   /** @brief Path and query. */
@@ -38,6 +45,12 @@
   bool idempotent{};
   /** @brief Class of the request. */
   Urgency urgency = Urgency::kOrdinary;
+  /** @brief Targets to which the request may be sent; 0 for the entry's own
+   * limit. */
+  std::uint32_t attempts{};
+  /** @brief Time within which an answer has its full worth; zero if the route
+   * has no such objective. */
+  std::chrono::milliseconds objective{};
   /** @brief Time at which the caller stops waiting. */
   TimePoint deadline{};
   /** @brief Time up to which a target's answer is awaited if it is later than
@@ -92,6 +105,22 @@
   kKeyNotClaimed,
 };
 
+/**
+ * @brief Returns the word for a reason.
+ * @param reason Reason of a refusal.
+ * @return Word for programs, logs and metrics.
+ */
+[[nodiscard]] constexpr std::string_view ToString(
+    const RefusalReason reason) noexcept {
+  constexpr std::array<std::string_view, 13> kWords{
+      "unknown-service",   "no-target",       "busy",
+      "deadline",          "target-failed",   "stopping",
+      "not-ready",         "key-reused",      "key-expired",
+      "key-not-yet-valid", "answer-not-kept", "home-unreachable",
+      "key-not-claimed"};
+  return kWords.at(static_cast<std::size_t>(reason));
+}
+
 /** @brief An answer that trefoilbend gives in place of a target. */
 struct Refusal {
   /** @brief What is known of the run. */
--- a/packages/core/include/trefoilbend/core/clock.h
+++ b/packages/core/include/trefoilbend/core/clock.h
@@ -28,6 +28,28 @@
   }
 };
 
+/** @brief Wall-clock time that this process keeps by the monotonic clock, so
+ * that steps of the system's wall clock do not move it. */
+class WallClock {
+ public:
+  /** @return Current time by this process. */
+  [[nodiscard]] std::chrono::system_clock::time_point Now() const noexcept {
+    return this->wall_start +
+           std::chrono::duration_cast<std::chrono::system_clock::duration>(
+               std::chrono::steady_clock::now() - this->steady_start);
+  }
+
+  /** @return Current time in whole seconds. */
+  [[nodiscard]] std::chrono::sys_seconds Seconds() const noexcept {
+    return std::chrono::floor<std::chrono::seconds>(this->Now());
+  }
+
+ private:
+  std::chrono::system_clock::time_point wall_start =
+      std::chrono::system_clock::now();
+  TimePoint steady_start = std::chrono::steady_clock::now();
+};
+
 /** @brief Clock that moves only when it is told to. */
 class ManualClock final : public Clock {
  public:
--- a/packages/core/include/trefoilbend/core/log.h
+++ b/packages/core/include/trefoilbend/core/log.h
@@ -3,6 +3,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -55,7 +56,7 @@
 };
 
 /**
- * @brief Sets the log levels of the parts made afterwards.
+ * @brief Sets the log levels of the parts.
  * @param level Level of the parts that are not listed: trace, debug, info,
  * warn, error or off.
  * @param levels Level for each listed part.
@@ -63,6 +64,10 @@
 void ConfigureLogs(const std::string& level,
                    const std::map<std::string, std::string>& levels);
 
+/** @return Lines that were dropped since the start because the reader of
+ * standard output was too slow. */
+[[nodiscard]] std::uint64_t DroppedLogLines();
+
 }  // namespace trefoilbend::core
 
 #endif  // TREFOILBEND_CORE_LOG_H_
--- a/packages/discovery/include/trefoilbend/discovery/directory.h
+++ b/packages/discovery/include/trefoilbend/discovery/directory.h
@@ -46,6 +46,9 @@
   std::chrono::milliseconds keep{2'000};
   /** @brief Seed of the jitter. */
   std::uint64_t seed = 1;
+  /** @brief Whether callers are sent to the entries of their data centre only,
+   * as long as there are some. */
+  bool nearest_only = false;
 };
 
 /** @brief Decides which entries a caller uses. */
--- a/packages/discovery/src/directory.cc
+++ b/packages/discovery/src/directory.cc
@@ -50,6 +50,9 @@
   });
   Answer answer;
   for (const Ranked& one : ranked) {
+    if (this->options.nearest_only && one.far && !ranked.front().far) {
+      break;
+    }
     answer.entries.push_back(one.entry->address);
   }
   if (!ranked.empty()) {
--- a/packages/entry/include/trefoilbend/entry/entry.h
+++ b/packages/entry/include/trefoilbend/entry/entry.h
@@ -41,6 +41,8 @@
 
   explicit Entry(const Settings& settings);
 
+  void FollowConfiguration();
+
   std::unique_ptr<Duties> duties;
 };
 
--- a/packages/entry/include/trefoilbend/entry/settings.h
+++ b/packages/entry/include/trefoilbend/entry/settings.h
@@ -2,15 +2,19 @@
 #define TREFOILBEND_ENTRY_SETTINGS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "trefoilbend/balancing/dispatcher.h"
+#include "trefoilbend/balancing/trace_sampler.h"
 #include "trefoilbend/callers/duty.h"
 #include "trefoilbend/configuration/duty.h"
 #include "trefoilbend/core/outcome.h"
 #include "trefoilbend/forwarding/duty.h"
 #include "trefoilbend/membership/duty.h"
 #include "trefoilbend/operations/duty.h"
+#include "trefoilbend/platform/store.h"
+#include "trefoilbend/registry/duty.h"
 #include "trefoilbend/settings/document.h"
 #include "trefoilbend/settings/mistake.h"
 
@@ -26,10 +30,18 @@
   forwarding::Options forwarding;
   /** @brief Options of the duty that follows the configuration. */
   configuration::Options configuration;
+  /** @brief Options of the duty that follows the users' store; nothing if the
+   * project's own table holds the configuration. */
+  std::optional<registry::Options> registry;
+  /** @brief Makes the store that holds the lease of releases; nothing for the
+   * project's own table. */
+  platform::WatchedStoreFactory rollout_store;
   /** @brief Options of the duty that talks to the peers. */
   membership::Options membership;
   /** @brief Options of the duty that talks to operators. */
   operations::Options operations;
+  /** @brief Bounds of the traces of calls in the log. */
+  balancing::TraceOptions traces;
   /** @brief Log level of the parts that are not listed. */
   std::string log_level = "info";
   /** @brief Log level for each listed part. */
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -4,10 +4,15 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <vector>
 
 #include "trefoilbend/balancing/duty.h"
+#include "trefoilbend/core/log.h"
 #include "trefoilbend/forwarding/duty.h"
 #include "trefoilbend/membership/duty.h"
+#include "trefoilbend/platform/client.h"
+#include "trefoilbend/registry/duty.h"
 #include "trefoilbend/relay/duty.h"
 #include "trefoilbend/rollout/duty.h"
 
@@ -20,36 +25,69 @@
       std::chrono::system_clock::now().time_since_epoch().count())};
 }
 
-rollout::Options RolloutOptions(const configuration::Options& options) {
-  return {.self = options.self,
-          .incarnation = DrawIncarnation(),
-          .platform = options.platform,
-          .timeout = options.timeout};
+/** A lease that is taken over within a release of a few seconds. */
+constexpr platform::LeaseTimes kShortLease{
+    .length = std::chrono::milliseconds{2'500},
+    .margin = std::chrono::milliseconds{500}};
+constexpr std::chrono::milliseconds kShortLeasePeriod{800};
+
+rollout::Options RolloutOptions(const Settings& settings) {
+  const configuration::Options& options = settings.configuration;
+  rollout::Options made{.self = options.self,
+                        .incarnation = DrawIncarnation(),
+                        .store = settings.rollout_store};
+  if (made.store) {
+    made.lease = kShortLease;
+    made.lease_period = kShortLeasePeriod;
+    made.competes_sparingly = true;
+    made.pace = rollout::Pace::kBrisk;
+  } else {
+    made.store = [address = options.platform,
+                  timeout = options.timeout](boost::asio::io_context& context) {
+      return std::make_unique<platform::Client>(http::Client::Create(context),
+                                                address, timeout);
+    };
+  }
+  return made;
+}
+
+forwarding::Options ForwardingOptions(const Settings& settings) {
+  forwarding::Options options = settings.forwarding;
+  options.max_calls = settings.callers.limits.calls;
+  return options;
 }
 
 }  // namespace
 
 struct Entry::Duties {
   explicit Duties(const Settings& settings)
-      : forwarding({.max_calls = settings.callers.limits.calls,
-                    .idle_timeout = settings.forwarding.idle_timeout},
-                   this->registry),
-        balancing(settings.balancing, settings.callers.limits.calls),
-        relay(settings.callers.limits.calls),
-        callers(settings.callers, this->registry),
-        operations(settings.operations, this->registry),
-        rollout(RolloutOptions(settings.configuration)),
-        configuration(settings.configuration),
-        membership(settings.membership) {}
-
-  prometheus::Registry registry;
+      : forwarding(ForwardingOptions(settings), this->metrics),
+        balancing(settings.balancing, settings.callers.limits.calls,
+                  settings.traces, this->metrics),
+        callers(settings.callers, this->metrics),
+        operations(settings.operations, this->metrics),
+        rollout(RolloutOptions(settings)),
+        membership(settings.membership) {
+    if (settings.registry) {
+      this->catalogue.emplace(*settings.registry, this->metrics);
+    } else {
+      this->relay.emplace(settings.callers.limits.calls);
+      this->configuration.emplace(settings.configuration);
+    }
+  }
+
+  prometheus::Registry metrics;
   forwarding::ForwardingDuty forwarding;
   balancing::BalancingDuty balancing;
-  relay::RelayDuty relay;
+  /** Only with the project's own table, whose keys have homes. */
+  std::optional<relay::RelayDuty> relay;
   callers::CallersDuty callers;
   operations::OperationsDuty operations;
   rollout::RolloutDuty rollout;
-  configuration::ConfigurationDuty configuration;
+  /** Follows the project's own table. */
+  std::optional<configuration::ConfigurationDuty> configuration;
+  /** Follows the users' store, in place of the one before. */
+  std::optional<registry::RegistryDuty> catalogue;
   membership::MembershipDuty membership;
 };
 
@@ -57,14 +95,22 @@
     : duties(std::make_unique<Duties>(settings)) {}
 
 Entry::~Entry() {
-  this->duties->membership.Stop();
-  this->duties->configuration.Stop();
-  this->duties->rollout.Stop();
-  this->duties->operations.Stop();
-  this->duties->callers.Stop();
-  this->duties->relay.Stop();
-  this->duties->balancing.Stop();
-  this->duties->forwarding.Stop();
+  Duties& all = *this->duties;
+  all.membership.Stop();
+  if (all.catalogue) {
+    all.catalogue->Stop();
+  }
+  if (all.configuration) {
+    all.configuration->Stop();
+  }
+  all.rollout.Stop();
+  all.operations.Stop();
+  all.callers.Stop();
+  if (all.relay) {
+    all.relay->Stop();
+  }
+  all.balancing.Stop();
+  all.forwarding.Stop();
 }
 
 core::Outcome<std::monostate, std::string> Entry::Start() {
@@ -74,36 +120,69 @@
   all.balancing.Start({.callers = &all.callers.BalancingInlet(),
                        .forwarding = &all.forwarding.BalancingInlet(),
                        .rollout = &all.rollout.BalancingInlet()});
-  all.relay.Start(all.callers.RelayInlet());
-  auto serving =
-      all.callers.Start({.balancing = &all.balancing.CallersInlet(),
-                         .forwarding = &all.forwarding.CallersInlet(),
-                         .relay = &all.relay.CallersInlet()});
+  if (all.relay) {
+    all.relay->Start(all.callers.RelayInlet());
+  }
+  auto serving = all.callers.Start(
+      {.balancing = &all.balancing.CallersInlet(),
+       .forwarding = &all.forwarding.CallersInlet(),
+       .relay = all.relay ? &all.relay->CallersInlet() : nullptr});
   if (!core::Succeeded(serving)) {
     return serving;
   }
   auto operating = all.operations.Start(
-      {.configuration = &all.configuration.OperationsInlet()});
-  if (!core::Succeeded(operating)) {
+      {.configuration = all.configuration
+                            ? &all.configuration->OperationsInlet()
+                            : nullptr});
+  if (!core::Succeeded(operating) && !all.catalogue) {
     return operating;
   }
-  all.membership.Start({.followers = {&all.callers.MembershipInlet(),
-                                      &all.operations.ViewInlet()},
-                        .configuration = &all.configuration.PeersInlet()});
-  all.configuration.Start({.followers = {&all.callers.ConfigurationInlet(),
-                                         &all.balancing.ConfigurationInlet(),
-                                         &all.operations.ConfigurationInlet(),
-                                         &all.rollout.ConfigurationInlet()},
-                           .operations = &all.operations.ResultInlet(),
-                           .membership = &all.membership.ConfigurationInlet(),
-                           .automation = &all.rollout.ResultInlet()});
-  all.rollout.Start({.balancing = &all.balancing.RolloutInlet(),
-                     .configuration = &all.configuration.AutomationInlet()});
+  if (!core::Succeeded(operating)) {
+    core::Log{"entry"}.Warn("Metrics are not served. cause=\"{}\"",
+                            core::ProblemOf(operating));
+  }
+  std::vector<core::Ring<membership::View>*> viewers{
+      &all.callers.MembershipInlet(), &all.operations.ViewInlet(),
+      &all.rollout.MembershipInlet()};
+  if (all.catalogue) {
+    viewers.push_back(&all.catalogue->MembershipInlet());
+  }
+  all.membership.Start({.followers = viewers,
+                        .configuration = all.configuration
+                                             ? &all.configuration->PeersInlet()
+                                             : &all.catalogue->PeersInlet()});
+  this->FollowConfiguration();
+  all.rollout.Start(
+      {.balancing = &all.balancing.RolloutInlet(),
+       .configuration = all.configuration
+                            ? &all.configuration->AutomationInlet()
+                            : &all.catalogue->AutomationInlet()});
   return std::monostate{};
 }
 
+void Entry::FollowConfiguration() {
+  Duties& all = *this->duties;
+  const std::vector<core::Ring<configuration::Update>*> followers{
+      &all.callers.ConfigurationInlet(), &all.balancing.ConfigurationInlet(),
+      &all.operations.ConfigurationInlet(), &all.rollout.ConfigurationInlet()};
+  if (all.configuration) {
+    all.configuration->Start(
+        {.followers = followers,
+         .operations = &all.operations.ResultInlet(),
+         .membership = &all.membership.ConfigurationInlet(),
+         .automation = &all.rollout.ResultInlet()});
+  } else {
+    all.catalogue->Start({.followers = followers,
+                          .membership = &all.membership.ConfigurationInlet(),
+                          .automation = &all.rollout.ResultInlet()});
+  }
+}
+
 void Entry::Drain(std::function<void()> done) {
   (void)this->duties->membership.LeaveInlet().TryPush({});
+  if (this->duties->catalogue) {
+    (void)this->duties->catalogue->LeaveInlet().TryPush({});
+  }
   this->duties->callers.Drain(std::move(done));
 }
 
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -6,6 +6,10 @@
 
 #include "trefoilbend/balancing/strategy.h"
 #include "trefoilbend/settings/section.h"
+#include "trefoilbend/wire/caller_protocol.h"
+#include "trefoilbend/wire/row_codec.h"
+#include "trefoilbend/wire/store_client.h"
+#include "trefoilbend/wire/target_protocol.h"
 
 namespace trefoilbend::entry {
 
@@ -21,11 +25,18 @@
 constexpr std::uint64_t kMostKeys = 10'000'000;
 constexpr std::uint64_t kMostAnswers = 1U << 30U;
 constexpr std::uint64_t kMostAttempts = 10;
+constexpr std::uint64_t kMostProbes = 8;
+constexpr std::uint64_t kMostTraces = 64U << 20U;
 constexpr std::uint64_t kMostHedgePercent = 50;
 constexpr std::uint64_t kWholePercent = 100;
 /** Longer than a configuration or list needs to be known everywhere. */
 constexpr std::chrono::seconds kShareDelay{10};
 
+constexpr const char* kOwnTable = "own-table";
+constexpr const char* kUsersStore = "users-store";
+/** Longest time for which the store holds a request that waits for a change. */
+constexpr std::chrono::seconds kWatch{10};
+
 std::chrono::milliseconds Milliseconds(const std::chrono::microseconds time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
@@ -49,8 +60,8 @@
                 {"keys", &Reader::ReadKeys},
                 {"balancing", &Reader::ReadBalancing},
                 {"forwarding", &Reader::ReadForwarding},
-                {"platform", &Reader::ReadPlatform},
                 {"membership", &Reader::ReadMembership},
+                {"platform", &Reader::ReadPlatform},
                 {"operations", &Reader::ReadOperations},
                 {"log", &Reader::ReadLog}};
     this->RefuseOtherSections(readers);
@@ -104,6 +115,10 @@
     this->result.configuration.self = self;
     this->result.operations.self = self;
     this->result.membership.self = self;
+    this->self.name = self;
+    this->self.role = inventory::Role::kEntry;
+    this->self.data_centre =
+        core::DataCentreName{section.Text("data-centre", "")};
     this->result.membership.incarnation = this->result.callers.incarnation;
   }
 
@@ -111,6 +126,9 @@
     callers::Options& options = this->result.callers;
     callers::Limits& limits = options.limits;
     options.address = section.Address("address");
+    this->self.address = options.address;
+    options.directory = section.OptionalAddress("directory");
+    options.readiness = section.OptionalAddress("readiness");
     options.keep =
         Milliseconds(section.Time("keep", {100ms, 1min}, options.keep));
     options.leave_notice = Milliseconds(
@@ -156,6 +174,12 @@
         section.Integer("queue", {1, kMostCalls}, options.queue.length);
     options.attempts = static_cast<std::uint32_t>(
         section.Integer("attempts", {1, kMostAttempts}, options.attempts));
+    options.probes = static_cast<std::uint32_t>(
+        section.Integer("probes", {0, kMostProbes}, options.probes));
+    options.fleet_attempts.attempts = static_cast<std::uint32_t>(
+        section.Integer("fleet-attempts", {0, kMostCalls}, 0));
+    options.fleet_attempts.window = Milliseconds(section.Time(
+        "fleet-attempts-window", {100ms, 1h}, options.fleet_attempts.window));
     options.hedge_percent = static_cast<std::uint32_t>(section.Integer(
         "hedge-percent", {0, kMostHedgePercent}, options.hedge_percent));
     options.further_attempts_percent = static_cast<std::uint32_t>(
@@ -169,12 +193,22 @@
         section.Time("share-delay", {0ms, 10min}, kShareDelay);
     options.connection_percent = static_cast<std::uint32_t>(section.Integer(
         "connection-percent", {0, kWholePercent}, options.connection_percent));
-    this->result.forwarding.idle_timeout = Milliseconds(section.Time(
-        "idle-timeout", {100ms, 1h}, this->result.forwarding.idle_timeout));
+    forwarding::Options& forwarding = this->result.forwarding;
+    forwarding.idle_timeout = Milliseconds(
+        section.Time("idle-timeout", {100ms, 1h}, forwarding.idle_timeout));
+    forwarding.only_idle_timeout = Milliseconds(section.Time(
+        "only-idle-timeout", {100ms, 1h}, forwarding.only_idle_timeout));
+    forwarding.unsafe_idle = Milliseconds(
+        section.Time("unsafe-idle", {0ms, 1h}, forwarding.unsafe_idle));
+    forwarding.connect_timeout =
+        Milliseconds(section.Time("connect-timeout", {0ms, 1min}, 0ms));
+    forwarding.hold = section.Bytes("hold", {0, kMostBody}, 0);
   }
 
   void ReadPlatform(Section& section) {
     configuration::Options& options = this->result.configuration;
+    const std::string kind =
+        section.Word("kind", {kOwnTable, kUsersStore}, kOwnTable);
     options.platform = section.Address("address");
     options.timeout =
         Milliseconds(section.Time("timeout", {10ms, 1min}, options.timeout));
@@ -183,6 +217,36 @@
     this->result.callers.platform_timeout = options.timeout;
     this->result.operations.platform = options.platform;
     this->result.operations.platform_timeout = options.timeout;
+    const auto watch =
+        Milliseconds(section.Time("watch", {100ms, 30s}, kWatch));
+    if (kind == kUsersStore) {
+      this->UseStore(options, watch);
+    }
+  }
+
+  /** The users' store and protocols take the place of the project's own. */
+  void UseStore(const configuration::Options& options,
+                const std::chrono::milliseconds watch) {
+    const auto make = [address = options.platform, timeout = options.timeout](
+                          boost::asio::io_context& context) {
+      return std::make_unique<wire::StoreClient>(http::Client::Create(context),
+                                                 address, timeout);
+    };
+    this->result.registry =
+        registry::Options{.self = this->self,
+                          .store = make,
+                          .codec = std::make_shared<wire::RowCodec>(),
+                          .watch = watch};
+    this->result.rollout_store = make;
+    callers::Options& callers = this->result.callers;
+    callers.protocol = std::make_shared<wire::CallerProtocol>();
+    callers.takes_keys = false;
+    callers.serves_isolated = true;
+    callers.nearest_only = true;
+    this->result.forwarding.protocol = std::make_shared<wire::TargetProtocol>();
+    balancing::DispatcherOptions& balancing = this->result.balancing;
+    balancing.retries_failures = true;
+    balancing.data_centre = this->self.data_centre;
   }
 
   void ReadMembership(Section& section) {
@@ -191,6 +255,12 @@
         Milliseconds(section.Time("round", {50ms, 5s}, options.limits.round));
     options.limits.fresh = Milliseconds(
         section.Time("fresh", {500ms, 1min}, options.limits.fresh));
+    options.limits.suspect = Milliseconds(
+        section.Time("suspect", {500ms, 1min}, options.limits.suspect));
+    options.limits.dead =
+        Milliseconds(section.Time("dead", {500ms, 10min}, options.limits.dead));
+    this->self.peers = section.OptionalAddress("address");
+    this->self.rollout = section.OptionalAddress("rollout-address");
     std::istringstream seeds{section.Text("seeds", "")};
     for (std::string seed; seeds >> seed;) {
       const auto address = http::ParseAddress(seed);
@@ -232,10 +302,18 @@
   void ReadLog(Section& section) {
     static const std::vector<std::string> kLevels{"trace", "debug", "info",
                                                   "warn",  "error", "off"};
+    balancing::TraceOptions& traces = this->result.traces;
+    traces.budget =
+        section.Bytes("trace-budget", {0, kMostTraces}, traces.budget);
+    traces.one_in = static_cast<std::uint32_t>(
+        section.Integer("trace-one-in", {0, kMostCalls}, traces.one_in));
+    traces.slow =
+        Milliseconds(section.Time("trace-slow", {1ms, 1h}, traces.slow));
     this->result.log_level =
         section.Word("level", kLevels, this->result.log_level);
-    for (const char* part : {"callers", "relay", "configuration", "operations",
-                             "rollout", "membership", "entry"}) {
+    for (const char* part :
+         {"callers", "balancing", "relay", "configuration", "operations",
+          "rollout", "membership", "registry", "entry"}) {
       this->result.log_levels[part] =
           section.Word(part, kLevels, this->result.log_level);
     }
@@ -243,6 +321,7 @@
 
   const settings::Document& document;
   Mistakes mistakes;
+  inventory::Instance self;
   Settings result;
 };
 
--- a/packages/forwarding/include/trefoilbend/forwarding/duty.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/duty.h
@@ -8,6 +8,7 @@
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/ring.h"
 #include "trefoilbend/forwarding/messages.h"
+#include "trefoilbend/forwarding/target_protocol.h"
 
 namespace prometheus {
 class Registry;
@@ -22,6 +23,20 @@
   /** @brief Time after which an idle connection is closed, unless it is the
    * only one to its target. */
   std::chrono::milliseconds idle_timeout{5'000};
+  /** @brief Time after which the only idle connection to a target is closed. */
+  std::chrono::milliseconds only_idle_timeout{60'000};
+  /** @brief Longest time for which a connection that takes a non-idempotent
+   * request may have been idle. */
+  std::chrono::milliseconds unsafe_idle{60'000};
+  /** @brief Longest wait for a connection to be made; zero to wait until the
+   * deadline. */
+  std::chrono::milliseconds connect_timeout{};
+  /** @brief Length in bytes up to which the answer of an idempotent request is
+   * held until it is whole, so that a broken one can be asked for again. */
+  std::size_t hold{};
+  /** @brief Header fields that are exchanged with targets. */
+  std::shared_ptr<const TargetProtocol> protocol =
+      std::make_shared<OwnTargetProtocol>();
 };
 
 /** @brief Rings that the forwarding duty writes to. */
--- a/packages/forwarding/include/trefoilbend/forwarding/fields.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/fields.h
@@ -3,6 +3,8 @@
 
 #include <string_view>
 
+#include "trefoilbend/core/clock.h"
+
 namespace trefoilbend::forwarding {
 
 /**
@@ -13,6 +15,15 @@
  */
 [[nodiscard]] bool IsHopByHop(std::string_view name) noexcept;
 
+/**
+ * @brief Tells for how long an idle connection is kept, so that this side
+ * closes it before the server does.
+ * @param value Value of the Keep-Alive field; empty if there is none.
+ * @return A part of the time that the server grants, or the greatest duration
+ * if it names none.
+ */
+[[nodiscard]] core::Duration KeepAliveOf(std::string_view value) noexcept;
+
 }  // namespace trefoilbend::forwarding
 
 #endif  // TREFOILBEND_FORWARDING_FIELDS_H_
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -47,6 +47,9 @@
   /** @brief Whether a refusal of the target (status 503) is reported in place
    * of being passed on, so that another target can be asked. */
   bool holds_refusals{};
+  /** @brief Whether a failure of the target (status 500 and above) is reported
+   * in place of being passed on. */
+  bool holds_failures{};
   /** @brief Where the answer goes on if a part of it was passed on before. */
   std::optional<ResumePoint> resume{};
   /** @brief Connections that this entry may have open to the target. */
@@ -62,9 +65,28 @@
   core::ExchangeId exchange;
 };
 
+/** @brief Identity of a health check. */
+using ProbeId = core::Number<struct ProbeTag>;
+
+/** @brief Order to ask a target for its health and load. */
+struct StartProbe {
+  /** @brief Identity of the probe. */
+  ProbeId probe;
+  /** @brief Target that is asked. */
+  core::InstanceName target;
+  /** @brief Address of the target. */
+  http::Address address;
+  /** @brief Path on which the target answers. */
+  std::string path;
+  /** @brief Connections that this entry may have open to the target. */
+  std::uint32_t connections = kAnyConnections;
+  /** @brief Time at which the probe is given up. */
+  core::TimePoint deadline{};
+};
+
 /** @brief Orders from the duty that chooses targets. */
 using FromBalancing =
-    std::variant<std::monostate, StartExchange, CancelExchange>;
+    std::variant<std::monostate, StartExchange, CancelExchange, StartProbe>;
 
 /** @brief The caller has taken a part of the answer; the next one may follow.
  */
@@ -118,6 +140,9 @@
   bool cold{};
   /** @brief Whether the target takes no new work. */
   bool draining{};
+  /** @brief Time that work takes now, in multiples of the usual, if the target
+   * tells it. */
+  std::optional<double> slowdown{};
 };
 
 /** @brief How an exchange ended. */
@@ -136,6 +161,10 @@
   kCancelled,
   /** @brief The target refused the request; its answer was not passed on. */
   kRefused,
+  /** @brief Another target has the address and has not run the request. */
+  kMisdirected,
+  /** @brief The target failed; its answer was not passed on. */
+  kFailed,
 };
 
 /** @brief Status with which a target refuses a request. */
@@ -171,8 +200,31 @@
   core::ExchangeId exchange;
 };
 
+/** @brief What a target said of its health. */
+struct HealthReport {
+  /** @brief Whether the target calls itself healthy. */
+  bool healthy{};
+  /** @brief Name by which the target calls itself; empty if it does not. */
+  core::InstanceName name;
+  /** @brief Load, if the target tells it. */
+  std::optional<LoadReport> load;
+  /** @brief Time for which the target stays cold. */
+  std::chrono::milliseconds cold_for{};
+};
+
+/** @brief A probe that was answered or given up. */
+struct ProbeEnded {
+  /** @brief Identity of the probe. */
+  ProbeId probe;
+  /** @brief Target that was asked. */
+  core::InstanceName target;
+  /** @brief Its answer; nothing if none came in time. */
+  std::optional<HealthReport> report;
+};
+
 /** @brief Messages to the duty that chooses targets. */
-using ToBalancing = std::variant<std::monostate, ExchangeEnded, ExchangeBegan>;
+using ToBalancing =
+    std::variant<std::monostate, ExchangeEnded, ExchangeBegan, ProbeEnded>;
 
 }  // namespace trefoilbend::forwarding
 
--- a/packages/forwarding/src/connection_pool.cc
+++ b/packages/forwarding/src/connection_pool.cc
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::chrono::seconds kSweep{1};
-/** Time after which the only connection to a target is closed too. */
-constexpr std::chrono::seconds kOnlyIdleTimeout{60};
 
 /** Time for which a cut connection counts as open. */
 constexpr std::chrono::seconds kCutConnection{5};
@@ -30,10 +28,10 @@
 }  // namespace
 
 ConnectionPool::ConnectionPool(boost::asio::io_context& context,
-                               const std::chrono::milliseconds idle_timeout,
+                               const IdleTimeouts& timeouts,
                                ConnectionMetrics& metrics)
     : context(context),
-      idle_timeout(idle_timeout),
+      timeouts(timeouts),
       metrics(metrics),
       pace(context),
       sweep(context) {
@@ -47,7 +45,7 @@
   Server& server = this->servers[address];
   server.bounds = bounds;
   if (server.waiters.empty()) {
-    if (Connection connection = this->TakeIdle(server)) {
+    if (Connection connection = this->TakeIdle(server, bounds.most_idle)) {
       ready(Grant::kReuse, std::move(connection));
       return;
     }
@@ -58,11 +56,12 @@
     }
   }
   this->metrics.waits.Increment();
-  server.waiters.push_back({deadline, std::move(ready)});
+  server.waiters.push_back({deadline, bounds.most_idle, std::move(ready)});
   this->ServeLater();
 }
 
-void ConnectionPool::Keep(const http::Address& address, Connection connection) {
+void ConnectionPool::Keep(const http::Address& address, Connection connection,
+                          const core::Duration most_idle) {
   Server& server = this->servers[address];
   if (server.open > server.bounds.open) {
     connection->close();
@@ -70,7 +69,7 @@
     return;
   }
   connection->expires_never();
-  server.idle.push_back({std::move(connection), Now()});
+  server.idle.push_back({std::move(connection), Now(), most_idle});
   this->Serve(server);
 }
 
@@ -98,11 +97,19 @@
   })->Start();
 }
 
-Connection ConnectionPool::TakeIdle(Server& server) {
+Connection ConnectionPool::TakeIdle(Server& server,
+                                    const core::Duration most_idle) {
+  const core::TimePoint now = Now();
   while (!server.idle.empty()) {
-    Connection connection = std::move(server.idle.back().connection);
+    IdleConnection& newest = server.idle.back();
+    const core::Duration age = now - newest.since;
+    if (age > most_idle && age <= newest.most_idle) {
+      return nullptr;
+    }
+    Connection connection = std::move(newest.connection);
+    const bool expired = age > newest.most_idle;
     server.idle.pop_back();
-    if (IsUntouched(*connection)) {
+    if (!expired && IsUntouched(*connection)) {
       return connection;
     }
     this->CountClosed(server);
@@ -137,7 +144,8 @@
 void ConnectionPool::ServeNow(Server& server, const core::TimePoint now) {
   this->DropLate(server, now);
   while (!server.waiters.empty()) {
-    Connection connection = this->TakeIdle(server);
+    Connection connection =
+        this->TakeIdle(server, server.waiters.front().most_idle);
     if (!connection && !this->MayOpen(server, now)) {
       return;
     }
@@ -206,8 +214,8 @@
   while (!idle.empty()) {
     const core::Duration age = now - idle.front().since;
     const core::Duration limit =
-        server.open > 1 ? core::Duration{this->idle_timeout} : kOnlyIdleTimeout;
-    if (age < limit) {
+        server.open > 1 ? this->timeouts.usual : this->timeouts.only;
+    if (age < std::min(limit, idle.front().most_idle)) {
       return;
     }
     idle.front().connection->close();
--- a/packages/forwarding/src/duty.cc
+++ b/packages/forwarding/src/duty.cc
@@ -6,6 +6,7 @@
 
 #include "internal/connection_metrics.h"
 #include "internal/exchange.h"
+#include "internal/probe.h"
 #include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/outcome.h"
 
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t kOrdersPerCall = 4;
+constexpr std::size_t kOrdersPerCall = 6;
 
 }  // namespace
 
@@ -22,15 +23,21 @@
   Loop(const Options& options, prometheus::Registry& registry)
       : from_balancing(options.max_calls * kOrdersPerCall),
         from_callers(options.max_calls * kOrdersPerCall),
+        options(options),
         connection_metrics(registry),
-        pool(this->duty.Context(), options.idle_timeout,
+        pool(this->duty.Context(),
+             {.usual = options.idle_timeout, .only = options.only_idle_timeout},
              this->connection_metrics) {
     this->duty.Read(this->from_balancing, [this](FromBalancing&& message) {
       std::visit(
           core::Visitor{
               [](std::monostate) {},
               [this](StartExchange& order) { this->Start(std::move(order)); },
-              [this](const CancelExchange& order) { this->Cancel(order); }},
+              [this](const CancelExchange& order) { this->Cancel(order); },
+              [this](StartProbe& order) {
+                std::make_shared<internal::Probe>(*this, std::move(order))
+                    ->Start();
+              }},
           message);
     });
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
@@ -50,6 +57,10 @@
     return this->pool;
   }
 
+  [[nodiscard]] const Options& GetOptions() const noexcept override {
+    return this->options;
+  }
+
   [[nodiscard]] boost::asio::io_context& Context() noexcept override {
     return this->duty.Context();
   }
@@ -79,6 +90,8 @@
     this->Report(std::move(ended));
   }
 
+  void EndProbe(ProbeEnded ended) override { this->Report(std::move(ended)); }
+
   core::Ring<FromBalancing> from_balancing;
   core::Ring<FromCallers> from_callers;
   Outlets outlets;
@@ -141,6 +154,7 @@
     }
   }
 
+  Options options;
   internal::ConnectionMetrics connection_metrics;
   internal::ConnectionPool pool;
   std::unordered_map<core::ExchangeId, std::shared_ptr<internal::Exchange>>
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "trefoilbend/forwarding/fields.h"
-#include "trefoilbend/forwarding/load_report.h"
 #include "trefoilbend/forwarding/resumption.h"
 
 namespace trefoilbend::forwarding::internal {
@@ -19,30 +18,29 @@
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kHeadLimit = 32U << 10U;
 constexpr std::uint64_t kNoLimit = UINT64_MAX;
-
-beast::string_view View(const std::string_view text) {
-  return {text.data(), text.size()};
-}
+constexpr std::uint16_t kFirstServerError = 500;
 
 std::string_view View(const beast::string_view text) {
   return {text.data(), text.size()};
 }
 
 beast::http::request<beast::http::string_body> Encode(
-    const StartExchange& order, const core::TimePoint now) {
+    const StartExchange& order, const TargetProtocol& protocol,
+    const core::TimePoint now) {
   const core::CallRequest& request = *order.request;
   beast::http::request<beast::http::string_body> message;
   message.version(kHttp11);
   message.method_string(request.method);
   message.target(request.path);
-  for (const auto& [name, value] : request.fields) {
-    message.insert(name, value);
-  }
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       request.deadline - now);
-  message.set(beast::http::field::host, request.service.Text());
-  message.set("Trefoilbend-Timeout",
-              std::to_string(std::max<std::int64_t>(left.count(), 0)));
+  core::Fields fields = request.fields;
+  protocol.Prepare(order, left, fields);
+  for (const auto& [name, value] : fields) {
+    message.insert(name, value);
+  }
+  message.set(beast::http::field::host,
+              request.host.empty() ? request.service.Text() : request.host);
   if (order.resume) {
     message.set(beast::http::field::range,
                 "bytes=" + std::to_string(order.resume->offset) + '-');
@@ -66,11 +64,15 @@
       resume(this->order.resume) {}
 
 void Exchange::Start() {
-  this->out = Encode(this->order, this->started);
+  const Options& options = this->owner.GetOptions();
+  this->out = Encode(this->order, *options.protocol, this->started);
   this->owner.Pool().Acquire(
       this->order.address,
       {.open = this->order.connections,
-       .interval = this->order.connection_interval},
+       .interval = this->order.connection_interval,
+       .most_idle = this->order.request->idempotent
+                        ? core::Duration::max()
+                        : core::Duration{options.unsafe_idle}},
       this->order.request->deadline,
       [self = this->shared_from_this()](const Grant grant, Connection granted) {
         self->TakeConnection(grant, std::move(granted));
@@ -83,7 +85,8 @@
     return;
   }
   if (this->ended && granted) {
-    this->owner.Pool().Keep(this->order.address, std::move(granted));
+    this->owner.Pool().Keep(this->order.address, std::move(granted),
+                            core::Duration::max());
     return;
   }
   if (this->ended) {
@@ -101,7 +104,12 @@
 
 void Exchange::Connect() {
   this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
-  this->connection->expires_at(ExpiryOf(*this->order.request));
+  const core::TimePoint expiry = ExpiryOf(*this->order.request);
+  const auto patience = this->owner.GetOptions().connect_timeout;
+  this->connection->expires_at(
+      patience.count() == 0
+          ? expiry
+          : std::min(expiry, std::chrono::steady_clock::now() + patience));
   boost::system::error_code error;
   const auto host =
       boost::asio::ip::make_address(this->order.address.host, error);
@@ -115,6 +123,7 @@
         }
         boost::system::error_code ignored;
         self->connection->socket().set_option(tcp::no_delay(true), ignored);
+        self->connection->expires_at(ExpiryOf(*self->order.request));
         self->Write();
       });
 }
@@ -162,29 +171,51 @@
     return;
   }
   this->latency = this->Elapsed();
-  const auto report = this->parser->get().find(View(kLoadField));
-  if (report != this->parser->get().end()) {
-    this->load = ParseLoadReport(View(report->value()));
-  }
-  if (this->order.holds_refusals &&
-      this->parser->get().result_int() == kRefusalStatus) {
-    this->refused = true;
-    this->abandoned = true;
-  } else if (this->order.resume &&
-             !Continues(*this->order.resume, this->MakeHead())) {
-    this->resume.reset();
-    this->Finish(ExchangeResult::kBrokenWithinAnswer);
+  const TargetProtocol& protocol = *this->owner.GetOptions().protocol;
+  const core::AnswerHead head = this->MakeHead();
+  const AnswerKind kind = protocol.Judge(this->order, head);
+  if (kind == AnswerKind::kInvalid ||
+      (this->parser->need_eof() && !protocol.AllowsEndByClose())) {
+    this->Fail(beast::http::error::partial_message);
+    return;
+  }
+  this->TakeHead(kind, head);
+  if (this->ended) {
     return;
   }
   if (this->parser->is_done()) {
     this->Deliver("", true);
     return;
   }
-  if (this->parser->need_eof()) {
-    this->Fail(beast::http::error::partial_message);
+  this->ReadPart();
+}
+
+void Exchange::TakeHead(const AnswerKind kind, const core::AnswerHead& head) {
+  if (kind == AnswerKind::kForeign) {
+    this->foreign = true;
     return;
   }
-  this->ReadPart();
+  this->load = this->owner.GetOptions().protocol->LoadOf(head.fields);
+  if (kind == AnswerKind::kMisdirected) {
+    this->withheld = ExchangeResult::kMisdirected;
+  } else if (kind == AnswerKind::kRefusal && this->order.holds_refusals) {
+    this->withheld = ExchangeResult::kRefused;
+  } else if (kind == AnswerKind::kAnswer && this->order.holds_failures &&
+             head.status >= kFirstServerError) {
+    this->withheld = ExchangeResult::kFailed;
+  } else if (this->order.resume && !Continues(*this->order.resume, head)) {
+    this->resume.reset();
+    this->Finish(ExchangeResult::kBrokenWithinAnswer);
+    return;
+  }
+  this->abandoned = this->abandoned || this->withheld.has_value();
+  this->holding = this->MayHold(head);
+}
+
+bool Exchange::MayHold(const core::AnswerHead& head) const noexcept {
+  return this->order.request->idempotent && !this->order.resume &&
+         head.length.value_or(0) <= this->owner.GetOptions().hold &&
+         this->owner.GetOptions().hold > 0;
 }
 
 void Exchange::ReadPart() {
@@ -272,17 +303,41 @@
 }
 
 void Exchange::Deliver(std::string body, const bool complete) {
+  if (this->foreign) {
+    complete ? this->SkipAnswer() : this->ReadPart();
+    return;
+  }
   if (!this->abandoned) {
-    this->PassOn(std::move(body), complete);
+    this->Hold(std::move(body), complete);
   }
   if (complete) {
-    this->Finish(this->refused ? ExchangeResult::kRefused
-                               : ExchangeResult::kAnswered);
-  } else if (this->abandoned) {
+    this->Finish(this->withheld.value_or(ExchangeResult::kAnswered));
+  } else if (this->abandoned || this->holding) {
     this->ReadPart();
   }
 }
 
+void Exchange::Hold(std::string body, const bool complete) {
+  if (!this->holding) {
+    this->PassOn(std::move(body), complete);
+    return;
+  }
+  this->held += body;
+  if (complete || this->held.size() > this->owner.GetOptions().hold) {
+    this->holding = false;
+    this->PassOn(std::move(this->held), complete);
+  }
+}
+
+void Exchange::SkipAnswer() {
+  if (!this->parser->keep_alive()) {
+    this->Fail(beast::http::error::end_of_stream);
+    return;
+  }
+  this->foreign = false;
+  this->ReadHead();
+}
+
 void Exchange::Continue() {
   if (!this->ended && !this->reading) {
     this->ReadPart();
@@ -327,7 +382,7 @@
   }
   this->ended = true;
   const bool answered =
-      result == ExchangeResult::kAnswered || result == ExchangeResult::kRefused;
+      result == ExchangeResult::kAnswered || result == this->withheld;
   const auto status =
       answered ? static_cast<std::uint16_t>(this->parser->get().result_int())
                : std::uint16_t{0};
@@ -349,7 +404,9 @@
     return;
   }
   if (answered && this->parser->keep_alive() && this->buffer.size() == 0) {
-    pool.Keep(this->order.address, std::move(this->connection));
+    pool.Keep(
+        this->order.address, std::move(this->connection),
+        KeepAliveOf(View(this->parser->get()[beast::http::field::keep_alive])));
     return;
   }
   this->connection->cancel();
--- a/packages/forwarding/src/fields.cc
+++ b/packages/forwarding/src/fields.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <chrono>
+#include <cstdint>
 
 namespace trefoilbend::forwarding {
 
@@ -25,4 +28,21 @@
                      });
 }
 
+core::Duration KeepAliveOf(const std::string_view value) noexcept {
+  static constexpr std::string_view kParameter = "timeout=";
+  static constexpr int kPercentKept = 60;
+  const std::size_t at = value.find(kParameter);
+  if (at == std::string_view::npos) {
+    return core::Duration::max();
+  }
+  const std::string_view number = value.substr(at + kParameter.size());
+  std::int64_t seconds{};
+  const auto [end, problem] =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  if (problem != std::errc{} || seconds < 0) {
+    return core::Duration::max();
+  }
+  return std::chrono::seconds{seconds} * kPercentKept / 100;
+}
+
 }  // namespace trefoilbend::forwarding
--- a/packages/forwarding/src/internal/connection_pool.h
+++ b/packages/forwarding/src/internal/connection_pool.h
@@ -38,6 +38,16 @@
   std::uint32_t open{};
   /** @brief Least time between two new connections. */
   core::Duration interval{};
+  /** @brief Longest time for which the connection may have been idle. */
+  core::Duration most_idle = core::Duration::max();
+};
+
+/** @brief Times after which idle connections are closed. */
+struct IdleTimeouts {
+  /** @brief Time for a connection beside others to the same target. */
+  std::chrono::milliseconds usual{};
+  /** @brief Time for the only connection to a target. */
+  std::chrono::milliseconds only{};
 };
 
 /**
@@ -55,12 +65,10 @@
   /**
    * @brief Makes an empty pool.
    * @param context Event loop that carries the connections.
-   * @param idle_timeout Time after which an idle connection is closed, unless
-   * it is the only one to its target.
+   * @param timeouts Times after which idle connections are closed.
    * @param metrics Metrics to update; outlives the pool.
    */
-  ConnectionPool(boost::asio::io_context& context,
-                 std::chrono::milliseconds idle_timeout,
+  ConnectionPool(boost::asio::io_context& context, const IdleTimeouts& timeouts,
                  ConnectionMetrics& metrics);
 
   /**
@@ -79,8 +87,10 @@
    * are open.
    * @param address Address of the target.
    * @param connection Connection whose last answer was whole.
+   * @param most_idle Time for which the target keeps it open at least.
    */
-  void Keep(const http::Address& address, Connection connection);
+  void Keep(const http::Address& address, Connection connection,
+            core::Duration most_idle);
 
   /**
    * @brief Takes note that a connection was closed or not made.
@@ -107,10 +117,12 @@
   struct IdleConnection {
     Connection connection;
     core::TimePoint since;
+    core::Duration most_idle;
   };
 
   struct Waiter {
     core::TimePoint deadline;
+    core::Duration most_idle;
     Ready ready;
   };
 
@@ -122,7 +134,7 @@
     std::deque<Waiter> waiters;
   };
 
-  [[nodiscard]] Connection TakeIdle(Server& server);
+  [[nodiscard]] Connection TakeIdle(Server& server, core::Duration most_idle);
   [[nodiscard]] bool MayOpen(const Server& server, core::TimePoint now) const;
   void CountOpened(Server& server, core::TimePoint now);
   void CountClosed(Server& server);
@@ -136,7 +148,7 @@
   void Post(Waiter waiter, Grant grant, Connection connection);
 
   boost::asio::io_context& context;
-  std::chrono::milliseconds idle_timeout;
+  IdleTimeouts timeouts;
   ConnectionMetrics& metrics;
   std::map<http::Address, Server> servers;
   boost::asio::steady_timer pace;
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "internal/connection_pool.h"
+#include "trefoilbend/forwarding/duty.h"
 #include "trefoilbend/forwarding/messages.h"
 
 namespace trefoilbend::forwarding::internal {
@@ -22,6 +23,9 @@
   /** @return Connections to targets. */
   [[nodiscard]] virtual ConnectionPool& Pool() noexcept = 0;
 
+  /** @return Options of the duty. */
+  [[nodiscard]] virtual const Options& GetOptions() const noexcept = 0;
+
   /** @return Event loop of the duty. */
   [[nodiscard]] virtual boost::asio::io_context& Context() noexcept = 0;
 
@@ -44,6 +48,12 @@
    * @param ended Report of the exchange.
    */
   virtual void End(ExchangeEnded ended) = 0;
+
+  /**
+   * @brief Ends a probe.
+   * @param ended Report of the probe.
+   */
+  virtual void EndProbe(ProbeEnded ended) = 0;
 };
 
 /** @brief One request to one target and its answer. */
@@ -82,12 +92,16 @@
   void Write();
   void ReadHead();
   void OnHead(boost::system::error_code error);
+  void TakeHead(AnswerKind kind, const core::AnswerHead& head);
+  void Hold(std::string body, bool complete);
+  void SkipAnswer();
   void ReadPart();
   void OnPart(boost::system::error_code error);
   void Deliver(std::string body, bool complete);
   void Fail(boost::system::error_code error);
   void Finish(ExchangeResult result);
   [[nodiscard]] core::AnswerHead MakeHead() const;
+  [[nodiscard]] bool MayHold(const core::AnswerHead& head) const noexcept;
   [[nodiscard]] bool IsWholeBody() const noexcept;
   void PassOn(std::string body, bool complete);
   void GiveBackConnection(ExchangeResult result, bool answered);
@@ -110,7 +124,11 @@
   bool sent{};
   bool head_passed{};
   bool abandoned{};
-  bool refused{};
+  /** What is reported of an answer that is not passed on. */
+  std::optional<ExchangeResult> withheld;
+  std::string held;
+  bool holding{};
+  bool foreign{};
   bool reading{};
   bool awaits_head{};
   bool ended{};
--- /dev/null
+++ b/packages/forwarding/src/internal/probe.h
@@ -0,0 +1,47 @@
+#ifndef TREFOILBEND_FORWARDING_INTERNAL_PROBE_H_
+#define TREFOILBEND_FORWARDING_INTERNAL_PROBE_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+
+#include "internal/exchange.h"
+
+namespace trefoilbend::forwarding::internal {
+
+/** @brief One health check of a target. */
+class Probe : public std::enable_shared_from_this<Probe> {
+ public:
+  /**
+   * @brief Makes a probe.
+   * @param owner Duty that carries the probe and outlives it.
+   * @param order Which target is asked.
+   */
+  Probe(ExchangeOwner& owner, StartProbe order)
+      : owner(owner), order(std::move(order)) {}
+
+  /** @brief Asks for a connection and sends the request on it. */
+  void Start();
+
+ private:
+  void TakeConnection(Grant grant, Connection granted);
+  void Connect();
+  void Write();
+  void Read();
+  void OnRead(boost::system::error_code error);
+  void GiveUp();
+
+  ExchangeOwner& owner;
+  StartProbe order;
+  Connection connection;
+  boost::beast::flat_buffer buffer;
+  boost::beast::http::request<boost::beast::http::empty_body> out;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      parser;
+};
+
+}  // namespace trefoilbend::forwarding::internal
+
+#endif  // TREFOILBEND_FORWARDING_INTERNAL_PROBE_H_
--- /dev/null
+++ b/packages/forwarding/src/probe.cc
@@ -0,0 +1,134 @@
+#include "internal/probe.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string_view>
+#include <utility>
+
+#include "trefoilbend/forwarding/fields.h"
+
+namespace trefoilbend::forwarding::internal {
+
+namespace {
+
+namespace beast = boost::beast;
+using boost::asio::ip::tcp;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::uint32_t kHeadLimit = 8U << 10U;
+constexpr std::uint64_t kBodyLimit = 64U << 10U;
+
+std::string_view View(const beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+core::AnswerHead HeadOf(
+    const beast::http::response<beast::http::string_body>& message) {
+  core::AnswerHead head{
+      .status = static_cast<std::uint16_t>(message.result_int()),
+      .fields = {},
+      .length = std::nullopt,
+      .body = {}};
+  for (const auto& field : message) {
+    head.fields.emplace_back(field.name_string(), field.value());
+  }
+  return head;
+}
+
+}  // namespace
+
+void Probe::Start() {
+  this->out.method(beast::http::verb::get);
+  this->out.target(this->order.path);
+  this->out.version(kHttp11);
+  this->out.set(beast::http::field::host, http::ToString(this->order.address));
+  this->owner.Pool().Acquire(
+      this->order.address, {.open = this->order.connections, .interval = {}},
+      this->order.deadline,
+      [self = this->shared_from_this()](const Grant grant, Connection granted) {
+        self->TakeConnection(grant, std::move(granted));
+      });
+}
+
+void Probe::TakeConnection(const Grant grant, Connection granted) {
+  if (grant == Grant::kGiveUp) {
+    this->owner.EndProbe({this->order.probe, this->order.target, std::nullopt});
+    return;
+  }
+  if (grant == Grant::kOpen) {
+    this->Connect();
+    return;
+  }
+  this->connection = std::move(granted);
+  this->connection->expires_at(this->order.deadline);
+  this->Write();
+}
+
+void Probe::Connect() {
+  this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
+  this->connection->expires_at(this->order.deadline);
+  boost::system::error_code error;
+  const auto host =
+      boost::asio::ip::make_address(this->order.address.host, error);
+  this->connection->async_connect(
+      tcp::endpoint{host, this->order.address.port},
+      [self =
+           this->shared_from_this()](const boost::system::error_code failure) {
+        if (failure) {
+          self->GiveUp();
+          return;
+        }
+        boost::system::error_code ignored;
+        self->connection->socket().set_option(tcp::no_delay(true), ignored);
+        self->Write();
+      });
+}
+
+void Probe::Write() {
+  beast::http::async_write(
+      *this->connection, this->out,
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) {
+        if (error) {
+          self->GiveUp();
+          return;
+        }
+        self->Read();
+      });
+}
+
+void Probe::Read() {
+  this->parser.emplace();
+  this->parser->header_limit(kHeadLimit);
+  this->parser->body_limit(kBodyLimit);
+  beast::http::async_read(
+      *this->connection, this->buffer, *this->parser,
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) { self->OnRead(error); });
+}
+
+void Probe::OnRead(const boost::system::error_code error) {
+  if (error) {
+    this->GiveUp();
+    return;
+  }
+  const core::AnswerHead head = HeadOf(this->parser->get());
+  ConnectionPool& pool = this->owner.Pool();
+  if (this->parser->keep_alive() && this->buffer.size() == 0) {
+    pool.Keep(
+        this->order.address, std::move(this->connection),
+        KeepAliveOf(View(this->parser->get()[beast::http::field::keep_alive])));
+  } else {
+    this->connection->close();
+    pool.Release(this->order.address);
+  }
+  this->owner.EndProbe({this->order.probe, this->order.target,
+                        this->owner.GetOptions().protocol->HealthOf(head)});
+}
+
+void Probe::GiveUp() {
+  this->connection->close();
+  this->owner.Pool().Release(this->order.address);
+  this->owner.EndProbe({this->order.probe, this->order.target, std::nullopt});
+}
+
+}  // namespace trefoilbend::forwarding::internal
--- a/packages/http/include/trefoilbend/http/message.h
+++ b/packages/http/include/trefoilbend/http/message.h
@@ -47,6 +47,21 @@
 [[nodiscard]] std::optional<std::string_view> FindField(
     const Fields& fields, std::string_view name) noexcept;
 
+/**
+ * @brief Sets a header field in place of all of that name.
+ * @param fields Fields to change.
+ * @param name Name of the field.
+ * @param value Value of the field.
+ */
+void SetField(Fields& fields, std::string_view name, std::string value);
+
+/**
+ * @brief Removes the header fields of a name, whatever its case.
+ * @param fields Fields to change.
+ * @param name Name of the fields.
+ */
+void EraseField(Fields& fields, std::string_view name);
+
 /**
  * @brief Returns the path of a request's target.
  * @param target Path and query.
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <utility>
 
 namespace trefoilbend::http {
 
@@ -13,6 +14,12 @@
          std::tolower(static_cast<unsigned char>(right));
 }
 
+bool SameName(const std::string_view left,
+              const std::string_view right) noexcept {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    SameLetter);
+}
+
 std::string Unescape(const std::string_view text) {
   constexpr std::size_t kEscapeLength = 3;
   std::string plain;
@@ -34,17 +41,26 @@
 
 std::optional<std::string_view> FindField(
     const Fields& fields, const std::string_view name) noexcept {
-  const auto same_name = [&](const auto& field) {
-    return std::equal(field.first.begin(), field.first.end(), name.begin(),
-                      name.end(), internal::SameLetter);
-  };
-  const auto found = std::find_if(fields.begin(), fields.end(), same_name);
+  const auto found = std::find_if(
+      fields.begin(), fields.end(),
+      [&](const auto& field) { return internal::SameName(field.first, name); });
   if (found == fields.end()) {
     return std::nullopt;
   }
   return found->second;
 }
 
+void EraseField(Fields& fields, const std::string_view name) {
+  std::erase_if(fields, [&](const auto& field) {
+    return internal::SameName(field.first, name);
+  });
+}
+
+void SetField(Fields& fields, const std::string_view name, std::string value) {
+  EraseField(fields, name);
+  fields.emplace_back(name, std::move(value));
+}
+
 std::string_view PathOf(const std::string_view target) noexcept {
   return target.substr(0, target.find('?'));
 }
--- a/packages/inventory/include/trefoilbend/inventory/codec.h
+++ b/packages/inventory/include/trefoilbend/inventory/codec.h
@@ -53,6 +53,13 @@
  */
 [[nodiscard]] std::string Encode(const Object& object);
 
+/**
+ * @brief Reads an object.
+ * @param text JSON that Encode wrote.
+ * @return The object, or nothing if the text is malformed.
+ */
+[[nodiscard]] std::optional<Object> DecodeObject(std::string_view text);
+
 }  // namespace trefoilbend::inventory
 
 #endif  // TREFOILBEND_INVENTORY_CODEC_H_
--- a/packages/inventory/include/trefoilbend/inventory/configuration.h
+++ b/packages/inventory/include/trefoilbend/inventory/configuration.h
@@ -1,10 +1,12 @@
 #ifndef TREFOILBEND_INVENTORY_CONFIGURATION_H_
 #define TREFOILBEND_INVENTORY_CONFIGURATION_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "trefoilbend/core/name.h"
@@ -38,6 +40,12 @@
     return this->revision;
   }
 
+  /** @return Versions of the tables that it was made from, in an order that its
+   * maker knows; empty if it was not made from tables. */
+  [[nodiscard]] const std::vector<std::uint64_t>& Sources() const noexcept {
+    return this->sources;
+  }
+
   /** @return All objects by identity. */
   [[nodiscard]] const std::map<ObjectKey, Object>& Objects() const noexcept {
     return this->objects;
@@ -63,6 +71,13 @@
     return this->services;
   }
 
+  /** @return Routes that are chosen by the Host field, by that field, the
+   * longest path first. */
+  [[nodiscard]] const std::map<std::string, std::vector<const Route*>>& Hosts()
+      const noexcept {
+    return this->hosts;
+  }
+
   /** @return The entry instances, by name. */
   [[nodiscard]] const std::vector<const Instance*>& Entries() const noexcept {
     return this->entries;
@@ -78,11 +93,14 @@
   }
 
  private:
-  Configuration(core::Revision revision, std::map<ObjectKey, Object> objects);
+  Configuration(core::Revision revision, std::vector<std::uint64_t> sources,
+                std::map<ObjectKey, Object> objects);
 
   core::Revision revision;
+  std::vector<std::uint64_t> sources;
   std::map<ObjectKey, Object> objects;
   std::map<core::ServiceName, ServiceView> services;
+  std::map<std::string, std::vector<const Route*>> hosts;
   std::vector<const Instance*> entries;
 };
 
@@ -126,11 +144,22 @@
     return *this;
   }
 
+  /**
+   * @brief Sets the versions of the tables that it is made from.
+   * @param versions Versions in the order that the maker knows.
+   * @return This builder.
+   */
+  Builder& From(std::vector<std::uint64_t> versions) {
+    this->sources = std::move(versions);
+    return *this;
+  }
+
   /** @return The configuration. */
   [[nodiscard]] ConfigurationPtr Build();
 
  private:
   core::Revision revision;
+  std::vector<std::uint64_t> sources;
   std::map<ObjectKey, Object> objects;
 };
 
@@ -145,6 +174,18 @@
                                       std::string_view method,
                                       std::string_view path) noexcept;
 
+/**
+ * @brief Finds the route that a request belongs to among those that are chosen
+ * by the Host field.
+ * @param configuration Configuration to search.
+ * @param host Host field of the request.
+ * @param path Path of the request, without its query.
+ * @return The route with the longest matching path, or null.
+ */
+[[nodiscard]] const Route* MatchHost(const Configuration& configuration,
+                                     const std::string& host,
+                                     std::string_view path) noexcept;
+
 /**
  * @brief Lists the changes from one set of objects to another.
  * @param from Configuration before.
--- a/packages/inventory/include/trefoilbend/inventory/objects.h
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/http/address.h"
@@ -41,6 +42,13 @@
   /** @brief Whether a target's status 503 proves that the request was not run.
    */
   bool trusts_refusals{};
+  /** @brief Path on which a target answers health checks; empty for none. */
+  std::string health_path;
+  /** @brief Requests a second that a cold target bears, from all entries
+   * together; 0 if only cold_allowance bounds them. */
+  std::uint32_t cold_rate{};
+  /** @brief Time for which a target stays cold after its start. */
+  std::chrono::milliseconds warm_up{};
 
   [[nodiscard]] bool operator==(const Service&) const = default;
 };
@@ -80,6 +88,16 @@
   [[nodiscard]] bool operator==(const Instance&) const = default;
 };
 
+/** @brief Part of a route's requests that goes to one service. */
+struct TrafficShare {
+  /** @brief Service that gets the part. */
+  core::ServiceName service;
+  /** @brief Part in proportion to the weights of the route's other shares. */
+  std::uint32_t weight{};
+
+  [[nodiscard]] bool operator==(const TrafficShare&) const = default;
+};
+
 /** @brief A rule for some requests of a service. */
 struct Route {
   /** @brief Name of the route, unique among all routes. */
@@ -97,6 +115,19 @@
   bool urgent_allowed{};
   /** @brief Time that a call may take; nothing to use the service's. */
   std::optional<std::chrono::microseconds> timeout;
+  /** @brief Host field of the requests; empty if it is the service's name. */
+  std::string host;
+  /** @brief Services among which the requests are divided; empty if all go to
+   * the route's service. */
+  std::vector<TrafficShare> split;
+  /** @brief Targets to which one request may be sent; 0 for the entry's own
+   * limit. */
+  std::uint32_t attempts{};
+  /** @brief Time within which an answer has its full worth; zero for no
+   * objective. */
+  std::chrono::microseconds objective{};
+  /** @brief Rank of the requests among others; 0 is the highest. */
+  std::uint32_t rank{};
 
   [[nodiscard]] bool operator==(const Route&) const = default;
 };
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -41,7 +41,10 @@
           {"timeout_us", service.timeout.count()},
           {"cold_allowance", service.cold_allowance},
           {"probe_budget", service.probe_budget},
-          {"trusts_refusals", service.trusts_refusals}};
+          {"trusts_refusals", service.trusts_refusals},
+          {"health_path", service.health_path},
+          {"cold_rate", service.cold_rate},
+          {"warm_up_ms", service.warm_up.count()}};
 }
 
 json ToJson(const Instance& instance) {
@@ -81,6 +84,17 @@
   if (route.timeout) {
     object["timeout_us"] = route.timeout->count();
   }
+  if (!route.host.empty()) {
+    object["host"] = route.host;
+    object["attempts"] = route.attempts;
+    object["objective_us"] = route.objective.count();
+    object["rank"] = route.rank;
+    object["split"] = json::array();
+    for (const TrafficShare& share : route.split) {
+      object["split"].push_back(
+          {{"service", share.service.Text()}, {"weight", share.weight}});
+    }
+  }
   return object;
 }
 
@@ -154,7 +168,11 @@
       .timeout = TimeOf(object, "timeout_us"),
       .cold_allowance = object.at("cold_allowance").get<std::uint32_t>(),
       .probe_budget = object.at("probe_budget").get<std::uint32_t>(),
-      .trusts_refusals = object.at("trusts_refusals").get<bool>()};
+      .trusts_refusals = object.at("trusts_refusals").get<bool>(),
+      .health_path = object.value("health_path", ""),
+      .cold_rate = object.value("cold_rate", std::uint32_t{0}),
+      .warm_up = std::chrono::milliseconds{
+          object.value("warm_up_ms", std::int64_t{0})}};
 }
 
 Object InstanceFrom(const json& object) {
@@ -197,6 +215,17 @@
   if (object.contains("timeout_us")) {
     route.timeout = TimeOf(object, "timeout_us");
   }
+  if (object.contains("host")) {
+    route.host = TextOf(object, "host");
+    route.attempts = object.at("attempts").get<std::uint32_t>();
+    route.objective = TimeOf(object, "objective_us");
+    route.rank = object.at("rank").get<std::uint32_t>();
+    for (const json& share : object.at("split")) {
+      route.split.push_back(
+          {.service = core::ServiceName{TextOf(share, "service")},
+           .weight = share.at("weight").get<std::uint32_t>()});
+    }
+  }
   return route;
 }
 
@@ -290,4 +319,12 @@
 
 std::string Encode(const Object& object) { return ToJson(object).dump(); }
 
+std::optional<Object> DecodeObject(const std::string_view text) {
+  try {
+    return ObjectFrom(json::parse(text));
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace trefoilbend::inventory
--- a/packages/inventory/src/configuration.cc
+++ b/packages/inventory/src/configuration.cc
@@ -6,9 +6,23 @@
 
 namespace trefoilbend::inventory {
 
+namespace {
+
+void SortByPath(std::vector<const Route*>& routes) {
+  std::stable_sort(routes.begin(), routes.end(),
+                   [](const Route* a, const Route* b) {
+                     return a->path.size() > b->path.size();
+                   });
+}
+
+}  // namespace
+
 Configuration::Configuration(const core::Revision revision,
+                             std::vector<std::uint64_t> sources,
                              std::map<ObjectKey, Object> objects)
-    : revision(revision), objects(std::move(objects)) {
+    : revision(revision),
+      sources(std::move(sources)),
+      objects(std::move(objects)) {
   for (const auto& [key, object] : this->objects) {
     if (const auto* service = std::get_if<Service>(&object)) {
       this->services[service->name].service = service;
@@ -22,17 +36,19 @@
       list.push_back(instance);
     }
     if (const auto* route = std::get_if<Route>(&object)) {
-      this->services[route->service].routes.push_back(route);
+      auto& list = route->host.empty() ? this->services[route->service].routes
+                                       : this->hosts[route->host];
+      list.push_back(route);
     }
   }
   std::erase_if(this->services, [](const auto& entry) {
     return entry.second.service == nullptr;
   });
   for (auto& [name, view] : this->services) {
-    std::stable_sort(view.routes.begin(), view.routes.end(),
-                     [](const Route* a, const Route* b) {
-                       return a->path.size() > b->path.size();
-                     });
+    SortByPath(view.routes);
+  }
+  for (auto& [host, routes] : this->hosts) {
+    SortByPath(routes);
   }
 }
 
@@ -54,8 +70,8 @@
 }
 
 ConfigurationPtr Configuration::Builder::Build() {
-  return ConfigurationPtr(
-      new Configuration(this->revision, std::move(this->objects)));
+  return ConfigurationPtr(new Configuration(
+      this->revision, std::move(this->sources), std::move(this->objects)));
 }
 
 const Route* MatchRoute(const ServiceView& view, const std::string_view method,
@@ -69,6 +85,19 @@
   return found == view.routes.end() ? nullptr : *found;
 }
 
+const Route* MatchHost(const Configuration& configuration,
+                       const std::string& host,
+                       const std::string_view path) noexcept {
+  const auto routes = configuration.Hosts().find(host);
+  if (routes == configuration.Hosts().end()) {
+    return nullptr;
+  }
+  const auto found = std::find_if(
+      routes->second.begin(), routes->second.end(),
+      [&](const Route* route) { return path.starts_with(route->path); });
+  return found == routes->second.end() ? nullptr : *found;
+}
+
 std::vector<Change> Difference(const Configuration& from,
                                const Configuration& to,
                                const std::vector<Kind>& kinds) {
--- a/packages/inventory/src/snapshot.cc
+++ b/packages/inventory/src/snapshot.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 #include "trefoilbend/inventory/codec.h"
 
@@ -45,8 +46,10 @@
     all.changes.push_back({.before = std::nullopt, .after = object});
   }
   const std::string body = Encode(all);
-  return json{
-      {"format", kFormat}, {"checksum", ChecksumOf(body)}, {"body", body}}
+  return json{{"format", kFormat},
+              {"checksum", ChecksumOf(body)},
+              {"sources", configuration.Sources()},
+              {"body", body}}
       .dump();
 }
 
@@ -65,7 +68,10 @@
     if (!all) {
       return SnapshotProblem::kNewerFormat;
     }
-    return Configuration::Builder{}.Apply(*all).Build();
+    return Configuration::Builder{}
+        .Apply(*all)
+        .From(snapshot.value("sources", std::vector<std::uint64_t>{}))
+        .Build();
   } catch (const json::exception&) {
     return SnapshotProblem::kMalformed;
   }
--- a/packages/membership/src/duty.cc
+++ b/packages/membership/src/duty.cc
@@ -3,6 +3,8 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
+#include <algorithm>
+#include <array>
 #include <random>
 #include <utility>
 
@@ -23,6 +25,12 @@
 constexpr kj::Duration kExchangeTimeout = 1 * kj::SECONDS;
 constexpr kj::Duration kRevisionsTimeout = 3 * kj::SECONDS;
 
+const char* TextOf(const PeerState state) noexcept {
+  static constexpr std::array<const char*, 4> kTexts{"alive", "suspect",
+                                                     "leaving", "dead"};
+  return kTexts.at(static_cast<std::size_t>(state));
+}
+
 core::TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 template <typename Builder>
@@ -250,6 +258,7 @@
               "The configuration is {}.",
               now.current ? "current" : "not known to be current");
         }
+        this->TellPeers(now);
         this->view = std::move(now);
         this->delivered.assign(this->delivered.size(), false);
       }
@@ -261,6 +270,23 @@
       }
     }
 
+    /** One line for each peer whose state has changed. */
+    void TellPeers(const View& now) {
+      for (const Peer& peer : now.peers) {
+        const auto before = std::find_if(
+            this->view.peers.begin(), this->view.peers.end(),
+            [&](const Peer& one) { return one.name == peer.name; });
+        const bool same = before != this->view.peers.end() &&
+                          before->state == peer.state &&
+                          before->incarnation == peer.incarnation;
+        if (!same) {
+          this->loop.log.Info("Peer is {}. peer={} incarnation={} revision={}",
+                              TextOf(peer.state), peer.name.Text(),
+                              peer.incarnation.Value(), peer.revision.Value());
+        }
+      }
+    }
+
     void ListenOn(const std::optional<http::Address>& address) {
       if (this->address == address) {
         return;
--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -85,8 +85,8 @@
     if (core::Succeeded(listening)) {
       this->log.Info("Serves operators on {}.",
                      http::ToString(this->options.address));
-      this->duty.Start();
     }
+    this->duty.Start();
     return listening;
   }
 
--- a/packages/platform/include/trefoilbend/platform/client.h
+++ b/packages/platform/include/trefoilbend/platform/client.h
@@ -8,12 +8,13 @@
 
 #include "trefoilbend/http/client.h"
 #include "trefoilbend/platform/messages.h"
+#include "trefoilbend/platform/store.h"
 
 namespace trefoilbend::platform {
 
 /** @brief Client of the platform's table, object store and list of instances.
  */
-class Client {
+class Client final : public Store {
  public:
   /**
    * @brief Makes a client.
@@ -24,20 +25,11 @@
   Client(std::shared_ptr<http::Client> http, http::Address address,
          std::chrono::milliseconds timeout);
 
-  /**
-   * @brief Commits a transaction.
-   * @param transaction Transaction to commit.
-   * @param done Takes the result.
-   */
   void Transact(const Transaction& transaction,
-                std::function<void(TransactOutcome)> done);
+                std::function<void(TransactOutcome)> done) override;
 
-  /**
-   * @brief Reads a row.
-   * @param key Key of the row.
-   * @param done Takes the result.
-   */
-  void Read(const std::string& key, std::function<void(ReadOutcome)> done);
+  void Read(const std::string& key,
+            std::function<void(ReadOutcome)> done) override;
 
   /**
    * @brief Reads rows whose keys begin with a prefix, in the order of their
--- a/packages/platform/include/trefoilbend/platform/fwd.h
+++ b/packages/platform/include/trefoilbend/platform/fwd.h
@@ -10,6 +10,10 @@
 struct Committed;
 struct Conflict;
 struct Unavailable;
+struct TableState;
+struct RowChange;
+struct TableChanges;
+struct HistoryLost;
 struct ListedInstance;
 
 struct LeaseHolder;
@@ -18,6 +22,8 @@
 class Backoff;
 class Client;
 class Lease;
+class Store;
+class WatchedStore;
 
 }  // namespace trefoilbend::platform
 
--- a/packages/platform/include/trefoilbend/platform/lease.h
+++ b/packages/platform/include/trefoilbend/platform/lease.h
@@ -73,9 +73,10 @@
 
   /**
    * @brief Takes note that the transaction of the last attempt has committed.
+   * @param committed What the store told of the transaction.
    * @param sent Time at which the transaction was sent.
    */
-  void Renew(core::TimePoint sent);
+  void Renew(const Committed& committed, core::TimePoint sent);
 
   /** @brief Gives up, after a conflict in a fenced write. */
   void Lose() noexcept { this->held_until.reset(); }
--- a/packages/platform/include/trefoilbend/platform/messages.h
+++ b/packages/platform/include/trefoilbend/platform/messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/core/number.h"
 
@@ -53,7 +54,10 @@
 };
 
 /** @brief The transaction has taken effect. */
-struct Committed {};
+struct Committed {
+  /** @brief Version of all rows that were written, if the store tells it. */
+  std::optional<RowVersion> version;
+};
 
 /** @brief The transaction has had no effect because a condition did not hold.
  */
@@ -80,6 +84,10 @@
   core::InstanceName name;
   /** @brief State of the instance. */
   InstanceState state = InstanceState::kLive;
+  /** @brief Time until which a target is cold by its own account. */
+  core::TimePoint cold_until{};
+  /** @brief Run of the instance's process, if it tells it. */
+  core::Incarnation incarnation{};
 
   [[nodiscard]] bool operator==(const ListedInstance&) const = default;
 };
@@ -96,6 +104,40 @@
 /** @brief Result of reading the rows of a range. */
 using RangeOutcome = std::variant<std::vector<Row>, Unavailable>;
 
+/** @brief All rows of a table as of one moment. */
+struct TableState {
+  /** @brief Rows in the order of their keys. */
+  std::vector<Row> rows;
+  /** @brief Newest version of the store at that moment. */
+  RowVersion version;
+};
+
+/** @brief Result of reading a whole table. */
+using TableOutcome = std::variant<TableState, Unavailable>;
+
+/** @brief A row that was written or deleted. */
+struct RowChange {
+  /** @brief The row; without a value if it was deleted. */
+  Row row;
+  /** @brief Whether the row was deleted. */
+  bool deleted{};
+};
+
+/** @brief Changes of a table in their order. */
+struct TableChanges {
+  /** @brief Rows that changed. */
+  std::vector<RowChange> changes;
+  /** @brief Version after which the next changes follow. */
+  RowVersion version;
+};
+
+/** @brief The store has forgotten the changes that were asked for; the table
+ * has to be read anew. */
+struct HistoryLost {};
+
+/** @brief Result of waiting for changes of a table. */
+using ChangesOutcome = std::variant<TableChanges, HistoryLost, Unavailable>;
+
 /** @brief The list is as it was when it was read last. */
 struct NotModified {};
 
--- a/packages/platform/src/client.cc
+++ b/packages/platform/src/client.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "trefoilbend/platform/http_answers.h"
+
 namespace trefoilbend::platform {
 
 namespace {
@@ -14,11 +16,6 @@
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kConflict = 409;
 
-Unavailable NoAnswer(const http::RequestError& error) {
-  return {.effect_unknown = error.stage == http::RequestStage::kSent,
-          .message = error.message};
-}
-
 Unavailable BadAnswer(const http::Response& response) {
   return {.effect_unknown = true,
           .message = "the platform answered with status " +
@@ -55,31 +52,9 @@
   return body;
 }
 
-template <typename Result, typename Decode>
-Result DecodeOr(const http::Response& response, Decode decode) {
-  try {
-    return decode(json::parse(response.body));
-  } catch (const json::exception&) {
-    return Unavailable{.effect_unknown = true,
-                       .message = "the platform's answer is malformed"};
-  }
-}
-
-template <typename Result, typename Decode>
-http::OnResponse Expect(std::function<void(Result)> done, Decode decode) {
-  return
-      [done = std::move(done), decode](const http::ResponseOutcome& outcome) {
-        if (!core::Succeeded(outcome)) {
-          done(NoAnswer(core::ProblemOf(outcome)));
-          return;
-        }
-        done(decode(core::ValueOf(outcome)));
-      };
-}
-
 TransactOutcome DecodeTransact(const http::Response& response) {
   if (response.status == kOk) {
-    return Committed{};
+    return Committed{.version = std::nullopt};
   }
   if (response.status != kConflict) {
     return BadAnswer(response);
@@ -138,11 +113,6 @@
   });
 }
 
-http::Request Get(std::string target) {
-  return {
-      .method = "GET", .target = std::move(target), .fields = {}, .body = {}};
-}
-
 }  // namespace
 
 Client::Client(std::shared_ptr<http::Client> http, http::Address address,
@@ -161,23 +131,25 @@
 
 void Client::Read(const std::string& key,
                   std::function<void(ReadOutcome)> done) {
-  this->http->Send(this->address, Get("/table/row?key=" + http::Escape(key)),
+  this->http->Send(this->address,
+                   GetRequest("/table/row?key=" + http::Escape(key)),
                    this->timeout, Expect(std::move(done), DecodeRead));
 }
 
 void Client::ReadRange(const std::string& prefix, const std::string& after,
                        const std::size_t limit,
                        std::function<void(RangeOutcome)> done) {
-  this->http->Send(
-      this->address,
-      Get("/table/rows?prefix=" + http::Escape(prefix) +
-          "&after=" + http::Escape(after) + "&limit=" + std::to_string(limit)),
-      this->timeout, Expect(std::move(done), DecodeRange));
+  this->http->Send(this->address,
+                   GetRequest("/table/rows?prefix=" + http::Escape(prefix) +
+                              "&after=" + http::Escape(after) +
+                              "&limit=" + std::to_string(limit)),
+                   this->timeout, Expect(std::move(done), DecodeRange));
 }
 
 void Client::ReadObject(const std::string& name,
                         std::function<void(ObjectOutcome)> done) {
-  this->http->Send(this->address, Get("/object?name=" + http::Escape(name)),
+  this->http->Send(this->address,
+                   GetRequest("/object?name=" + http::Escape(name)),
                    this->timeout, Expect(std::move(done), DecodeObject));
 }
 
@@ -191,7 +163,7 @@
 }
 
 void Client::ListInstances(std::function<void(ListOutcome)> done) {
-  http::Request request = Get("/instances");
+  http::Request request = GetRequest("/instances");
   if (!this->list_tag->empty()) {
     request.fields.emplace_back("If-None-Match", *this->list_tag);
   }
--- a/packages/platform/src/lease.cc
+++ b/packages/platform/src/lease.cc
@@ -60,9 +60,9 @@
                                    .epoch = this->attempted_epoch})}}};
 }
 
-void Lease::Renew(const core::TimePoint sent) {
+void Lease::Renew(const Committed& committed, const core::TimePoint sent) {
   this->epoch = this->attempted_epoch;
-  this->version = this->seen->version.Next();
+  this->version = committed.version.value_or(this->seen->version.Next());
   this->held_until = sent + this->times.length - this->times.margin;
 }
 
--- a/packages/platform/test/lease_test.cc
+++ b/packages/platform/test/lease_test.cc
@@ -41,7 +41,7 @@
     const core::TimePoint sent = this->clock.Now();
     const auto transaction = lease.Attempt(this->table.row, sent);
     if (transaction && this->table.Commit(*transaction)) {
-      lease.Renew(sent);
+      lease.Renew(Committed{}, sent);
     }
     return lease.Held(this->clock.Now());
   }
--- /dev/null
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -0,0 +1,214 @@
+#ifndef TREFOILBEND_REGISTRY_CATALOGUE_H_
+#define TREFOILBEND_REGISTRY_CATALOGUE_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "trefoilbend/configuration/messages.h"
+#include "trefoilbend/core/clock.h"
+#include "trefoilbend/inventory/configuration.h"
+#include "trefoilbend/platform/messages.h"
+#include "trefoilbend/registry/row_codec.h"
+
+namespace trefoilbend::registry {
+
+/** @brief Tables that the registry follows. */
+enum class Table : std::uint8_t { kOrders, kTargets, kFleet };
+
+/** @brief Number of tables. */
+inline constexpr std::size_t kTables = 3;
+
+/** @brief Beginning of the keys of the rows in which entries register. */
+inline constexpr const char* kEntryRows = "fleet/entry/";
+
+/** @brief Beginning of the keys of the rows that hold releases. */
+inline constexpr const char* kReleaseRows = "fleet/release/";
+
+/** @brief Time after an outage of the store within which targets whose
+ * registration lapsed meanwhile register again. */
+inline constexpr std::chrono::milliseconds kReturnTime{2'000};
+
+/**
+ * @brief What operators, targets and entries have written to the store, made
+ * into one configuration.
+ *
+ * Each table only moves forward: a state older than the one known is passed
+ * over, so that a stale read changes nothing.
+ */
+class Catalogue {
+ public:
+  /**
+   * @brief Makes an empty catalogue.
+   * @param codec Reads the rows; outlives the catalogue.
+   */
+  explicit Catalogue(const RowCodec& codec) : codec(codec) {}
+
+  /**
+   * @brief Takes a whole table.
+   * @param table Which table it is.
+   * @param state Rows of the table.
+   * @param now Current time.
+   * @return False if it is older than what is known.
+   */
+  [[nodiscard]] bool Take(Table table, const platform::TableState& state,
+                          core::TimePoint now);
+
+  /**
+   * @brief Takes changes of a table.
+   * @param table Which table it is.
+   * @param changes Changes in their order.
+   * @param now Current time.
+   */
+  void Take(Table table, const platform::TableChanges& changes,
+            core::TimePoint now);
+
+  /**
+   * @brief Takes note of whether the store answers.
+   * @param reachable Whether it does.
+   * @param now Current time.
+   */
+  void NoteStore(bool reachable, core::TimePoint now) noexcept;
+
+  /**
+   * @brief Takes a peer's configuration if it is newer than what is known.
+   * @param configuration Configuration of a peer.
+   * @return Whether it was taken.
+   */
+  [[nodiscard]] bool Restore(inventory::ConfigurationPtr configuration);
+
+  /**
+   * @brief Takes note that the tables as the store has them now are what peers
+   * know under a revision, though this entry counts another one, having seen
+   * other changes on the way.
+   * @param of_peers Revision of the peers.
+   */
+  void CatchUp(core::Revision of_peers) noexcept;
+
+  /** @return Revision of the configuration that Build makes. */
+  [[nodiscard]] core::Revision Revision() const noexcept;
+
+  /**
+   * @brief Drops the targets whose registration lapsed in an outage and that
+   * have not come back in time.
+   * @param now Current time.
+   * @return Whether any was dropped.
+   */
+  [[nodiscard]] bool DropLapsed(core::TimePoint now);
+
+  /** @return Time of the next drop, if one is due. */
+  [[nodiscard]] std::optional<core::TimePoint> NextDrop() const;
+
+  /**
+   * @brief Makes the configuration of what is known.
+   * @param wall Current wall-clock time, from which deadlines count.
+   * @return Configuration with the list of instances; nothing before the first
+   * desired state.
+   */
+  [[nodiscard]] std::optional<configuration::Update> Build(
+      std::chrono::sys_seconds wall);
+
+  /**
+   * @brief Prepares the transaction that moves a release on.
+   * @param after Release as it shall become.
+   * @return The transaction, guarded by the release's order and row.
+   */
+  [[nodiscard]] platform::Transaction MoveRelease(
+      const inventory::Release& after) const;
+
+  /** @return Version up to which a table is known; 0 before its first read. */
+  [[nodiscard]] platform::RowVersion VersionOf(Table table) const noexcept {
+    return this->versions[static_cast<std::size_t>(table)];
+  }
+
+  /** @return Number of the desired state in force. */
+  [[nodiscard]] std::uint64_t DesiredVersion() const noexcept {
+    return this->desired ? this->desired->version : 0;
+  }
+
+  /** @return Rows that could not be read since the last call. */
+  [[nodiscard]] std::vector<std::string> TakeUnreadable();
+
+ private:
+  struct Target {
+    TargetRecord record;
+    core::TimePoint cold_until{};
+    /** Time at which a lapsed registration is dropped. */
+    std::optional<core::TimePoint> lapses;
+  };
+
+  struct StoredOrder {
+    ReleaseOrder order;
+    platform::RowVersion version;
+  };
+
+  struct StoredRelease {
+    inventory::Release release;
+    platform::RowVersion version;
+  };
+
+  using Put = void (Catalogue::*)(const platform::Row&, core::TimePoint);
+  using Remove = void (Catalogue::*)(const std::string&, core::TimePoint);
+  using Keys = std::vector<std::string> (Catalogue::*)() const;
+
+  struct Handlers {
+    Put put;
+    Remove remove;
+    Keys keys;
+  };
+
+  [[nodiscard]] static const Handlers& HandlersOf(Table table) noexcept;
+
+  void PutOrder(const platform::Row& row, core::TimePoint now);
+  void PutTarget(const platform::Row& row, core::TimePoint now);
+  void PutFleetRow(const platform::Row& row, core::TimePoint now);
+  void RemoveOrder(const std::string& key, core::TimePoint now);
+  void RemoveTarget(const std::string& key, core::TimePoint now);
+  void RemoveFleetRow(const std::string& key, core::TimePoint now);
+  [[nodiscard]] std::vector<std::string> OrderKeys() const;
+  [[nodiscard]] std::vector<std::string> TargetKeys() const;
+  [[nodiscard]] std::vector<std::string> FleetKeys() const;
+
+  void Advance(Table table, platform::RowVersion version) noexcept;
+  [[nodiscard]] bool IsAfterOutage(core::TimePoint now) const noexcept;
+  /** Whether the tables hold all that a peer's configuration was made from. */
+  [[nodiscard]] bool Includes(
+      const inventory::Configuration& other) const noexcept;
+  [[nodiscard]] std::optional<inventory::Release> ReleaseOf(
+      const core::ServiceName& service, std::chrono::sys_seconds wall);
+  [[nodiscard]] core::VersionName StableVersion(
+      const core::ServiceName& service,
+      const core::VersionName& candidate) const;
+  [[nodiscard]] std::vector<std::uint64_t> SourceVersions() const;
+  void AddTargets(inventory::Configuration::Builder& builder,
+                  std::vector<platform::ListedInstance>& listed) const;
+
+  const RowCodec& codec;
+  std::array<platform::RowVersion, kTables> versions{};
+  std::array<platform::RowVersion, kTables> newest_rows{};
+  /** Difference between the peers' count of changes and this entry's. */
+  std::uint64_t missed{};
+  std::optional<DesiredState> desired;
+  std::map<std::string, StoredOrder> orders;
+  std::map<std::string, EvacuationOrder> evacuations;
+  std::map<std::string, Target> targets;
+  std::map<std::string, inventory::Instance> entries;
+  std::map<core::ServiceName, StoredRelease> releases;
+  std::map<core::ServiceName,
+           std::pair<platform::RowVersion, std::chrono::sys_seconds>>
+      deadlines;
+  std::map<core::ServiceName, inventory::Release> current;
+  inventory::ConfigurationPtr restored;
+  std::vector<std::string> unreadable;
+  bool reachable = true;
+  core::TimePoint returned_at{};
+};
+
+}  // namespace trefoilbend::registry
+
+#endif  // TREFOILBEND_REGISTRY_CATALOGUE_H_
