--- /dev/null
+++ b/packages/registry/src/catalogue.cc
@@ -0,0 +1,406 @@
+#include "trefoilbend/registry/catalogue.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "trefoilbend/inventory/codec.h"
+
+namespace trefoilbend::registry {
+
+namespace {
+
+constexpr std::size_t IndexOf(const Table table) noexcept {
+  return static_cast<std::size_t>(table);
+}
+
+/** The version of an order grows like time and tells it from others. */
+std::chrono::sys_seconds BeginOf(const platform::RowVersion order) {
+  return std::chrono::sys_seconds{
+      std::chrono::seconds{static_cast<std::int64_t>(order.Value())}};
+}
+
+}  // namespace
+
+const Catalogue::Handlers& Catalogue::HandlersOf(const Table table) noexcept {
+  static constexpr std::array<Handlers, kTables> kHandlers{
+      {{&Catalogue::PutOrder, &Catalogue::RemoveOrder, &Catalogue::OrderKeys},
+       {&Catalogue::PutTarget, &Catalogue::RemoveTarget,
+        &Catalogue::TargetKeys},
+       {&Catalogue::PutFleetRow, &Catalogue::RemoveFleetRow,
+        &Catalogue::FleetKeys}}};
+  return kHandlers[IndexOf(table)];
+}
+
+bool Catalogue::Take(const Table table, const platform::TableState& state,
+                     const core::TimePoint now) {
+  if (state.version < this->VersionOf(table)) {
+    return false;
+  }
+  const Handlers& handlers = HandlersOf(table);
+  std::set<std::string> present;
+  for (const platform::Row& row : state.rows) {
+    present.insert(row.key);
+    (this->*handlers.put)(row, now);
+    this->newest_rows[IndexOf(table)] =
+        std::max(this->newest_rows[IndexOf(table)], row.version);
+  }
+  for (const std::string& key : (this->*handlers.keys)()) {
+    if (!present.contains(key)) {
+      (this->*handlers.remove)(key, now);
+      this->newest_rows[IndexOf(table)] = state.version;
+    }
+  }
+  this->Advance(table, state.version);
+  return true;
+}
+
+void Catalogue::Take(const Table table, const platform::TableChanges& changes,
+                     const core::TimePoint now) {
+  const Handlers& handlers = HandlersOf(table);
+  for (const platform::RowChange& change : changes.changes) {
+    if (change.row.version <= this->VersionOf(table)) {
+      continue;
+    }
+    if (change.deleted) {
+      (this->*handlers.remove)(change.row.key, now);
+    } else {
+      (this->*handlers.put)(change.row, now);
+    }
+    this->newest_rows[IndexOf(table)] =
+        std::max(this->newest_rows[IndexOf(table)], change.row.version);
+  }
+  this->Advance(table, changes.version);
+}
+
+void Catalogue::Advance(const Table table,
+                        const platform::RowVersion version) noexcept {
+  platform::RowVersion& known = this->versions[IndexOf(table)];
+  known = std::max(known, version);
+}
+
+void Catalogue::NoteStore(const bool now_reachable,
+                          const core::TimePoint now) noexcept {
+  if (!std::exchange(this->reachable, now_reachable) && now_reachable) {
+    this->returned_at = now;
+    for (auto& [key, target] : this->targets) {
+      if (target.lapses) {
+        target.lapses = now + kReturnTime;
+      }
+    }
+  }
+}
+
+bool Catalogue::IsAfterOutage(const core::TimePoint now) const noexcept {
+  return !this->reachable || (this->returned_at != core::TimePoint{} &&
+                              now - this->returned_at < kReturnTime);
+}
+
+core::Revision Catalogue::Revision() const noexcept {
+  std::uint64_t sum = this->missed;
+  for (const platform::RowVersion version : this->newest_rows) {
+    sum += version.Value();
+  }
+  return core::Revision{sum};
+}
+
+bool Catalogue::Includes(const inventory::Configuration& other) const noexcept {
+  const std::vector<std::uint64_t>& sources = other.Sources();
+  for (std::size_t at = 0; at < std::min(kTables, sources.size()); ++at) {
+    if (this->versions[at].Value() < sources[at]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool Catalogue::Restore(inventory::ConfigurationPtr configuration) {
+  const bool is_known = this->Includes(*configuration);
+  const bool is_older = this->restored != nullptr &&
+                        configuration->Revision() <= this->restored->Revision();
+  if (is_known || is_older) {
+    return false;
+  }
+  this->restored = std::move(configuration);
+  return true;
+}
+
+void Catalogue::CatchUp(const core::Revision of_peers) noexcept {
+  const core::Revision own = this->Revision();
+  if (own < of_peers) {
+    this->missed += of_peers.Value() - own.Value();
+  }
+}
+
+void Catalogue::PutOrder(const platform::Row& row, core::TimePoint /*now*/) {
+  Order order = this->codec.DecodeOrder(row);
+  if (auto* state = std::get_if<DesiredState>(&order)) {
+    if (!this->desired || this->desired->version < state->version) {
+      this->desired = std::move(*state);
+    }
+  } else if (auto* release = std::get_if<ReleaseOrder>(&order)) {
+    this->orders.insert_or_assign(row.key, StoredOrder{*release, row.version});
+  } else if (auto* evacuation = std::get_if<EvacuationOrder>(&order)) {
+    this->evacuations.insert_or_assign(row.key, *evacuation);
+  } else if (std::holds_alternative<UnreadableOrder>(order)) {
+    this->unreadable.push_back(row.key);
+  }
+}
+
+void Catalogue::RemoveOrder(const std::string& key, core::TimePoint /*now*/) {
+  this->orders.erase(key);
+  this->evacuations.erase(key);
+}
+
+std::vector<std::string> Catalogue::OrderKeys() const {
+  std::vector<std::string> keys;
+  for (const auto& [key, order] : this->orders) {
+    keys.push_back(key);
+  }
+  for (const auto& [key, order] : this->evacuations) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+void Catalogue::PutTarget(const platform::Row& row, const core::TimePoint now) {
+  auto record = this->codec.DecodeTarget(row);
+  if (!record) {
+    this->unreadable.push_back(row.key);
+    this->targets.erase(row.key);
+    return;
+  }
+  const core::TimePoint cold_until = now + record->cold_for;
+  this->targets.insert_or_assign(
+      row.key, Target{std::move(*record), cold_until, std::nullopt});
+}
+
+void Catalogue::RemoveTarget(const std::string& key,
+                             const core::TimePoint now) {
+  const auto found = this->targets.find(key);
+  if (found == this->targets.end()) {
+    return;
+  }
+  if (found->second.record.draining || !this->IsAfterOutage(now)) {
+    this->targets.erase(found);
+    return;
+  }
+  found->second.lapses = std::max(this->returned_at, now) + kReturnTime;
+}
+
+std::vector<std::string> Catalogue::TargetKeys() const {
+  std::vector<std::string> keys;
+  for (const auto& [key, target] : this->targets) {
+    if (!target.lapses) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+bool Catalogue::DropLapsed(const core::TimePoint now) {
+  if (!this->reachable) {
+    return false;
+  }
+  return std::erase_if(this->targets, [&](const auto& entry) {
+           return entry.second.lapses && *entry.second.lapses <= now;
+         }) > 0;
+}
+
+std::optional<core::TimePoint> Catalogue::NextDrop() const {
+  std::optional<core::TimePoint> next;
+  for (const auto& [key, target] : this->targets) {
+    if (target.lapses && (!next || *target.lapses < *next)) {
+      next = target.lapses;
+    }
+  }
+  return next;
+}
+
+void Catalogue::PutFleetRow(const platform::Row& row, core::TimePoint /*now*/) {
+  auto object = inventory::DecodeObject(row.value);
+  if (object && std::holds_alternative<inventory::Instance>(*object)) {
+    this->entries.insert_or_assign(
+        row.key, std::get<inventory::Instance>(std::move(*object)));
+  } else if (object && std::holds_alternative<inventory::Release>(*object)) {
+    const auto& release = std::get<inventory::Release>(*object);
+    this->releases.insert_or_assign(release.name,
+                                    StoredRelease{release, row.version});
+  } else {
+    this->unreadable.push_back(row.key);
+  }
+}
+
+void Catalogue::RemoveFleetRow(const std::string& key,
+                               core::TimePoint /*now*/) {
+  this->entries.erase(key);
+}
+
+std::vector<std::string> Catalogue::FleetKeys() const {
+  std::vector<std::string> keys;
+  for (const auto& [key, entry] : this->entries) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+core::VersionName Catalogue::StableVersion(
+    const core::ServiceName& service,
+    const core::VersionName& candidate) const {
+  std::map<core::VersionName, std::size_t> counts;
+  for (const auto& [key, target] : this->targets) {
+    const inventory::Instance& instance = target.record.instance;
+    if (instance.service == service && instance.version != candidate) {
+      ++counts[instance.version];
+    }
+  }
+  const auto most = std::max_element(
+      counts.begin(), counts.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return most == counts.end() ? core::VersionName{"none"} : most->first;
+}
+
+std::optional<inventory::Release> Catalogue::ReleaseOf(
+    const core::ServiceName& service, const std::chrono::sys_seconds wall) {
+  const auto order = this->orders.find(this->codec.ReleaseOrderKey(service));
+  const auto stored = this->releases.find(service);
+  if (order == this->orders.end()) {
+    return stored == this->releases.end()
+               ? std::nullopt
+               : std::optional{stored->second.release};
+  }
+  const platform::RowVersion version = order->second.version;
+  if (stored != this->releases.end() &&
+      stored->second.release.begun >= BeginOf(version)) {
+    return stored->second.release;
+  }
+  auto& deadline = this->deadlines[service];
+  if (deadline.first != version) {
+    deadline = {version, wall + std::chrono::floor<std::chrono::seconds>(
+                                    order->second.order.within)};
+  }
+  const core::VersionName& to = order->second.order.version;
+  const bool repeats =
+      stored != this->releases.end() && stored->second.release.version == to &&
+      stored->second.release.state == inventory::ReleaseState::kDone;
+  return inventory::Release{
+      .name = service,
+      .version = to,
+      .from = repeats ? to : this->StableVersion(service, to),
+      .begun = BeginOf(version),
+      .deadline = deadline.second};
+}
+
+void Catalogue::AddTargets(
+    inventory::Configuration::Builder& builder,
+    std::vector<platform::ListedInstance>& listed) const {
+  std::map<core::ServiceName, std::uint32_t> connections;
+  for (std::size_t at = 0; at < this->desired->services.size(); ++at) {
+    connections.emplace(this->desired->services[at].name,
+                        this->desired->connections.at(at));
+  }
+  for (const auto& [key, target] : this->targets) {
+    inventory::Instance instance = target.record.instance;
+    const auto limit = connections.find(instance.service);
+    if (limit == connections.end() || target.record.draining) {
+      continue;
+    }
+    instance.connections = limit->second;
+    const auto release = this->current.find(instance.service);
+    if (release == this->current.end()) {
+      instance.version = core::VersionName{"any"};
+    } else if (instance.version != release->second.version) {
+      instance.version = release->second.from;
+    }
+    listed.push_back({.name = instance.name,
+                      .cold_until = target.cold_until,
+                      .incarnation = target.record.incarnation});
+    builder.Put(std::move(instance));
+  }
+}
+
+std::optional<configuration::Update> Catalogue::Build(
+    const std::chrono::sys_seconds wall) {
+  std::vector<platform::ListedInstance> listed;
+  if (this->restored != nullptr && this->Includes(*this->restored)) {
+    this->restored.reset();
+  }
+  if (this->restored != nullptr) {
+    for (const auto& [key, object] : this->restored->Objects()) {
+      if (const auto* instance = std::get_if<inventory::Instance>(&object)) {
+        listed.push_back({.name = instance->name});
+      }
+    }
+    return configuration::Update{
+        .configuration = this->restored,
+        .listed = std::make_shared<const std::vector<platform::ListedInstance>>(
+            std::move(listed))};
+  }
+  if (!this->desired) {
+    return std::nullopt;
+  }
+  inventory::Configuration::Builder builder;
+  this->current.clear();
+  for (inventory::Service service : this->desired->services) {
+    service.version = core::VersionName{"any"};
+    if (const auto release = this->ReleaseOf(service.name, wall)) {
+      this->current.emplace(service.name, *release);
+      const bool done = release->state == inventory::ReleaseState::kDone;
+      service.version = done ? release->version : release->from;
+      builder.Put(*release);
+    }
+    builder.Put(std::move(service));
+  }
+  for (const inventory::Route& route : this->desired->routes) {
+    builder.Put(route);
+  }
+  for (const auto& [key, evacuation] : this->evacuations) {
+    builder.Put(inventory::Outage{evacuation.data_centre});
+  }
+  this->AddTargets(builder, listed);
+  for (const auto& [key, entry] : this->entries) {
+    builder.Put(entry);
+    listed.push_back({.name = entry.name});
+  }
+  return configuration::Update{
+      .configuration =
+          builder.At(this->Revision()).From(this->SourceVersions()).Build(),
+      .listed = std::make_shared<const std::vector<platform::ListedInstance>>(
+          std::move(listed)),
+      .bounds = this->desired->bounds};
+}
+
+std::vector<std::uint64_t> Catalogue::SourceVersions() const {
+  std::vector<std::uint64_t> sources;
+  for (const platform::RowVersion version : this->newest_rows) {
+    sources.push_back(version.Value());
+  }
+  return sources;
+}
+
+platform::Transaction Catalogue::MoveRelease(
+    const inventory::Release& after) const {
+  const std::string order_key = this->codec.ReleaseOrderKey(after.name);
+  const std::string row_key = kReleaseRows + after.name.Text();
+  const auto order = this->orders.find(order_key);
+  const auto stored = this->releases.find(after.name);
+  platform::Transaction transaction;
+  transaction.conditions.push_back({.key = order_key,
+                                    .version = order == this->orders.end()
+                                                   ? platform::kAbsent
+                                                   : order->second.version});
+  transaction.conditions.push_back({.key = row_key,
+                                    .version = stored == this->releases.end()
+                                                   ? platform::kAbsent
+                                                   : stored->second.version});
+  transaction.writes.push_back(
+      {.key = row_key, .value = inventory::Encode(inventory::Object{after})});
+  transaction.writes.push_back(this->codec.EncodeStatus(after));
+  return transaction;
+}
+
+std::vector<std::string> Catalogue::TakeUnreadable() {
+  return std::exchange(this->unreadable, {});
+}
+
+}  // namespace trefoilbend::registry
--- /dev/null
+++ b/packages/registry/src/internal/metrics.h
@@ -0,0 +1,44 @@
+#ifndef TREFOILBEND_REGISTRY_INTERNAL_METRICS_H_
+#define TREFOILBEND_REGISTRY_INTERNAL_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace trefoilbend::registry::internal {
+
+/** @brief Metrics of what is read from the store. */
+class Metrics {
+ public:
+  /**
+   * @brief Registers the metrics.
+   * @param registry Takes the metrics; outlives them.
+   */
+  explicit Metrics(prometheus::Registry& registry);
+
+  /**
+   * @brief Counts a call of the store.
+   * @param kind read, watch or write.
+   * @param answered Whether the store answered.
+   */
+  void CountCall(const std::string& kind, bool answered);
+
+ private:
+  prometheus::Family<prometheus::Counter>& store_calls;
+
+ public:
+  /** @brief Rows that could not be read. */
+  prometheus::Counter& unreadable;
+  /** @brief Reads that were older than what is known. */
+  prometheus::Counter& stale;
+
+ private:
+  prometheus::Gauge& answered;
+  prometheus::Gauge& dropped_lines;
+};
+
+}  // namespace trefoilbend::registry::internal
+
+#endif  // TREFOILBEND_REGISTRY_INTERNAL_METRICS_H_
--- /dev/null
+++ b/packages/registry/src/internal/table_follower.h
@@ -0,0 +1,98 @@
+#ifndef TREFOILBEND_REGISTRY_INTERNAL_TABLE_FOLLOWER_H_
+#define TREFOILBEND_REGISTRY_INTERNAL_TABLE_FOLLOWER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "internal/metrics.h"
+#include "trefoilbend/core/clock.h"
+#include "trefoilbend/core/log.h"
+#include "trefoilbend/platform/backoff.h"
+#include "trefoilbend/platform/store.h"
+#include "trefoilbend/registry/catalogue.h"
+
+namespace trefoilbend::registry::internal {
+
+/** @brief What a follower of a table needs of the duty that carries it. */
+class FollowerOwner {
+ public:
+  virtual ~FollowerOwner() = default;
+
+  /** @return Store that has the table. */
+  [[nodiscard]] virtual platform::WatchedStore& GetStore() noexcept = 0;
+
+  /** @return Catalogue that takes the table's rows. */
+  [[nodiscard]] virtual Catalogue& GetCatalogue() noexcept = 0;
+
+  /** @return Metrics of the store's calls. */
+  [[nodiscard]] virtual Metrics& GetMetrics() noexcept = 0;
+
+  /** @brief Takes note that the store answers for a table again, or no more. */
+  virtual void NoteAnswers() = 0;
+
+  /** @brief Takes note that a whole table was read. */
+  virtual void NoteRead() = 0;
+
+  /** @brief Takes note that the catalogue has changed. */
+  virtual void NoteChange() = 0;
+
+  /**
+   * @brief Takes note that the store has answered a watch.
+   * @param sent Time at which the watch was sent.
+   */
+  virtual void NoteWatched(core::TimePoint sent) = 0;
+};
+
+/** @brief Reads one table of the store and watches it from then on. */
+class TableFollower {
+ public:
+  /**
+   * @brief Makes a follower that does nothing yet.
+   * @param owner Duty that carries it and outlives it.
+   * @param context Event loop of the duty.
+   * @param table Which table it is.
+   * @param name Name of the table in the store.
+   * @param wait Longest time that the store waits for a change.
+   */
+  TableFollower(FollowerOwner& owner, boost::asio::io_context& context,
+                Table table, std::string name, std::chrono::milliseconds wait);
+
+  /** @brief Reads the table and watches it; gives up what was under way. */
+  void Read();
+
+  /** @return Whether the store answers for the table. */
+  [[nodiscard]] bool Answers() const noexcept { return this->answers; }
+
+  /** @return Whether the table was read whole at least once. */
+  [[nodiscard]] bool IsKnown() const noexcept { return this->known; }
+
+  /** @return Whether a read of the whole table is under way. */
+  [[nodiscard]] bool IsReading() const noexcept { return this->reading; }
+
+ private:
+  void Watch();
+  void OnRead(const platform::TableOutcome& outcome);
+  void OnWatched(const platform::ChangesOutcome& outcome, core::TimePoint sent);
+  void NoteAnswer(bool now_answers, const std::string& message);
+  void After(std::chrono::milliseconds wait, void (TableFollower::*step)());
+
+  FollowerOwner& owner;
+  Table table;
+  std::string name;
+  std::chrono::milliseconds wait;
+  boost::asio::steady_timer timer;
+  platform::Backoff backoff;
+  /** Number of the read or watch under way; earlier ones are not heard. */
+  std::uint64_t turn = 0;
+  bool answers = true;
+  bool known = false;
+  bool reading = false;
+  core::Log log{"registry"};
+};
+
+}  // namespace trefoilbend::registry::internal
+
+#endif  // TREFOILBEND_REGISTRY_INTERNAL_TABLE_FOLLOWER_H_
--- /dev/null
+++ b/packages/registry/src/table_follower.cc
@@ -0,0 +1,133 @@
+#include "internal/table_follower.h"
+
+#include <random>
+#include <utility>
+
+namespace trefoilbend::registry::internal {
+
+namespace {
+
+/** Time between a change and the next watch, so that changes that come together
+ * are read together. */
+constexpr std::chrono::milliseconds kBatch{200};
+constexpr platform::BackoffLimits kBackoff{
+    .first = std::chrono::milliseconds{200},
+    .most = std::chrono::milliseconds{1'000}};
+
+core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+TableFollower::TableFollower(FollowerOwner& owner,
+                             boost::asio::io_context& context,
+                             const Table table, std::string name,
+                             const std::chrono::milliseconds wait)
+    : owner(owner),
+      table(table),
+      name(std::move(name)),
+      wait(wait),
+      timer(context),
+      backoff(kBackoff, std::random_device{}()) {}
+
+void TableFollower::Read() {
+  this->reading = true;
+  this->owner.GetStore().ReadTable(
+      this->name,
+      [this, begun = ++this->turn](const platform::TableOutcome& outcome) {
+        if (begun == this->turn) {
+          this->OnRead(outcome);
+        }
+      });
+}
+
+void TableFollower::OnRead(const platform::TableOutcome& outcome) {
+  const auto* failure = std::get_if<platform::Unavailable>(&outcome);
+  this->owner.GetMetrics().CountCall("read", failure == nullptr);
+  this->NoteAnswer(failure == nullptr,
+                   failure == nullptr ? "" : failure->message);
+  if (failure != nullptr) {
+    this->After(this->backoff.Fail(), &TableFollower::Read);
+    return;
+  }
+  const auto& state = std::get<platform::TableState>(outcome);
+  Catalogue& catalogue = this->owner.GetCatalogue();
+  if (!catalogue.Take(this->table, state, Now())) {
+    this->owner.GetMetrics().stale.Increment();
+    this->log.Info("Read is stale. table={} version={} known={}", this->name,
+                   state.version.Value(),
+                   catalogue.VersionOf(this->table).Value());
+    this->After(this->backoff.Fail(), &TableFollower::Read);
+    return;
+  }
+  this->known = true;
+  this->reading = false;
+  this->owner.NoteRead();
+  this->owner.NoteChange();
+  this->Watch();
+}
+
+void TableFollower::Watch() {
+  this->owner.GetStore().Watch(
+      this->name, this->owner.GetCatalogue().VersionOf(this->table), this->wait,
+      [this, sent = Now(),
+       begun = ++this->turn](const platform::ChangesOutcome& outcome) {
+        if (begun == this->turn) {
+          this->OnWatched(outcome, sent);
+        }
+      });
+}
+
+void TableFollower::OnWatched(const platform::ChangesOutcome& outcome,
+                              const core::TimePoint sent) {
+  const auto* failure = std::get_if<platform::Unavailable>(&outcome);
+  this->owner.GetMetrics().CountCall("watch", failure == nullptr);
+  if (std::holds_alternative<platform::HistoryLost>(outcome)) {
+    this->log.Info("History is lost, reads anew. table={}", this->name);
+    this->Read();
+    return;
+  }
+  this->NoteAnswer(failure == nullptr,
+                   failure == nullptr ? "" : failure->message);
+  if (failure != nullptr) {
+    this->After(this->backoff.Fail(), &TableFollower::Watch);
+    return;
+  }
+  const auto& changes = std::get<platform::TableChanges>(outcome);
+  this->owner.GetCatalogue().Take(this->table, changes, Now());
+  this->owner.NoteWatched(sent);
+  if (changes.changes.empty()) {
+    this->Watch();
+    return;
+  }
+  this->owner.NoteChange();
+  this->After(kBatch, &TableFollower::Watch);
+}
+
+void TableFollower::NoteAnswer(const bool now_answers,
+                               const std::string& message) {
+  if (now_answers) {
+    this->backoff.Reset();
+  }
+  if (std::exchange(this->answers, now_answers) == now_answers) {
+    return;
+  }
+  this->owner.NoteAnswers();
+  if (now_answers) {
+    this->log.Info("Store answers again. table={}", this->name);
+  } else {
+    this->log.Warn("Store does not answer. table={} cause=\"{}\"", this->name,
+                   message);
+  }
+}
+
+void TableFollower::After(const std::chrono::milliseconds delay,
+                          void (TableFollower::*step)()) {
+  this->timer.expires_after(delay);
+  this->timer.async_wait([this, step](const boost::system::error_code error) {
+    if (!error) {
+      (this->*step)();
+    }
+  });
+}
+
+}  // namespace trefoilbend::registry::internal
--- a/packages/rollout/include/trefoilbend/rollout/controller.h
+++ b/packages/rollout/include/trefoilbend/rollout/controller.h
@@ -9,6 +9,7 @@
 
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/inventory/objects.h"
+#include "trefoilbend/rollout/brisk_ladder.h"
 #include "trefoilbend/rollout/evidence.h"
 #include "trefoilbend/rollout/fault_detector.h"
 #include "trefoilbend/rollout/release_plan.h"
@@ -55,9 +56,10 @@
    * @param release Release as committed.
    * @param epoch Epoch of this holder of the lease.
    * @param now Current time.
+   * @param pace How fast it may go.
    */
   Controller(inventory::Release release, std::uint64_t epoch,
-             core::TimePoint now);
+             core::TimePoint now, Pace pace = Pace::kCareful);
 
   /**
    * @brief Takes the release as it is now committed, by whoever changed it.
@@ -97,18 +99,25 @@
  private:
   [[nodiscard]] std::optional<Verdict> TakeBack(const Situation& situation);
   [[nodiscard]] std::optional<Verdict> Advance(const Situation& situation);
+  [[nodiscard]] std::optional<Verdict> AdvanceBriskly(
+      const Situation& situation);
+  [[nodiscard]] bool IsBrisk() const noexcept;
+  [[nodiscard]] bool IsDoubtful() const;
   [[nodiscard]] bool IsStepProved(core::TimePoint now) const;
   [[nodiscard]] Verdict Next(std::string why) const;
   void Replan(const Situation& situation);
 
   inventory::Release release;
   std::uint64_t epoch;
+  Pace pace;
   FaultDetector detector;
   ReleasePlan plan;
   Traffic traffic;
   std::map<core::RouteName, std::uint64_t> step_calls;
   std::vector<std::string> concerns;
   std::string braked;
+  /** Time from this holder's first look to the deadline. */
+  std::optional<std::chrono::seconds> whole;
   core::TimePoint since;
   core::TimePoint step_since;
   core::TimePoint target_seen;
--- a/packages/rollout/include/trefoilbend/rollout/coordinator.h
+++ b/packages/rollout/include/trefoilbend/rollout/coordinator.h
@@ -42,6 +42,12 @@
  */
 class Coordinator {
  public:
+  /**
+   * @brief Makes a coordinator that knows no release.
+   * @param pace How fast releases may go.
+   */
+  explicit Coordinator(const Pace pace = Pace::kCareful) : pace(pace) {}
+
   /**
    * @brief Puts a configuration into force.
    * @param update Configuration and list of instances.
@@ -86,6 +92,9 @@
                               core::TimePoint now,
                               std::chrono::sys_seconds wall);
 
+  /** @return Whether a release is under way. */
+  [[nodiscard]] bool HasWork() const noexcept { return !this->states.empty(); }
+
   /** @return Brakes that this entry knows, to be passed on. */
   [[nodiscard]] const Brakes& KnownBrakes() const noexcept {
     return this->brakes;
@@ -119,6 +128,7 @@
                                                         const HeldLease& lease);
   [[nodiscard]] Capacity CapacityOf(const inventory::Release& release) const;
 
+  Pace pace;
   configuration::Update update;
   std::map<core::ServiceName, State> states;
   Brakes brakes;
--- a/packages/rollout/include/trefoilbend/rollout/duty.h
+++ b/packages/rollout/include/trefoilbend/rollout/duty.h
@@ -8,7 +8,10 @@
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/core/number.h"
 #include "trefoilbend/core/ring.h"
-#include "trefoilbend/http/address.h"
+#include "trefoilbend/membership/messages.h"
+#include "trefoilbend/platform/lease.h"
+#include "trefoilbend/platform/store.h"
+#include "trefoilbend/rollout/brisk_ladder.h"
 #include "trefoilbend/rollout/messages.h"
 
 namespace trefoilbend::rollout {
@@ -19,10 +22,17 @@
   core::InstanceName self;
   /** @brief Run of this entry's process. */
   core::Incarnation incarnation;
-  /** @brief Address of the platform. */
-  http::Address platform;
-  /** @brief Longest wait for an answer of the platform. */
-  std::chrono::milliseconds timeout{1'000};
+  /** @brief Makes the store that holds the lease. */
+  platform::StoreFactory store;
+  /** @brief Times of the lease, equal on all entries. */
+  platform::LeaseTimes lease{};
+  /** @brief Time between two looks at the lease. */
+  std::chrono::milliseconds lease_period{1'500};
+  /** @brief Whether only the first few live entries compete for the lease, and
+   * only while a release is under way; each look has its price. */
+  bool competes_sparingly = false;
+  /** @brief How fast releases may go. */
+  Pace pace = Pace::kCareful;
 };
 
 /** @brief Rings that the rollout duty writes to. */
@@ -54,6 +64,9 @@
   [[nodiscard]] core::Ring<configuration::Update>&
   ConfigurationInlet() noexcept;
 
+  /** @return Ring for what is known of the peers. */
+  [[nodiscard]] core::Ring<membership::View>& MembershipInlet() noexcept;
+
   /** @return Ring for results of changes. */
   [[nodiscard]] core::Ring<configuration::ChangeResult>& ResultInlet() noexcept;
 
--- a/packages/rollout/include/trefoilbend/rollout/peers_duty.h
+++ b/packages/rollout/include/trefoilbend/rollout/peers_duty.h
@@ -18,8 +18,9 @@
   std::optional<http::Address> self;
   /** @brief Addresses of all peers, which get the brakes. */
   std::vector<http::Address> peers;
-  /** @brief Address of the lease's holder, which gets the counts. */
-  std::optional<http::Address> holder;
+  /** @brief Addresses of those that may control releases, which get the
+   * counts. */
+  std::vector<http::Address> controllers;
   /** @brief All brakes that this entry knows. */
   Brakes::Reasons brakes;
   /** @brief Counts of this entry since its last report. */
--- a/packages/rollout/src/controller.cc
+++ b/packages/rollout/src/controller.cc
@@ -26,9 +26,10 @@
 }  // namespace
 
 Controller::Controller(inventory::Release release, const std::uint64_t epoch,
-                       const core::TimePoint now)
+                       const core::TimePoint now, const Pace pace)
     : release(std::move(release)),
       epoch(epoch),
+      pace(pace),
       since(now),
       step_since(now),
       target_seen(now) {}
@@ -68,6 +69,9 @@
   if (IsOver(this->release) || this->release.epoch > this->epoch) {
     return std::nullopt;
   }
+  if (!this->whole) {
+    this->whole = this->release.deadline - situation.wall;
+  }
   if (situation.capacity.new_slots > 0) {
     this->target_seen = situation.now;
   }
@@ -77,12 +81,51 @@
   if (this->release.epoch < this->epoch) {
     return this->Next("another entry controls the release");
   }
-  this->Replan(situation);
+  if (!this->IsBrisk()) {
+    this->Replan(situation);
+  }
   if (this->release.state == ReleaseState::kPaused) {
     this->concerns.emplace_back("operators have paused the release");
     return std::nullopt;
   }
-  return this->Advance(situation);
+  return this->IsBrisk() ? this->AdvanceBriskly(situation)
+                         : this->Advance(situation);
+}
+
+bool Controller::IsBrisk() const noexcept {
+  return this->pace == Pace::kBrisk && this->whole &&
+         *this->whole <= kBriskRelease;
+}
+
+std::optional<Verdict> Controller::AdvanceBriskly(const Situation& situation) {
+  const BriskStep& step = BriskStepAfter(this->release.share);
+  const core::Duration watched = situation.now - this->step_since;
+  const core::Duration part =
+      std::chrono::milliseconds{std::max(*this->whole, seconds{1})} *
+      step.watch_percent / 100;
+  const bool carries_all = this->release.share == inventory::kWholeShare;
+  const core::Duration least = carries_all ? kDrainOfOld : kLeastWatch;
+  const core::Duration planned =
+      this->release.share == 0 ? part : std::max(part, least);
+  const std::uint64_t needed =
+      situation.capacity.old_slots * step.share * kBriskCapacityPercent / 100;
+  if (watched < planned || this->IsDoubtful() ||
+      situation.capacity.new_slots * inventory::kWholeShare < needed ||
+      situation.capacity.new_slots == 0) {
+    return std::nullopt;
+  }
+  Verdict verdict = this->Next("no fault has shown in the step's time");
+  ++verdict.after.step;
+  verdict.after.share = step.share;
+  if (carries_all) {
+    verdict.after.state = ReleaseState::kDone;
+  }
+  return verdict;
+}
+
+bool Controller::IsDoubtful() const {
+  const auto finding = this->detector.Strongest();
+  return finding && finding->IsDoubt();
 }
 
 std::optional<Verdict> Controller::TakeBack(const Situation& situation) {
@@ -137,8 +180,7 @@
   if (now - this->step_since < this->plan.steps.front().planned) {
     return false;
   }
-  const auto finding = this->detector.Strongest();
-  if (finding && finding->IsDoubt()) {
+  if (this->IsDoubtful()) {
     return false;
   }
   const auto routes = RoutesToProve(this->traffic);
--- a/packages/rollout/src/coordinator.cc
+++ b/packages/rollout/src/coordinator.cc
@@ -127,8 +127,8 @@
   const auto* release = this->update.configuration->Find<inventory::Release>(
       state.id.service.Text());
   if (state.controller == nullptr || state.epoch != lease.epoch) {
-    state.controller =
-        std::make_unique<Controller>(*release, lease.epoch, situation.now);
+    state.controller = std::make_unique<Controller>(*release, lease.epoch,
+                                                    situation.now, this->pace);
     state.epoch = lease.epoch;
     state.merged.clear();
   }
--- a/packages/rollout/src/duty.cc
+++ b/packages/rollout/src/duty.cc
@@ -1,5 +1,6 @@
 #include "trefoilbend/rollout/duty.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <optional>
@@ -20,9 +21,13 @@
 constexpr std::size_t kReports = 64;
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kResults = 64;
-constexpr std::chrono::milliseconds kTick{250};
-constexpr std::chrono::milliseconds kReportPeriod{500};
-constexpr std::chrono::milliseconds kLeasePeriod{1'500};
+constexpr std::chrono::milliseconds kTick{100};
+/** Time between two looks while no release is under way. */
+constexpr std::chrono::milliseconds kIdleTick{500};
+constexpr std::chrono::milliseconds kReportPeriod{200};
+constexpr std::size_t kViews = 64;
+/** Live entries that compete for the lease when looks are to be spared. */
+constexpr std::size_t kCompetitors = 2;
 constexpr const char* kLeaseKey = "lease/rollout";
 
 }  // namespace
@@ -34,13 +39,18 @@
         updates(kConfigurations),
         results(kResults),
         peer_reports(kReports),
+        views(kViews),
         self(options.self),
+        lease_period(options.lease_period),
+        competes_sparingly(options.competes_sparingly),
         lease(kLeaseKey,
-              {.name = options.self, .incarnation = options.incarnation}),
-        platform(http::Client::Create(this->duty.Context()), options.platform,
-                 options.timeout),
+              {.name = options.self, .incarnation = options.incarnation},
+              options.lease),
+        store(options.store(this->duty.Context())),
+        coordinator(options.pace),
         tick(this->duty.Context()),
         lease_timer(this->duty.Context()) {
+    this->competitors = {this->self};
     this->duty.Read(this->reports, [this](const EvidenceReport& report) {
       this->coordinator.TakeLocal(report.windows, Now());
       for (const auto& [release, window] : report.windows) {
@@ -55,6 +65,9 @@
       this->coordinator.TakeBrakes(report.brakes);
       this->coordinator.TakePeer(report.windows);
     });
+    this->duty.Read(this->views, [this](const membership::View& view) {
+      this->FindCompetitors(view);
+    });
     this->duty.Read(this->results,
                     [this](const configuration::ChangeResult& result) {
                       this->Finish(result);
@@ -78,6 +91,7 @@
   core::Ring<configuration::Update> updates;
   core::Ring<configuration::ChangeResult> results;
   core::Ring<PeerReport> peer_reports;
+  core::Ring<membership::View> views;
   core::Duty duty{"rollout"};
 
  private:
@@ -86,7 +100,7 @@
   }
 
   void WaitTick() {
-    this->tick.expires_after(kTick);
+    this->tick.expires_after(this->coordinator.HasWork() ? kTick : kIdleTick);
     this->tick.async_wait([this](const boost::system::error_code error) {
       if (!error) {
         this->Decide();
@@ -99,14 +113,43 @@
   void WaitLease(const std::chrono::milliseconds wait) {
     this->lease_timer.expires_after(wait);
     this->lease_timer.async_wait([this](const boost::system::error_code error) {
-      if (!error) {
+      if (error) {
+        return;
+      }
+      if (this->Competes()) {
         this->ReadLease();
+      } else {
+        this->WaitLease(this->lease_period);
       }
     });
   }
 
+  [[nodiscard]] bool Competes() const {
+    return !this->competes_sparingly ||
+           (this->coordinator.HasWork() &&
+            std::find(this->competitors.begin(), this->competitors.end(),
+                      this->self) != this->competitors.end());
+  }
+
+  /** The first live entries by name compete. */
+  void FindCompetitors(const membership::View& view) {
+    this->competitors = {this->self};
+    for (const membership::Peer& peer : view.peers) {
+      if (peer.state == membership::PeerState::kAlive) {
+        this->competitors.push_back(peer.name);
+      }
+    }
+    std::sort(this->competitors.begin(), this->competitors.end());
+    this->competitors.resize(std::min(this->competitors.size(), kCompetitors));
+  }
+
+  [[nodiscard]] std::vector<core::InstanceName> Controllers() const {
+    return this->competes_sparingly ? this->competitors
+                                    : std::vector{this->holder};
+  }
+
   void ReadLease() {
-    this->platform.Read(
+    this->store->Read(
         this->lease.Key(), [this](const platform::ReadOutcome& outcome) {
           const auto* row = std::get_if<std::optional<platform::Row>>(&outcome);
           if (row != nullptr && *row) {
@@ -115,16 +158,17 @@
           const auto attempt =
               row == nullptr ? std::nullopt : this->lease.Attempt(*row, Now());
           if (!attempt) {
-            this->WaitLease(kLeasePeriod);
+            this->WaitLease(this->lease_period);
             return;
           }
           const core::TimePoint sent = Now();
-          this->platform.Transact(
+          this->store->Transact(
               *attempt, [this, sent](const platform::TransactOutcome& result) {
-                if (std::holds_alternative<platform::Committed>(result)) {
-                  this->lease.Renew(sent);
+                if (const auto* committed =
+                        std::get_if<platform::Committed>(&result)) {
+                  this->lease.Renew(*committed, sent);
                 }
-                this->WaitLease(kLeasePeriod);
+                this->WaitLease(this->lease_period);
               });
         });
   }
@@ -151,10 +195,13 @@
         this->outgoing.peers.push_back(address);
       }
     }
-    const auto known = this->addresses.find(this->holder);
-    this->outgoing.holder = known == this->addresses.end()
-                                ? std::nullopt
-                                : std::optional{known->second};
+    this->outgoing.controllers.clear();
+    for (const core::InstanceName& name : this->Controllers()) {
+      const auto known = this->addresses.find(name);
+      if (known != this->addresses.end()) {
+        this->outgoing.controllers.push_back(known->second);
+      }
+    }
     this->outgoing.brakes = this->coordinator.KnownBrakes().All();
     if (this->peers.RolloutInlet().TryPush(std::move(this->outgoing))) {
       this->outgoing = {};
@@ -169,8 +216,7 @@
                        .fence = this->lease.Fence()};
     }
     this->TellLease(held.has_value());
-    const auto wall = std::chrono::floor<std::chrono::seconds>(
-        std::chrono::system_clock::now());
+    const std::chrono::sys_seconds wall = this->wall.Seconds();
     Orders orders = this->coordinator.Decide(held, now, wall);
     for (const ReleaseId& release : orders.brakes) {
       this->log.Warn("Brakes version {} of {}: {}.", release.version.Text(),
@@ -216,6 +262,9 @@
   }
 
   core::InstanceName self;
+  std::chrono::milliseconds lease_period;
+  bool competes_sparingly;
+  std::vector<core::InstanceName> competitors;
   core::InstanceName holder;
   std::map<core::InstanceName, http::Address> addresses;
   OutgoingReport outgoing;
@@ -223,8 +272,9 @@
   PeersDuty peers;
   Outlets outlets;
   platform::Lease lease;
-  platform::Client platform;
+  std::unique_ptr<platform::Store> store;
   Coordinator coordinator;
+  core::WallClock wall;
   boost::asio::steady_timer tick;
   boost::asio::steady_timer lease_timer;
   std::vector<ReleaseId> unsent;
@@ -249,6 +299,10 @@
   return this->loop->results;
 }
 
+core::Ring<membership::View>& RolloutDuty::MembershipInlet() noexcept {
+  return this->loop->views;
+}
+
 void RolloutDuty::Start(const Outlets outlets) { this->loop->Start(outlets); }
 
 void RolloutDuty::Stop() { this->loop->Stop(); }
--- a/packages/rollout/src/peers_duty.cc
+++ b/packages/rollout/src/peers_duty.cc
@@ -4,6 +4,7 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -143,8 +144,10 @@
       }
       static const Windows kNone;
       for (const http::Address& peer : report.peers) {
-        const bool is_holder = report.holder == peer;
-        const Windows& windows = is_holder ? report.windows : kNone;
+        const bool controls =
+            std::find(report.controllers.begin(), report.controllers.end(),
+                      peer) != report.controllers.end();
+        const Windows& windows = controls ? report.windows : kNone;
         if (report.brakes.empty() && windows.empty()) {
           continue;
         }
--- /dev/null
+++ b/packages/rollout/test/brisk_release_test.cc
@@ -0,0 +1,149 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "trefoilbend/rollout/brisk_ladder.h"
+#include "trefoilbend/rollout/controller.h"
+
+namespace trefoilbend::rollout {
+
+using namespace std::chrono_literals;
+using inventory::Release;
+using inventory::ReleaseState;
+
+namespace {
+
+/** A release of seconds, its controller, and the calls of the service. */
+struct Fixture {
+  /** Runs until the release is over or a time has passed. */
+  void RunFor(const std::chrono::milliseconds time) {
+    for (const core::TimePoint end = this->now + time;
+         this->now < end && this->release.state == ReleaseState::kMoving;
+         this->now += kLook) {
+      this->Serve();
+      const auto wall = std::chrono::floor<std::chrono::seconds>(
+          this->now.time_since_epoch());
+      const auto verdict =
+          this->controller.Decide({.now = this->now,
+                                   .wall = std::chrono::sys_seconds{wall},
+                                   .capacity = this->capacity});
+      if (verdict) {
+        this->release = verdict->after;
+        this->controller.Accept(this->release, this->now);
+      }
+    }
+  }
+
+  void Serve() {
+    this->credit += kCallsPerLook * this->release.share;
+    const std::uint32_t fresh = this->credit / inventory::kWholeShare;
+    this->credit %= inventory::kWholeShare;
+    this->calls += kCallsPerLook;
+    this->exposed += fresh;
+    const bool fails =
+        this->fails_from && this->now >= *this->fails_from && fresh > 0;
+    Window window;
+    Stratum& stratum =
+        window[{core::RouteName{"r"}, core::DataCentreName{"d"}}];
+    stratum.old_targets[core::InstanceName{"o1"}] = {.calls =
+                                                         kCallsPerLook / 2};
+    stratum.old_targets[core::InstanceName{"o2"}] = {.calls =
+                                                         kCallsPerLook / 2};
+    for (const char* name : {"n1", "n2", "n3"}) {
+      stratum.new_targets[core::InstanceName{name}] = {
+          .calls = (fresh + 2) / 3, .failed = fails ? (fresh + 5) / 6 : 0};
+    }
+    this->controller.Observe(window, this->now);
+  }
+
+  static constexpr std::chrono::milliseconds kLook{100};
+  /** 280 calls a second. */
+  static constexpr std::uint32_t kCallsPerLook = 28;
+
+  Release release{.name = core::ServiceName{"stock"},
+                  .version = core::VersionName{"2"},
+                  .deadline = std::chrono::sys_seconds{15s},
+                  .epoch = 1};
+  Capacity capacity{.old_slots = 138, .new_slots = 138};
+  core::TimePoint now{};
+  Controller controller{release, 1, now, Pace::kBrisk};
+  std::optional<core::TimePoint> fails_from;
+  std::uint32_t credit = 0;
+  std::uint32_t calls = 0;
+  std::uint32_t exposed = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_release_of_seconds, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_done_well_before_its_deadline_if_it_is_good) {
+  RunFor(15s);
+  BOOST_TEST((release.state == ReleaseState::kDone));
+  BOOST_TEST((now < core::TimePoint{13s}));
+}
+
+BOOST_AUTO_TEST_CASE(is_done_only_when_the_old_version_has_ended_its_calls) {
+  while (release.share < inventory::kWholeShare) {
+    RunFor(kLook);
+  }
+  BOOST_TEST((release.state == ReleaseState::kMoving));
+  RunFor(kDrainOfOld - kLook);
+  BOOST_TEST((release.state == ReleaseState::kMoving));
+  RunFor(kDrainOfOld);
+  BOOST_TEST((release.state == ReleaseState::kDone));
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_targets_of_the_new_version) {
+  capacity.new_slots = 0;
+  RunFor(15s);
+  BOOST_TEST(release.share == 0U);
+  BOOST_TEST((release.state == ReleaseState::kMoving));
+}
+
+BOOST_AUTO_TEST_CASE(exposes_less_than_a_tenth_of_the_calls_before_the_end) {
+  std::uint32_t share = 0;
+  double exposure = 0;
+  while (BriskStepAfter(share).share != inventory::kWholeShare) {
+    const std::uint32_t next = BriskStepAfter(share).share;
+    exposure += next * BriskStepAfter(next).watch_percent / 100.0;
+    share = next;
+  }
+  BOOST_TEST(exposure < inventory::kWholeShare / 10);
+}
+
+BOOST_AUTO_TEST_SUITE(of_a_bad_version)
+
+BOOST_AUTO_TEST_CASE(
+    is_taken_back_within_its_exposure_whenever_it_begins_to_fail) {
+  for (const auto from : {0ms, 3'000ms, 6'000ms, 8'000ms}) {
+    Fixture fixture;
+    fixture.fails_from = core::TimePoint{from};
+    fixture.RunFor(15s);
+    BOOST_TEST((fixture.release.state == ReleaseState::kTakenBack),
+               "fails from " << from.count() << " ms");
+    BOOST_TEST((fixture.now < core::TimePoint{from} + 5s));
+    constexpr std::uint32_t kCallsOfRelease = 15 * 10 * kCallsPerLook;
+    BOOST_TEST(fixture.exposed <= kCallsOfRelease / 10 + 50);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_holder_changes)
+
+BOOST_AUTO_TEST_CASE(goes_on_in_the_time_that_is_left) {
+  RunFor(7s);
+  BOOST_REQUIRE(release.share > 0);
+  controller = Controller{release, 2, now, Pace::kBrisk};
+  RunFor(8s);
+  BOOST_TEST((release.state == ReleaseState::kDone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::rollout
--- a/packages/rollout/test/peers_duty_test.cc
+++ b/packages/rollout/test/peers_duty_test.cc
@@ -58,7 +58,7 @@
 OutgoingReport ReportTo(const int peer, const bool is_holder) {
   OutgoingReport report{.self = AddressOf(1), .peers = {AddressOf(peer)}};
   if (is_holder) {
-    report.holder = AddressOf(peer);
+    report.controllers = {AddressOf(peer)};
   }
   report.brakes.emplace(kRelease, "calls fail");
   report.windows[kRelease][kStratum].new_targets[core::InstanceName{"a"}] = {
--- /dev/null
+++ b/stand_ins/store/store.cc
@@ -0,0 +1,221 @@
+#include "store/store.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "trefoilbend/wire/base64.h"
+
+namespace trefoilbend::stand_ins {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kMostRows = 500;
+constexpr int kDecimal = 10;
+
+http::Response Answer(const json& body, const std::uint16_t status = 200) {
+  return {.status = status, .fields = {}, .body = body.dump()};
+}
+
+Place PlaceOf(const std::string& key) {
+  const std::size_t slash = key.find('/');
+  return {key.substr(0, slash), key.substr(slash + 1)};
+}
+
+/** The system may not write what operators and targets write. */
+bool IsForbidden(const json& transaction) {
+  for (const char* kind : {"Writes", "Remove"}) {
+    for (const json& row : transaction.value(kind, json::array())) {
+      const std::string table = row.at("TableName");
+      if (table == "op" || table == "servers") {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::uint64_t NumberOf(const std::string& text) {
+  return std::strtoull(text.c_str(), nullptr, kDecimal);
+}
+
+}  // namespace
+
+Store::Store(boost::asio::io_context& context, http::Address address)
+    : context(context) {
+  this->server = http::Server::Builder{}
+                     .On(std::move(address))
+                     .WithHandler([this](const http::Request& request,
+                                         http::Respond respond) {
+                       this->Handle(request, std::move(respond));
+                     })
+                     .Build(context);
+}
+
+void Store::Handle(const http::Request& request, http::Respond respond) {
+  static const std::map<std::pair<std::string, std::string>, Method> kMethods{
+      {{"POST", "/rows-tx"}, &Store::Transact},
+      {{"GET", "/rows-get"}, &Store::Get},
+      {{"GET", "/rows-feed"}, &Store::Feed}};
+  const std::string path{http::PathOf(request.target)};
+  if (path == "/control") {
+    this->Control(request, respond);
+    return;
+  }
+  ++this->calls[path];
+  if (this->faults.silent) {
+    return;
+  }
+  if (this->faults.over_rate > 0) {
+    --this->faults.over_rate;
+    respond(Answer({}, 429));
+    return;
+  }
+  const auto method = kMethods.find({request.method, path});
+  if (this->faults.busy || method == kMethods.end()) {
+    respond(Answer({}, this->faults.busy ? 503 : 404));
+    return;
+  }
+  const http::Respond slowly = [this, respond = std::move(respond)](
+                                   const http::Response& response) {
+    this->After(this->faults.slow, [respond, response] { respond(response); });
+  };
+  try {
+    (this->*method->second)(request, slowly);
+  } catch (const json::exception& error) {
+    slowly(Answer({{"Error", error.what()}}, 400));
+  }
+}
+
+void Store::Transact(const http::Request& request,
+                     const http::Respond& respond) {
+  const json transaction = json::parse(request.body);
+  if (IsForbidden(transaction)) {
+    respond(Answer({}, 403));
+    return;
+  }
+  if (this->faults.lost_answers > 0) {
+    --this->faults.lost_answers;
+    this->After(this->faults.late_writes, [this, transaction] {
+      this->Commit(transaction, [](const http::Response&) {});
+    });
+    return;
+  }
+  this->Commit(transaction, respond);
+}
+
+void Store::Commit(const json& transaction, const http::Respond& respond) {
+  VersionedTable unchanged = this->table;
+  if (const auto conflicts = this->table.Commit(transaction)) {
+    respond(Answer({{"Rows", *conflicts}}, 412));
+    return;
+  }
+  this->before = std::move(unchanged);
+  respond(Answer({{"Ver", this->table.Version()}}));
+  this->TellWatchers();
+}
+
+void Store::Get(const http::Request& request, const http::Respond& respond) {
+  auto query = http::QueryOf(request.target);
+  const std::size_t limit =
+      query["Limit"].empty()
+          ? kMostRows
+          : std::min<std::size_t>(kMostRows, NumberOf(query["Limit"]));
+  const bool stale = this->faults.stale_reads > 0;
+  this->faults.stale_reads -= stale ? 1 : 0;
+  const VersionedTable& shown = stale ? this->before : this->table;
+  respond(Answer(shown.Range(query["TableName"], query["RangeStart"], limit)));
+}
+
+void Store::Feed(const http::Request& request, const http::Respond& respond) {
+  auto query = http::QueryOf(request.target);
+  Watcher watcher{
+      .table = query["TableName"],
+      .after = NumberOf(query["after"]),
+      .respond = respond,
+      .timer = std::make_shared<boost::asio::steady_timer>(this->context)};
+  watcher.timer->expires_after(
+      std::chrono::milliseconds{NumberOf(query["WaitMs"])});
+  watcher.timer->async_wait(
+      [this, table = watcher.table, after = watcher.after, respond,
+       timer = watcher.timer](const boost::system::error_code error) {
+        if (!error) {
+          std::erase_if(this->watchers,
+                        [&](const Watcher& one) { return one.timer == timer; });
+          const auto changes = this->table.Changes(table, after);
+          respond(changes ? Answer(*changes) : Answer({}, 410));
+        }
+      });
+  this->watchers.push_back(std::move(watcher));
+  this->TellWatchers();
+}
+
+void Store::TellWatchers() {
+  std::erase_if(this->watchers, [this](const Watcher& watcher) {
+    const auto changes = this->table.Changes(watcher.table, watcher.after);
+    if (changes && changes->at("Rows").empty()) {
+      return false;
+    }
+    watcher.timer->cancel();
+    watcher.respond(changes ? Answer(*changes) : Answer({}, 410));
+    return true;
+  });
+}
+
+void Store::Control(const http::Request& request,
+                    const http::Respond& respond) {
+  const json switches = json::parse(request.body, nullptr, false);
+  if (!switches.is_object()) {
+    respond(Answer({}, 400));
+    return;
+  }
+  using std::chrono::milliseconds;
+  this->faults.busy = switches.value("busy", false);
+  this->faults.silent = switches.value("silent", false);
+  this->faults.slow = milliseconds{switches.value("slow_ms", 0)};
+  this->faults.lost_answers = switches.value("lost_answers", 0);
+  this->faults.late_writes = milliseconds{switches.value("late_writes_ms", 0)};
+  this->faults.stale_reads = switches.value("stale_reads", 0);
+  this->faults.over_rate = switches.value("over_rate", 0);
+  if (switches.value("forget_history", false)) {
+    this->ForgetHistory();
+  }
+  respond(Answer({}));
+}
+
+void Store::Write(const std::string& key,
+                  const std::optional<std::string>& value) {
+  const Place place = PlaceOf(key);
+  json row{{"TableName", place.first}, {"part", ""}, {"Key", place.second}};
+  if (value) {
+    row["Value"] = wire::EncodeBase64(*value);
+  }
+  this->Commit({{value ? "Writes" : "Remove", json::array({row})}},
+               [](const http::Response&) {});
+}
+
+std::optional<std::string> Store::Read(const std::string& key) const {
+  const Place place = PlaceOf(key);
+  const json found = this->table.Range(place.first, place.second, 1);
+  if (found.at("Rows").empty() ||
+      found.at("Rows").front().at("Key") != place.second) {
+    return std::nullopt;
+  }
+  return wire::DecodeBase64(
+      found.at("Rows").front().at("Value").get<std::string>());
+}
+
+void Store::After(const std::chrono::milliseconds delay,
+                  std::function<void()> then) {
+  if (delay.count() == 0) {
+    then();
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
+  timer->expires_after(delay);
+  timer->async_wait([timer, then = std::move(then)](auto) { then(); });
+}
+
+}  // namespace trefoilbend::stand_ins
--- /dev/null
+++ b/stand_ins/store/store.h
@@ -0,0 +1,105 @@
+#ifndef TREFOILBEND_STAND_INS_STORE_STORE_H_
+#define TREFOILBEND_STAND_INS_STORE_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "store/table.h"
+#include "trefoilbend/http/server.h"
+
+namespace trefoilbend::stand_ins {
+
+/** @brief Faults of the store; each is off at its default. */
+struct StoreFaults {
+  /** @brief Whether every call is answered 503 and does nothing. */
+  bool busy = false;
+  /** @brief Whether no call is answered, and none does anything. */
+  bool silent = false;
+  /** @brief Time by which every answer is late. */
+  std::chrono::milliseconds slow{};
+  /** @brief Writes that are done and not answered. */
+  int lost_answers = 0;
+  /** @brief Time after which an unanswered write is done. */
+  std::chrono::milliseconds late_writes{};
+  /** @brief Reads of whole tables that show the state before the last
+   * transaction. */
+  int stale_reads = 0;
+  /** @brief Calls that are answered 429. */
+  int over_rate = 0;
+};
+
+/** @brief Stand-in for the users' store, over HTTP. */
+class Store {
+ public:
+  /**
+   * @brief Makes a store that does not listen yet.
+   * @param context Event loop that carries it.
+   * @param address Address to listen on.
+   */
+  Store(boost::asio::io_context& context, http::Address address);
+
+  /** @return Server of the store. */
+  [[nodiscard]] http::Server& GetServer() noexcept { return *this->server; }
+
+  /** @brief Switches of the faults; set on the store's thread only. */
+  StoreFaults faults;
+
+  /** @brief Forgets the history, so that watches have to begin anew. */
+  void ForgetHistory() { this->table.ForgetHistory(); }
+
+  /**
+   * @brief Commits what an operator or a target writes.
+   * @param key Table and key, with a slash between.
+   * @param value Value; nothing to remove the row.
+   */
+  void Write(const std::string& key, const std::optional<std::string>& value);
+
+  /**
+   * @brief Reads a row.
+   * @param key Table and key, with a slash between.
+   * @return The value, or nothing.
+   */
+  [[nodiscard]] std::optional<std::string> Read(const std::string& key) const;
+
+  /** @return Calls by path so far. */
+  [[nodiscard]] const std::map<std::string, int>& Calls() const noexcept {
+    return this->calls;
+  }
+
+ private:
+  struct Watcher {
+    std::string table;
+    std::uint64_t after{};
+    http::Respond respond;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+  };
+
+  using Method = void (Store::*)(const http::Request&, const http::Respond&);
+
+  void Handle(const http::Request& request, http::Respond respond);
+  void Transact(const http::Request& request, const http::Respond& respond);
+  void Get(const http::Request& request, const http::Respond& respond);
+  void Feed(const http::Request& request, const http::Respond& respond);
+  void Control(const http::Request& request, const http::Respond& respond);
+  void Commit(const nlohmann::json& transaction, const http::Respond& respond);
+  void TellWatchers();
+  void After(std::chrono::milliseconds delay, std::function<void()> then);
+
+  boost::asio::io_context& context;
+  VersionedTable table;
+  VersionedTable before;
+  std::vector<Watcher> watchers;
+  std::map<std::string, int> calls;
+  std::shared_ptr<http::Server> server;
+};
+
+}  // namespace trefoilbend::stand_ins
+
+#endif  // TREFOILBEND_STAND_INS_STORE_STORE_H_
--- /dev/null
+++ b/tests/users_platform/platform.cc
@@ -0,0 +1,268 @@
+#include "platform.h"
+
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "trefoilbend/entry/settings.h"
+#include "trefoilbend/wire/headers.h"
+
+namespace trefoilbend::tests {
+
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t kFront = 8'144;
+constexpr std::uint16_t kReady = 8'140;
+constexpr std::uint16_t kDirectory = 8'143;
+constexpr std::uint16_t kPeers = 8'146;
+constexpr std::uint16_t kOperations = 8'147;
+constexpr std::uint16_t kTarget = 8'200;
+constexpr int kEntryHost = 1;
+constexpr int kStoreHost = 2;
+constexpr int kFirstTargetHost = 10;
+constexpr const char* kHost = "a.example";
+constexpr std::chrono::milliseconds kPoll{10};
+constexpr std::chrono::seconds kTimeout{5};
+
+/** Loopback network of this process and fixture. */
+std::string Network() {
+  static std::atomic<int> fixtures{0};
+  constexpr int kOctet = 250;
+  const int number = static_cast<int>(getpid()) + 40'000 * fixtures++;
+  return "127." + std::to_string(number / kOctet % kOctet + 1) + '.' +
+         std::to_string(number % kOctet) + '.';
+}
+
+std::string Text(const std::string_view text) { return std::string{text}; }
+
+}  // namespace
+
+Endpoint::Endpoint(boost::asio::io_context& context, std::string id,
+                   http::Address address)
+    : id(std::move(id)), address(std::move(address)) {
+  this->server = http::Server::Builder{}
+                     .On(this->address)
+                     .WithHandler([this](const http::Request& request,
+                                         const http::Respond& respond) {
+                       respond(this->Serve(request));
+                     })
+                     .Build(context);
+  BOOST_REQUIRE(core::Succeeded(this->server->Listen()));
+}
+
+http::Response Endpoint::Serve(const http::Request& request) {
+  const std::string load = "0,0,6," + std::to_string(this->slowness);
+  http::Response response;
+  if (request.target == "/health") {
+    response.fields.emplace_back(Text(wire::kTargetIdHeader), this->id);
+  } else {
+    ++this->arrivals;
+    {
+      const std::lock_guard lock(this->mutex);
+      this->last = request.fields;
+    }
+    response = this->Answer(request);
+  }
+  response.fields.emplace_back(Text(wire::kLoadHeader), load);
+  return response;
+}
+
+http::Response Endpoint::Answer(const http::Request& request) {
+  const auto asked = http::FindField(request.fields, wire::kRequestIdHeader);
+  const auto expected =
+      http::FindField(request.fields, wire::kExpectedTargetHeader);
+  http::Response response{.status = 200, .fields = {}, .body = this->id};
+  response.fields.emplace_back(Text(wire::kRequestIdHeader),
+                               asked.value_or(""));
+  const Conduct now = this->conduct;
+  if (now == Conduct::kIsAnother || expected != this->id) {
+    response.status = 421;
+    return response;
+  }
+  if (now == Conduct::kSheds) {
+    response.status = 503;
+    response.fields.emplace_back(Text(wire::kNotRunHeader), "1");
+    return response;
+  }
+  ++this->runs;
+  if (now == Conduct::kFails) {
+    response.status = 500;
+  }
+  if (now != Conduct::kForgetsSignature) {
+    response.fields.emplace_back(Text(wire::kSignatureHeader), this->id);
+  }
+  return response;
+}
+
+std::string Endpoint::LastField(const std::string& name) const {
+  const std::lock_guard lock(this->mutex);
+  return std::string{http::FindField(this->last, name).value_or("")};
+}
+
+std::string Endpoint::Entry(const std::string& state,
+                            const std::string& version) const {
+  return json{{"Address", http::ToString(this->address)},
+              {"Info",
+               {{"Service", "stock"},
+                {"Version", version},
+                {"Zone", this->id == "c" ? "far" : "near"},
+                {"Slots", 6}}},
+              {"Status", {{"State", state}, {"Seq", 1}, {"WarmupLeft", "0ms"}}}}
+      .dump();
+}
+
+Platform::Platform() : network(Network()) {
+  this->store = std::make_unique<stand_ins::Store>(
+      this->context, this->At(kStoreHost, kFront));
+  BOOST_REQUIRE(core::Succeeded(this->store->GetServer().Listen()));
+  int host = kFirstTargetHost;
+  for (const char* id : {"a", "b", "c"}) {
+    this->targets.emplace(
+        id, std::make_unique<Endpoint>(this->context, id,
+                                       this->At(host++, kTarget)));
+    this->store->Write("servers/" + std::string{id},
+                       this->targets.at(id)->Entry());
+  }
+  this->thread = std::thread([this] { this->context.run(); });
+}
+
+Platform::~Platform() {
+  this->running.reset();
+  this->context.stop();
+  this->thread.join();
+}
+
+void Platform::StartEntry() {
+  const auto address = [this](const std::uint16_t port) {
+    return http::ToString(this->At(kEntryHost, port));
+  };
+  auto parsed = settings::Document::Parse("test", "");
+  settings::Document& document = std::get<0>(parsed);
+  document.Set("entry", "name", "entry-1");
+  document.Set("entry", "data-centre", "near");
+  document.Set("callers", "address", address(kFront));
+  document.Set("callers", "directory", address(kDirectory));
+  document.Set("callers", "readiness", address(kReady));
+  document.Set("callers", "max-calls", "64");
+  document.Set("callers", "leave-notice", "0ms");
+  document.Set("callers", "keep", "200ms");
+  document.Set("balancing", "strategy", "quiet");
+  document.Set("balancing", "probes", "2");
+  document.Set("balancing", "fleet-attempts", "50");
+  document.Set("platform", "kind", "users-store");
+  document.Set("platform", "address",
+               http::ToString(this->At(kStoreHost, kFront)));
+  document.Set("platform", "timeout", "300ms");
+  document.Set("platform", "watch", "1s");
+  document.Set("membership", "address", address(kPeers));
+  document.Set("operations", "address", address(kOperations));
+  document.Set("log", "level", "off");
+  auto read = entry::ReadSettings(document);
+  BOOST_REQUIRE(core::Succeeded(read));
+  this->running = entry::Entry::Builder{}
+                      .WithSettings(std::get<0>(std::move(read)))
+                      .Build();
+  BOOST_REQUIRE(core::Succeeded(this->running->Start()));
+}
+
+void Platform::WriteDesiredState(const int version, const std::string& prefix,
+                                 const std::string& kind) {
+  char number[9];
+  std::snprintf(number, sizeof number, "%08x", static_cast<unsigned>(version));
+  const json state{
+      {"Version", number},
+      {"Routes",
+       {{"Columns",
+         {"Name", "Hostname", "Prefix", "RouteType", "Timeout", "TargetLatency",
+          "Priority", "Service", "Attempts", "TrafficSplit"}},
+        {"Rows",
+         json::array({json::array({"r-1", kHost, prefix, kind, "2000ms",
+                                   "200ms", 1, "stock", 2, nullptr})})}}},
+      {"Services",
+       {{"Columns", {"Name", "HealthPath", "MaxConns", "Warmup", "WarmupPerS"}},
+        {"Rows",
+         json::array({json::array({"stock", "/health", 100, "3s", 25.0})})}}},
+      {"Limits",
+       {{"MaxHeaderBytes", 16'384},
+        {"MaxBodyBytes", 1'000'000},
+        {"HeaderTimeout", "3000ms"},
+        {"IdleTimeout", "15000ms"}}}};
+  this->OnStore(
+      [&](stand_ins::Store& one) { one.Write("op/config", state.dump()); });
+}
+
+void Platform::OnStore(const std::function<void(stand_ins::Store&)>& action) {
+  std::promise<void> done;
+  boost::asio::post(this->context, [&] {
+    action(*this->store);
+    done.set_value();
+  });
+  done.get_future().get();
+}
+
+int Platform::Runs() const {
+  int all = 0;
+  for (const auto& [id, target] : this->targets) {
+    all += target->Runs();
+  }
+  return all;
+}
+
+http::Response Platform::Call(const std::string& path,
+                              const std::string& method) {
+  const auto outcome =
+      http::SendAndWait(this->At(kEntryHost, kFront),
+                        {.method = method,
+                         .target = path,
+                         .fields = {{"Host", kHost},
+                                    {Text(wire::kRequestIdHeader),
+                                     "r-" + std::to_string(++this->calls)},
+                                    {Text(wire::kTimeLeftHeader), "3000"}},
+                         .body = {}},
+                        kTimeout);
+  return core::Succeeded(outcome) ? core::ValueOf(outcome)
+                                  : http::Response{.status = 0, .fields = {}};
+}
+
+int Platform::Readiness() const {
+  return Get(this->At(kEntryHost, kReady), "/ready").status;
+}
+
+http::Response Platform::Directory() const {
+  return Get(this->At(kEntryHost, kDirectory),
+             "/resolve?Name=a.example&Region=r&Zone=near");
+}
+
+std::string Platform::Metrics() const {
+  return Get(this->At(kEntryHost, kOperations), "/metrics").body;
+}
+
+http::Response Platform::Get(const http::Address& address,
+                             const std::string& target) {
+  const auto outcome = http::SendAndWait(
+      address, {.method = "GET", .target = target, .fields = {}, .body = {}},
+      kTimeout);
+  return core::Succeeded(outcome) ? core::ValueOf(outcome)
+                                  : http::Response{.status = 0, .fields = {}};
+}
+
+bool Platform::Await(const std::function<bool()>& condition,
+                     const std::chrono::milliseconds limit) {
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+http::Address Platform::At(const int host, const std::uint16_t port) const {
+  return {this->network + std::to_string(host), port};
+}
+
+}  // namespace trefoilbend::tests
--- /dev/null
+++ b/tests/users_platform/platform.h
@@ -0,0 +1,173 @@
+#ifndef TREFOILBEND_TESTS_USERS_PLATFORM_PLATFORM_H_
+#define TREFOILBEND_TESTS_USERS_PLATFORM_PLATFORM_H_
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "store/store.h"
+#include "trefoilbend/entry/entry.h"
+#include "trefoilbend/http/client.h"
+#include "trefoilbend/http/server.h"
+
+namespace trefoilbend::tests {
+
+/** @brief What a target of the users' platform does with its requests. */
+enum class Conduct : std::uint8_t {
+  /** @brief Answers with a signature. */
+  kAnswers,
+  /** @brief Says that it has not run them. */
+  kSheds,
+  /** @brief Answers 200 without a signature. */
+  kForgetsSignature,
+  /** @brief Answers 500. */
+  kFails,
+  /** @brief Is another target than the entry expects. */
+  kIsAnother,
+};
+
+/** @brief Target that speaks as the users' targets do. */
+class Endpoint {
+ public:
+  /**
+   * @brief Starts to listen.
+   * @param context Event loop that carries the target.
+   * @param id Identity of the target.
+   * @param address Address to listen on.
+   */
+  Endpoint(boost::asio::io_context& context, std::string id,
+           http::Address address);
+
+  /** @brief Sets what it does with its requests. */
+  void Behave(Conduct now) noexcept { this->conduct = now; }
+
+  /** @brief Sets what it tells of how slow work is, in percent of the usual. */
+  void TellSlowness(int percent) noexcept { this->slowness = percent; }
+
+  /** @return Requests that it has run. */
+  [[nodiscard]] int Runs() const noexcept { return this->runs; }
+
+  /** @return Requests that arrived, but for health checks. */
+  [[nodiscard]] int Arrivals() const noexcept { return this->arrivals; }
+
+  /** @return Value of a header field of the last request; empty without one. */
+  [[nodiscard]] std::string LastField(const std::string& name) const;
+
+  /** @return What the target writes to the store of itself. */
+  [[nodiscard]] std::string Entry(const std::string& state = "ready",
+                                  const std::string& version = "v1") const;
+
+ private:
+  [[nodiscard]] http::Response Serve(const http::Request& request);
+  [[nodiscard]] http::Response Answer(const http::Request& request);
+
+  std::string id;
+  http::Address address;
+  std::atomic<Conduct> conduct{Conduct::kAnswers};
+  std::atomic<int> slowness{100};
+  std::atomic<int> runs{0};
+  std::atomic<int> arrivals{0};
+  mutable std::mutex mutex;
+  http::Fields last;
+  std::shared_ptr<http::Server> server;
+};
+
+/** @brief One entry in this process between a store and three targets: a and b
+ * in the data centre near, c in far. */
+class Platform {
+ public:
+  Platform();
+  ~Platform();
+
+  Platform(const Platform&) = delete;
+  Platform& operator=(const Platform&) = delete;
+
+  /** @brief Starts the entry. */
+  void StartEntry();
+
+  /**
+   * @brief Writes what operators want: routes to the service stock.
+   * @param version Number of the desired state.
+   * @param prefix Beginning of the paths of its only route.
+   * @param kind Kind of the route's requests.
+   */
+  void WriteDesiredState(int version, const std::string& prefix = "/look/",
+                         const std::string& kind = "idempotent");
+
+  /**
+   * @brief Does something on the store's thread.
+   * @param action What is done.
+   */
+  void OnStore(const std::function<void(stand_ins::Store&)>& action);
+
+  /** @return A target by its identity. */
+  [[nodiscard]] Endpoint& Target(const std::string& id) {
+    return *this->targets.at(id);
+  }
+
+  /** @return Requests that all targets have run. */
+  [[nodiscard]] int Runs() const;
+
+  /**
+   * @brief Sends a client's request to the entry.
+   * @param path Path of the request.
+   * @param method Method of the request.
+   * @return The response.
+   */
+  [[nodiscard]] http::Response Call(const std::string& path,
+                                    const std::string& method = "GET");
+
+  /** @return Status of the entry's readiness. */
+  [[nodiscard]] int Readiness() const;
+
+  /** @return Metrics of the entry as text. */
+  [[nodiscard]] std::string Metrics() const;
+
+  /** @return Answer of the entry's directory. */
+  [[nodiscard]] http::Response Directory() const;
+
+  /** @return The entry, which runs after StartEntry. */
+  [[nodiscard]] entry::Entry& GetEntry() noexcept { return *this->running; }
+
+  /**
+   * @brief Waits for a condition.
+   * @param condition Condition that is polled.
+   * @param limit Longest wait.
+   * @return Whether the condition came true.
+   */
+  [[nodiscard]] static bool Await(
+      const std::function<bool()>& condition,
+      std::chrono::milliseconds limit = std::chrono::seconds{10});
+
+ private:
+  [[nodiscard]] http::Address At(int host, std::uint16_t port) const;
+  [[nodiscard]] static http::Response Get(const http::Address& address,
+                                          const std::string& target);
+
+  std::string network;
+  boost::asio::io_context context{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work = boost::asio::make_work_guard(this->context);
+  std::unique_ptr<stand_ins::Store> store;
+  std::map<std::string, std::unique_ptr<Endpoint>> targets;
+  std::thread thread;
+  std::unique_ptr<entry::Entry> running;
+  int calls = 0;
+};
+
+}  // namespace trefoilbend::tests
+
+#endif  // TREFOILBEND_TESTS_USERS_PLATFORM_PLATFORM_H_
