Take claims, questions and the audit search out of two long duties

Ruled out: splitting by timers, since each job has its own state. Change: Claims, QuestionServer and AuditSearch, each in a file of its own; core::WallClock in place of the two members. Conclusion: the behaviour is as it was.

--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -6,19 +6,18 @@
 #include <utility>
 #include <vector>
 
+#include "internal/claims.h"
 #include "internal/keyed_calls.h"
 #include "internal/listener.h"
 #include "internal/metrics.h"
+#include "internal/question_server.h"
 #include "internal/session.h"
 #include "trefoilbend/callers/router.h"
+#include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/core/rate_limit.h"
-#include "trefoilbend/http/client.h"
-#include "trefoilbend/http/server.h"
-#include "trefoilbend/idempotency/claim_sweep.h"
-#include "trefoilbend/platform/client.h"
 
 namespace trefoilbend::callers {
 
@@ -32,9 +31,6 @@
 constexpr std::string_view kKeyField = "Idempotency-Key";
 /** Lines a second about refusals that balancing does not see. */
 constexpr double kRefusalLines = 20;
-constexpr std::uint16_t kOk = 200;
-constexpr std::uint16_t kNotFound = 404;
-constexpr std::uint16_t kUnavailable = 503;
 
 idempotency::KeyTableOptions TableOptions(const Options& options) {
   return {.self = options.self,
@@ -65,14 +61,12 @@
         keyed(*this, TableOptions(this->options),
               {.bytes = this->options.keys.answer,
                .late = this->options.keys.late_answer}),
-        platform(http::Client::Create(this->duty.Context()),
-                 this->options.platform, this->options.platform_timeout),
+        claims(this->duty.Context(), this->options, this->clock),
+        questions(*this, [this] { return this->IsReady() && !this->draining; }),
         listener(this->duty.Context(), *this),
         drain_timer(this->duty.Context()),
         expire_timer(this->duty.Context()),
         late_timer(this->duty.Context()),
-        sweep_timer(this->duty.Context()),
-        sweep(this->options.keys.claim_retention),
         metrics(registry) {
     this->duty.Read(
         this->from_balancing, [this](const balancing::ToCallers& message) {
@@ -120,13 +114,13 @@
     }
     this->log.Info("Serves callers on {}.",
                    http::ToString(this->options.address));
-    auto serving = this->ServeQuestions();
+    auto serving = this->questions.Open(this->duty.Context(), this->options);
     if (!core::Succeeded(serving)) {
       return serving;
     }
     if (this->options.takes_keys) {
       this->AwaitExpiry();
-      this->AwaitSweep();
+      this->claims.StartSweep();
     }
     this->duty.Start();
     return listening;
@@ -247,19 +241,7 @@
 
   void Claim(const std::string& row, const idempotency::Home& home,
              std::function<void(const idempotency::ClaimStep&)> done) override {
-    this->platform.Transact(
-        idempotency::MakeClaim(row, home),
-        [this, row, home,
-         done = std::move(done)](const platform::TransactOutcome& outcome) {
-          const auto step = idempotency::Settle(outcome, home);
-          if (!std::holds_alternative<idempotency::ReadClaimBack>(step)) {
-            done(step);
-            return;
-          }
-          this->platform.Read(row, [done](const platform::ReadOutcome& read) {
-            done(idempotency::Settle(read));
-          });
-        });
+    this->claims.Record(row, home, std::move(done));
   }
 
   void Deliver(const core::CallId waiter,
@@ -298,9 +280,8 @@
   }
 
   [[nodiscard]] idempotency::IssueTime WallNow() const override {
-    return this->wall_start +
-           std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::steady_clock::now() - this->steady_start);
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        this->clock.Now());
   }
 
   void WakeAt(const core::TimePoint due) override {
@@ -372,58 +353,6 @@
     }
   }
 
-  [[nodiscard]] core::Outcome<std::monostate, std::string> ServeQuestions() {
-    core::Outcome<std::monostate, std::string> listening;
-    if (this->options.directory) {
-      this->directory_server =
-          http::Server::Builder{}
-              .On(*this->options.directory)
-              .WithHandler([this](const http::Request& request,
-                                  const http::Respond& respond) {
-                this->AnswerQuestion(request, respond);
-              })
-              .Build(this->duty.Context());
-      listening = this->directory_server->Listen();
-    }
-    if (this->options.readiness && core::Succeeded(listening)) {
-      this->readiness_server =
-          http::Server::Builder{}
-              .On(*this->options.readiness)
-              .WithHandler(
-                  [this](const http::Request&, const http::Respond& respond) {
-                    const bool ready = this->IsReady() && !this->draining;
-                    respond({.status = ready ? kOk : kUnavailable,
-                             .content_type = "text/plain",
-                             .fields = {},
-                             .body = ""});
-                  })
-              .Build(this->duty.Context());
-      listening = this->readiness_server->Listen();
-    }
-    return listening;
-  }
-
-  void AnswerQuestion(const http::Request& request,
-                      const http::Respond& respond) {
-    auto question = this->Protocol().ReadQuestion(request.target);
-    if (!question) {
-      respond({.status = kNotFound,
-               .content_type = "text/plain",
-               .fields = {},
-               .body = "no such question"});
-      return;
-    }
-    const discovery::Answer answer = this->Ask(*question);
-    if (answer.entries.empty()) {
-      respond({.status = kUnavailable,
-               .content_type = "text/plain",
-               .fields = {},
-               .body = "no entry is known"});
-      return;
-    }
-    respond(this->Protocol().ToResponse(answer));
-  }
-
   [[nodiscard]] bool IsReady() const noexcept {
     return this->configuration != nullptr && this->current;
   }
@@ -467,34 +396,6 @@
     });
   }
 
-  void AwaitSweep() {
-    this->sweep_timer.expires_after(this->options.keys.claim_sweep);
-    this->sweep_timer.async_wait([this](const boost::system::error_code error) {
-      if (!error) {
-        this->SweepClaims();
-        this->AwaitSweep();
-      }
-    });
-  }
-
-  /** A page that cannot be read or deleted now is left to a later sweep. */
-  void SweepClaims() {
-    this->platform.ReadRange(
-        idempotency::kClaimRows, this->sweep.After(),
-        idempotency::ClaimSweep::kPage,
-        [this](const platform::RangeOutcome& outcome) {
-          const auto* rows = std::get_if<std::vector<platform::Row>>(&outcome);
-          if (rows == nullptr) {
-            return;
-          }
-          const auto deletion = this->sweep.Take(*rows, this->WallNow());
-          if (!deletion.writes.empty()) {
-            this->platform.Transact(deletion,
-                                    [](const platform::TransactOutcome&) {});
-          }
-        });
-  }
-
   [[nodiscard]] bool IsIdle() const noexcept {
     return this->calls.empty() && this->keyed.Runs() == 0 &&
            this->received.empty() && this->listener.OpenSessions() == 0;
@@ -607,24 +508,18 @@
   discovery::Directory directory;
   Router router;
   internal::KeyedCalls keyed;
-  platform::Client platform;
+  core::WallClock clock;
+  internal::Claims claims;
+  internal::QuestionServer questions;
   internal::Listener listener;
-  std::shared_ptr<http::Server> directory_server;
-  std::shared_ptr<http::Server> readiness_server;
   boost::asio::steady_timer drain_timer;
   boost::asio::steady_timer expire_timer;
   boost::asio::steady_timer late_timer;
   core::TimePoint late_due = core::TimePoint::max();
-  boost::asio::steady_timer sweep_timer;
-  idempotency::ClaimSweep sweep;
   std::unordered_map<core::CallId, OpenCall> calls;
   std::unordered_map<core::CallId, relay::ReceivedId> received;
   std::size_t passes{};
   core::CallId last_call;
-  idempotency::IssueTime wall_start =
-      std::chrono::time_point_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now());
-  core::TimePoint steady_start = std::chrono::steady_clock::now();
   bool current = true;
   bool draining = false;
   internal::Metrics metrics;
--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -3,9 +3,6 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-#include <algorithm>
-#include <array>
-#include <cstdlib>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -13,12 +10,12 @@
 #include <utility>
 
 #include "internal/answers.h"
+#include "internal/audit_search.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/http/server.h"
 #include "trefoilbend/inventory/codec.h"
 #include "trefoilbend/inventory/files.h"
-#include "trefoilbend/operations/audit_filter.h"
 #include "trefoilbend/operations/outage_check.h"
 #include "trefoilbend/platform/client.h"
 #include "trefoilbend/rollout/apply_files.h"
@@ -43,10 +40,6 @@
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kOverload = 422;
 constexpr std::uint16_t kUnavailable = 503;
-constexpr std::size_t kRowsAtOnce = 256;
-constexpr std::uint64_t kMostAuditEntries = 1'000;
-constexpr std::uint64_t kAuditEntries = 100;
-constexpr int kDecimal = 10;
 
 }  // namespace
 
@@ -200,73 +193,10 @@
                          this->registry.Collect())});
   }
 
-  /** A look through the audit trail that takes several reads. */
-  struct AuditSearch {
-    AuditFilter filter;
-    std::uint64_t limit = kAuditEntries;
-    core::Revision after;
-    json found = json::array();
-    http::Respond respond;
-  };
-
   void ShowAudit(const Command& command) {
-    auto query = http::QueryOf(command.request.target);
-    const auto number = [&](const char* name, const std::uint64_t fallback) {
-      return query[name].empty() ? fallback
-                                 : std::uint64_t{std::strtoull(
-                                       query[name].c_str(), nullptr, kDecimal)};
-    };
-    auto search = std::make_shared<AuditSearch>();
-    search->filter = {.who = query["who"],
-                      .object = query["object"],
-                      .by = query["by"],
-                      .change_id = query["id"],
-                      .since = query["since"],
-                      .until = query["until"]};
-    search->after = core::Revision{number("after", 0)};
-    search->limit = std::min(number("limit", kAuditEntries), kMostAuditEntries);
-    search->respond = command.respond;
-    this->Search(search);
-  }
-
-  void Search(const std::shared_ptr<AuditSearch>& search) {
-    this->platform.ReadRange(
-        std::string{inventory::kChangePrefix},
-        inventory::ChangeKey(search->after), kRowsAtOnce,
-        [this, search](const platform::RangeOutcome& outcome) {
-          if (const auto* failure =
-                  std::get_if<platform::Unavailable>(&outcome)) {
-            search->respond(
-                Problem(kUnavailable,
-                        "The platform, which keeps the audit trail, "
-                        "cannot be read (" +
-                            failure->message + "). Repeat the command later."));
-            return;
-          }
-          this->Take(search, std::get<0>(outcome));
-        });
-  }
-
-  void Take(const std::shared_ptr<AuditSearch>& search,
-            const std::vector<platform::Row>& rows) {
-    for (const platform::Row& row : rows) {
-      const auto revised = inventory::DecodeRevised(row.value);
-      if (!revised || search->found.size() >= search->limit) {
-        break;
-      }
-      search->after = revised->revision;
-      if (search->filter.Matches(*revised)) {
-        search->found.push_back(json::parse(row.value));
-      }
-    }
-    const bool ended = rows.size() < kRowsAtOnce ||
-                       inventory::ChangeKey(search->after) != rows.back().key;
-    if (!ended) {
-      this->Search(search);
-      return;
-    }
-    search->respond(Answer(200, {{"entries", std::move(search->found)},
-                                 {"after", search->after.Value()}}));
+    std::make_shared<internal::AuditSearch>(
+        this->platform, command.request.target, command.respond)
+        ->Read();
   }
 
   void ChangeDataCentre(const Command& command) {
