Hold a cold target to what it bears for as long as it stays cold

An entry without a share tried a cold target with a call after 5 s, beside the shares of the owners. 2. Ruled out: lending a share by time, since entries share no clock; reserving a share for trials, since trials of two entries meet after a few rounds. Change: with a health path an entry without a share checks the target before it sends anything, all entries together within `probe-budget`, which was read and not used; no hedge goes to or away from a cold target; a target whose calls break or cannot be sent is cold unless most targets are. Tests: the story of the long cold waits until the list has told the entries, as its sibling does, and keeps its bound of 3; the restart before the list tells has a story of its own with the bound of the other story without notice, since a trace shows calls of entries that cannot know it yet.

--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -216,6 +216,13 @@
   [[nodiscard]] bool Look(ServiceState& service, core::CallId id,
                           core::TimePoint now, Decisions& decisions);
   void EndLookup(core::CallId id, core::TimePoint now, Decisions& decisions);
+  /** Asks cold targets in which this entry has no share whether they are warm.
+   */
+  void CheckColdTargets(const core::ServiceName& name, ServiceState& service,
+                        core::TimePoint now, Decisions& decisions);
+  [[nodiscard]] forwarding::StartProbe MakeProbe(
+      const core::ServiceName& name, const ServiceState& service,
+      const inventory::Instance& target, core::TimePoint now);
   /** Version that a call's next attempt goes to if its targets have room. */
   [[nodiscard]] core::VersionName PreferredVersion(CallState& call);
   [[nodiscard]] bool TryStart(ServiceState& service, core::CallId id,
@@ -229,6 +236,7 @@
                     core::TimePoint now) const;
   [[nodiscard]] const inventory::Instance* ChooseTarget(ServiceState& service,
                                                         CallState& call,
+                                                        Purpose purpose,
                                                         core::TimePoint now);
   [[nodiscard]] static bool IsKnownNotRun(
       const ServiceState& service,
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -44,6 +45,9 @@
   ColdShare cold_share;
   /** @brief Whether the target is cold. */
   WarmUp warm_up;
+  /** @brief Time before which this entry does not check again whether the
+   * target is warm. */
+  core::TimePoint next_check{};
   /** @brief Answers in sequence that were far slower than usual. */
   std::uint32_t slow_answers{};
   /** @brief Last load that the target told. */
@@ -73,6 +77,15 @@
   core::TimePoint avoided_until{};
 };
 
+/** @brief What a target is chosen for. */
+enum class Purpose : std::uint8_t {
+  /** @brief A call that no target works on. */
+  kAttempt,
+  /** @brief A second exchange beside one that is late. A cold target gets none:
+   * the slower of the two is cancelled, and the target may work on at it. */
+  kHedge,
+};
+
 /** @brief Median latency of a service before its first answer. */
 inline constexpr std::chrono::milliseconds kFirstMedian{20};
 
@@ -151,14 +164,15 @@
    * @brief Chooses a target and counts the call as in flight there.
    * @param excluded Targets that already had the call.
    * @param version Version that the target must run.
+   * @param purpose What the target is chosen for.
    * @param exchange Exchange that takes the call there.
    * @param now Current time.
    * @return The target, or null if none may take a call.
    */
   [[nodiscard]] const inventory::Instance* Choose(
       const std::vector<core::InstanceName>& excluded,
-      const core::VersionName& version, core::ExchangeId exchange,
-      core::TimePoint now);
+      const core::VersionName& version, Purpose purpose,
+      core::ExchangeId exchange, core::TimePoint now);
 
   /** @return What was known of the target that was chosen last. */
   [[nodiscard]] const Candidate& LastChoice() const noexcept {
@@ -184,6 +198,26 @@
       const std::vector<core::InstanceName>& excluded,
       const core::VersionName& version, std::size_t most, core::TimePoint now);
 
+  /**
+   * @brief Sets how often cold targets are checked in which this entry has no
+   * share.
+   * @param interval Time between two entries' checks of one target; nothing if
+   * targets cannot be checked, and are tried with a call instead.
+   */
+  void CheckColdTargets(std::optional<core::Duration> interval) noexcept {
+    this->check_interval = interval;
+  }
+
+  /**
+   * @brief Lists the cold targets that are to be checked now.
+   * @param entries Number of entries that share the checks.
+   * @param now Current time.
+   * @return The targets; their next checks are due one round of all entries
+   * later.
+   */
+  [[nodiscard]] std::vector<const inventory::Instance*> ToCheck(
+      std::size_t entries, core::TimePoint now);
+
   /**
    * @brief Takes note of a probe's answer.
    * @param ended Report of the probe.
@@ -223,6 +257,13 @@
    */
   [[nodiscard]] bool IsDisturbed(const core::InstanceName& name) const;
 
+  /**
+   * @brief Tells whether a target is cold and bears a few calls at a time.
+   * @param name Name of the target.
+   * @return False for an unknown target.
+   */
+  [[nodiscard]] bool IsWarming(const core::InstanceName& name) const;
+
   /**
    * @brief Tells whether a target is cold and bears a few requests a second.
    * @param name Name of the target.
@@ -250,6 +291,8 @@
   void CompareReport(const TargetState& target,
                      const forwarding::LoadReport& report,
                      core::Duration latency);
+  [[nodiscard]] bool HasRoom(const TargetState& target,
+                             core::TimePoint now) const noexcept;
   void NoteWarmth(TargetState& target, const forwarding::ExchangeEnded& ended,
                   core::TimePoint now) const;
   void NoteFailures(TargetState& target, const forwarding::ExchangeEnded& ended,
@@ -265,6 +308,7 @@
   double agreement = kFirstAgreement;
   std::vector<TargetState> targets;
   bool has_had_usable{};
+  std::optional<core::Duration> check_interval;
   std::unordered_map<core::InstanceName, std::size_t> positions;
   std::vector<Candidate> candidates;
   Candidate last_choice;
--- a/packages/balancing/include/trefoilbend/balancing/warm_up.h
+++ b/packages/balancing/include/trefoilbend/balancing/warm_up.h
@@ -8,13 +8,22 @@
 
 namespace trefoilbend::balancing {
 
+/** @brief How an entry without a share in a cold target learns that it is warm.
+ */
+enum class WarmthTrial : std::uint8_t {
+  /** @brief It waits, and then tries with one call. */
+  kCall,
+  /** @brief It asks the target's health path, and sends nothing before. */
+  kHealthCheck,
+};
+
 /**
  * @brief How many calls this entry may have in flight at a target that may be
  * cold.
  *
  * A cold target gets the entry's share, doubled with every few good answers
- * that do not say cold. An entry without a share waits, and then tries with one
- * call. Any sign of cold takes the target back to the share at once.
+ * that do not say cold. An entry without a share begins with one call once a
+ * trial allows it. Any sign of cold takes the target back to the share at once.
  */
 class WarmUp {
  public:
@@ -27,22 +36,42 @@
   /** @brief Takes note of a good answer that does not say cold. */
   void AddGoodAnswer() noexcept;
 
+  /** @brief Takes note of a health check that does not say cold. */
+  void AddGoodCheck() noexcept { this->checked = this->cold; }
+
   /**
    * @brief Tells how many calls may be in flight.
    * @param share Part of this entry in what the cold target bears.
    * @param limit Limit of a warm target.
+   * @param trial How this entry learns that the target is warm if it has no
+   * share.
    * @param now Current time.
    * @return Number of calls, at most the limit.
    */
   [[nodiscard]] std::uint32_t Allowed(const ColdShare& share,
-                                      std::uint32_t limit,
+                                      std::uint32_t limit, WarmthTrial trial,
                                       core::TimePoint now) const noexcept;
 
   /** @return Whether the target is taken for cold. */
   [[nodiscard]] bool IsCold() const noexcept { return this->cold; }
 
+  /** @return Whether the target is taken for cold, and no health check has said
+   * otherwise. */
+  [[nodiscard]] bool NeedsCheck() const noexcept {
+    return this->cold && !this->checked;
+  }
+
+  /** @return Time since which the target is taken for cold. */
+  [[nodiscard]] core::TimePoint ColdSince() const noexcept {
+    return this->since;
+  }
+
  private:
+  [[nodiscard]] bool MayBegin(const ColdShare& share, WarmthTrial trial,
+                              core::TimePoint now) const noexcept;
+
   bool cold = false;
+  bool checked = false;
   core::TimePoint since{};
   std::uint32_t good_answers = 0;
 };
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -34,6 +34,15 @@
           .latency = ended.latency};
 }
 
+/** Time between two health checks of a target, by all entries together. */
+std::optional<core::Duration> CheckInterval(const inventory::Service& service) {
+  if (service.health_path.empty() || service.probe_budget == 0) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<core::Duration>(std::chrono::seconds{1}) /
+         service.probe_budget;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
@@ -70,6 +79,7 @@
                              under_way ? release->share : 0);
     service.trusts_refusals = view.service->trusts_refusals;
     service.health_path = view.service->health_path;
+    service.targets.CheckColdTargets(CheckInterval(*view.service));
     this->Serve(service, now, decisions);
   }
   for (auto& [name, state] : this->services) {
@@ -304,6 +314,7 @@
     this->EndLookup(id, now, decisions);
   }
   for (auto& [name, service] : this->services) {
+    this->CheckColdTargets(name, service, now, decisions);
     for (const core::CallId id : service.queue.Expire(now)) {
       this->Refuse(id, core::RefusalReason::kDeadline, now, decisions);
     }
@@ -331,7 +342,8 @@
                           const std::optional<core::ExchangeId> beside,
                           const core::TimePoint now, Decisions& decisions) {
   CallState& call = this->calls.at(id);
-  const inventory::Instance* target = this->ChooseTarget(service, call, now);
+  const inventory::Instance* target = this->ChooseTarget(
+      service, call, beside ? Purpose::kHedge : Purpose::kAttempt, now);
   if (target == nullptr) {
     return false;
   }
@@ -392,6 +404,7 @@
     ServiceState& service = this->services.at(found->second.request->service);
     service.hedge_delay.Above();
     if (found->second.sends < this->AttemptsOf(found->second) &&
+        !service.targets.IsWarming(found->second.tried.back()) &&
         service.queue.Size() == 0 && service.overloaded_until <= now &&
         service.targets.Crowding() < kMostCrowding &&
         service.budget.Take(now)) {
@@ -414,17 +427,18 @@
 
 const inventory::Instance* Dispatcher::ChooseTarget(ServiceState& service,
                                                     CallState& call,
+                                                    const Purpose purpose,
                                                     const core::TimePoint now) {
   const core::VersionName stable = this->versions.Stable(call.request->service);
   const core::VersionName preferred = this->PreferredVersion(call);
+  const core::ExchangeId exchange = this->last_exchange.Next();
   if (preferred != stable) {
-    if (const auto* target = service.targets.Choose(
-            call.tried, preferred, this->last_exchange.Next(), now)) {
+    if (const auto* target = service.targets.Choose(call.tried, preferred,
+                                                    purpose, exchange, now)) {
       return target;
     }
   }
-  return service.targets.Choose(call.tried, stable, this->last_exchange.Next(),
-                                now);
+  return service.targets.Choose(call.tried, stable, purpose, exchange, now);
 }
 
 core::VersionName Dispatcher::PreferredVersion(CallState& call) {
--- a/packages/balancing/src/dispatcher_lookups.cc
+++ b/packages/balancing/src/dispatcher_lookups.cc
@@ -36,17 +36,9 @@
   }
   std::vector<forwarding::ProbeId> probes;
   for (const inventory::Instance* target : targets) {
-    this->last_probe = this->last_probe.Next();
+    decisions.push_back(
+        this->MakeProbe(call.request->service, service, *target, now));
     probes.push_back(this->last_probe);
-    this->probed_services.emplace(this->last_probe, call.request->service);
-    decisions.push_back(forwarding::StartProbe{
-        .probe = this->last_probe,
-        .target = target->name,
-        .address = target->address,
-        .path = service.health_path,
-        .connections =
-            ShareOfConnections(target->connections, this->entry_count),
-        .deadline = now + kProbeTimeout});
   }
   TraceProbed probed;
   for (const inventory::Instance* target : targets) {
@@ -57,6 +49,31 @@
   return true;
 }
 
+forwarding::StartProbe Dispatcher::MakeProbe(const core::ServiceName& name,
+                                             const ServiceState& service,
+                                             const inventory::Instance& target,
+                                             const core::TimePoint now) {
+  this->last_probe = this->last_probe.Next();
+  this->probed_services.emplace(this->last_probe, name);
+  return {
+      .probe = this->last_probe,
+      .target = target.name,
+      .address = target.address,
+      .path = service.health_path,
+      .connections = ShareOfConnections(target.connections, this->entry_count),
+      .deadline = now + kProbeTimeout};
+}
+
+void Dispatcher::CheckColdTargets(const core::ServiceName& name,
+                                  ServiceState& service,
+                                  const core::TimePoint now,
+                                  Decisions& decisions) {
+  for (const inventory::Instance* target :
+       service.targets.ToCheck(this->entries.size(), now)) {
+    decisions.push_back(this->MakeProbe(name, service, *target, now));
+  }
+}
+
 Decisions Dispatcher::Probed(const forwarding::ProbeEnded& ended,
                              const core::TimePoint now) {
   Decisions decisions;
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -55,15 +55,6 @@
   return target.cold_time > core::Duration::zero() && now < target.cold_until;
 }
 
-bool HasRoom(const TargetState& target, const core::TimePoint now) noexcept {
-  if (target.cold_time > core::Duration::zero()) {
-    return target.in_flight < target.limit &&
-           (!IsColdNow(target, now) || target.cold_pace.Allows(now));
-  }
-  return target.in_flight <
-         target.warm_up.Allowed(target.cold_share, target.limit, now);
-}
-
 bool SaysThatItDrains(const forwarding::ExchangeEnded& ended) noexcept {
   return ended.load && ended.load->draining;
 }
@@ -149,12 +140,17 @@
 
 const inventory::Instance* TargetTable::Choose(
     const std::vector<core::InstanceName>& excluded,
-    const core::VersionName& version, const core::ExchangeId exchange,
-    const core::TimePoint now) {
+    const core::VersionName& version, const Purpose purpose,
+    const core::ExchangeId exchange, const core::TimePoint now) {
   this->Collect(excluded, version, now, false);
   if (this->candidates.empty()) {
     this->Collect(excluded, version, now, true);
   }
+  if (purpose == Purpose::kHedge) {
+    std::erase_if(this->candidates, [this](const Candidate& candidate) {
+      return this->targets[candidate.target].warm_up.IsCold();
+    });
+  }
   if (this->candidates.empty()) {
     return nullptr;
   }
@@ -186,6 +182,44 @@
   }
 }
 
+bool TargetTable::HasRoom(const TargetState& target,
+                          const core::TimePoint now) const noexcept {
+  if (target.cold_time > core::Duration::zero()) {
+    return target.in_flight < target.limit &&
+           (!IsColdNow(target, now) || target.cold_pace.Allows(now));
+  }
+  const WarmthTrial trial =
+      this->check_interval ? WarmthTrial::kHealthCheck : WarmthTrial::kCall;
+  return target.in_flight <
+         target.warm_up.Allowed(target.cold_share, target.limit, trial, now);
+}
+
+std::vector<const inventory::Instance*> TargetTable::ToCheck(
+    const std::size_t entries, const core::TimePoint now) {
+  std::vector<const inventory::Instance*> due;
+  if (!this->check_interval) {
+    return due;
+  }
+  for (TargetState& target : this->targets) {
+    const bool shares = target.cold_share.calls > 0 ||
+                        target.cold_time > core::Duration::zero();
+    if (shares || !target.usable || !target.warm_up.NeedsCheck()) {
+      continue;
+    }
+    const core::TimePoint first =
+        target.warm_up.ColdSince() +
+        target.cold_share.rank * *this->check_interval;
+    if (now < std::max(first, target.next_check)) {
+      continue;
+    }
+    target.next_check =
+        std::max(first, target.next_check) +
+        static_cast<core::Duration::rep>(entries) * *this->check_interval;
+    due.push_back(&target.instance);
+  }
+  return due;
+}
+
 std::vector<const inventory::Instance*> TargetTable::ToProbe(
     const std::vector<core::InstanceName>& excluded,
     const core::VersionName& version, const std::size_t most,
@@ -231,6 +265,9 @@
   }
   if (report->load) {
     this->TakeReport(target, *report->load, now);
+    if (report->healthy && !report->load->cold) {
+      target.warm_up.AddGoodCheck();
+    }
   }
   if (report->cold_for.count() > 0) {
     target.cold_until = std::max(target.cold_until, now + report->cold_for);
@@ -356,6 +393,13 @@
   if (ended.result == ExchangeResult::kNotSent) {
     target.cold_until = now + kAvoidance + target.cold_time;
   }
+  const bool may_have_restarted =
+      ended.result == ExchangeResult::kNotSent ||
+      ended.result == ExchangeResult::kBrokenBeforeAnswer;
+  if (may_have_restarted && target.cold_time == core::Duration::zero() &&
+      this->MostAreWarm()) {
+    target.warm_up.Chill(now);
+  }
   const bool answered = ended.result == ExchangeResult::kAnswered ||
                         ended.result == ExchangeResult::kFailed ||
                         ended.result == ExchangeResult::kRefused;
@@ -400,6 +444,12 @@
              kQuietSlowdown;
 }
 
+bool TargetTable::IsWarming(const core::InstanceName& name) const {
+  const auto position = this->positions.find(name);
+  return position != this->positions.end() &&
+         this->targets[position->second].warm_up.IsCold();
+}
+
 bool TargetTable::IsPaced(const core::InstanceName& name,
                           const core::TimePoint now) const {
   const auto position = this->positions.find(name);
--- a/packages/balancing/src/warm_up.cc
+++ b/packages/balancing/src/warm_up.cc
@@ -18,6 +18,7 @@
 
 void WarmUp::Chill(const core::TimePoint now) noexcept {
   this->cold = true;
+  this->checked = false;
   this->since = now;
   this->good_answers = 0;
 }
@@ -30,13 +31,21 @@
   this->cold = this->good_answers < kAnswersToDouble * kDoublingsToWarm;
 }
 
+bool WarmUp::MayBegin(const ColdShare& share, const WarmthTrial trial,
+                      const core::TimePoint now) const noexcept {
+  return trial == WarmthTrial::kHealthCheck
+             ? this->checked
+             : now - this->since >= kFirstTrial + kTrialGap * share.rank;
+}
+
 std::uint32_t WarmUp::Allowed(const ColdShare& share, const std::uint32_t limit,
+                              const WarmthTrial trial,
                               const core::TimePoint now) const noexcept {
   if (!this->cold) {
     return limit;
   }
-  const bool tries = now - this->since >= kFirstTrial + kTrialGap * share.rank;
-  const std::uint32_t base = share.calls == 0 && tries ? 1 : share.calls;
+  const bool begins = share.calls == 0 && this->MayBegin(share, trial, now);
+  const std::uint32_t base = begins ? 1 : share.calls;
   return std::min(limit, base << (this->good_answers / kAnswersToDouble));
 }
 
--- a/packages/balancing/test/cold_test.cc
+++ b/packages/balancing/test/cold_test.cc
@@ -1,8 +1,11 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "trefoilbend/balancing/cold_share.h"
@@ -14,10 +17,13 @@
 using forwarding::ExchangeResult;
 using forwarding::LoadReport;
 using forwarding::StartExchange;
+using forwarding::StartProbe;
 
 namespace {
 
 constexpr std::size_t kEntries = 17;
+/** Health checks a second that a target bears from all entries together. */
+constexpr std::uint32_t kProbeBudget = 4;
 
 std::vector<core::InstanceName> EntryNames() {
   std::vector<core::InstanceName> names;
@@ -45,7 +51,9 @@
   void Configure(const std::vector<std::string>& live) {
     inventory::Configuration::Builder builder;
     builder.Put(inventory::Service{.name = core::ServiceName{"stock"},
-                                   .cold_allowance = 3});
+                                   .cold_allowance = 3,
+                                   .probe_budget = kProbeBudget,
+                                   .health_path = this->health_path});
     auto listed = std::make_shared<std::vector<platform::ListedInstance>>();
     for (const std::string name : {"warm", "late"}) {
       inventory::Instance target;
@@ -74,6 +82,7 @@
     auto request = std::make_shared<core::CallRequest>();
     request->service = core::ServiceName{"stock"};
     request->deadline = this->now + 10s;
+    request->idempotent = this->idempotent;
     std::vector<StartExchange> started;
     for (const Decision& decision : this->entries[entry]->Submit(
              {core::CallId{++this->last_call}, request}, this->now)) {
@@ -100,6 +109,17 @@
     return started;
   }
 
+  Decisions Break(const std::size_t entry, const StartExchange& exchange) {
+    return this->entries[entry]->Ended(
+        {.call = exchange.call,
+         .exchange = exchange.exchange,
+         .target = exchange.target,
+         .result = ExchangeResult::kBrokenBeforeAnswer,
+         .status = 0,
+         .latency = 1ms},
+        this->now);
+  }
+
   /** Sends calls through all entries; returns the exchanges with the late
    * target by entry. */
   std::vector<std::pair<std::size_t, StartExchange>> Flood(const int calls) {
@@ -116,11 +136,71 @@
     return late;
   }
 
+  /** Lets all entries look at the time; returns the health checks of the late
+   * target by entry. */
+  std::vector<std::pair<std::size_t, StartProbe>> Tick() {
+    std::vector<std::pair<std::size_t, StartProbe>> probes;
+    for (std::size_t entry = 0; entry < kEntries; ++entry) {
+      for (const Decision& decision : this->entries[entry]->Tick(this->now)) {
+        if (const auto* probe = std::get_if<StartProbe>(&decision)) {
+          BOOST_TEST(probe->target.Text() == "late");
+          BOOST_TEST(probe->path == this->health_path);
+          probes.emplace_back(entry, *probe);
+        }
+      }
+    }
+    return probes;
+  }
+
+  void Answer(const std::size_t entry, const StartProbe& probe,
+              const bool cold) {
+    forwarding::HealthReport report{.healthy = true, .name = {}};
+    report.load = LoadReport{.cold = cold};
+    (void)this->entries[entry]->Probed(
+        {.probe = probe.probe, .target = probe.target, .report = report},
+        this->now);
+  }
+
   std::vector<std::unique_ptr<Dispatcher>> entries;
+  std::string health_path;
+  bool idempotent = false;
   std::uint64_t last_call = 0;
   core::TimePoint now{10s};
 };
 
+/** The same fleet with calls that may be hedged. */
+class FixtureWithHedges : public Fixture {
+ public:
+  FixtureWithHedges() {
+    this->idempotent = true;
+    this->Configure({"warm", "late"});
+  }
+
+  /** Lets the calls be late; returns their hedges. */
+  std::vector<StartExchange> Hedge() {
+    std::vector<StartExchange> hedges;
+    this->now += 1s;
+    for (const auto& entry : this->entries) {
+      for (const Decision& decision : entry->Tick(this->now)) {
+        const auto* hedge = std::get_if<StartExchange>(&decision);
+        if (hedge != nullptr && hedge->beside) {
+          hedges.push_back(*hedge);
+        }
+      }
+    }
+    return hedges;
+  }
+};
+
+/** The same fleet, where targets answer health checks. */
+class FixtureWithHealthChecks : public Fixture {
+ public:
+  FixtureWithHealthChecks() {
+    this->health_path = "/health";
+    this->Configure({"warm", "late"});
+  }
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(the_shares_in_a_cold_target)
@@ -185,6 +265,29 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(gets_no_more_after_a_restart_that_only_broke_its_calls) {
+  Configure({"warm", "late"});
+  for (int round = 0; round < 60; ++round) {
+    for (const auto& [entry, exchange] : Flood(2)) {
+      (void)End(entry, exchange, false);
+    }
+  }
+  auto broken = Flood(2);
+  BOOST_TEST(broken.size() > 3U);
+  std::size_t again = 0;
+  for (const auto& [entry, exchange] : broken) {
+    (void)this->Break(entry, exchange);
+  }
+  now += 10s;
+  for (const auto& [entry, exchange] : Flood(2)) {
+    const bool knows =
+        std::any_of(broken.begin(), broken.end(),
+                    [at = entry](const auto& one) { return one.first == at; });
+    again += knows ? 1 : 0;
+  }
+  BOOST_TEST(again <= 3U);
+}
+
 BOOST_AUTO_TEST_CASE(gets_more_with_every_few_good_answers) {
   Configure({"warm", "late"});
   auto late = Flood(1);
@@ -202,4 +305,89 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(calls_that_are_late_while_a_target_is_cold,
+                         FixtureWithHedges)
+
+BOOST_AUTO_TEST_CASE(are_not_hedged_there) {
+  std::size_t began_there = 0;
+  for (std::size_t entry = 0; entry < kEntries; ++entry) {
+    while (true) {
+      const StartExchange exchange = Submit(entry).at(0);
+      if (exchange.target.Text() == "warm") {
+        break;
+      }
+      ++began_there;
+      (void)End(entry, exchange, false);
+    }
+  }
+  BOOST_TEST(began_there > 0U);
+  for (const StartExchange& hedge : Hedge()) {
+    BOOST_TEST(hedge.target.Text() != "late");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_not_hedged_elsewhere_since_the_target_may_work_on) {
+  const auto late = Flood(8);
+  BOOST_TEST(late.size() == 3U);
+  const std::vector<StartExchange> hedges = Hedge();
+  for (const auto& [entry, exchange] : late) {
+    BOOST_TEST(std::none_of(hedges.begin(), hedges.end(),
+                            [&, own = exchange](const StartExchange& hedge) {
+                              return hedge.call == own.call;
+                            }));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_target_that_stays_cold_for_long,
+                         FixtureWithHealthChecks)
+
+BOOST_AUTO_TEST_CASE(gets_no_more_than_it_bears_all_the_while) {
+  auto late = Flood(2);
+  for (int round = 0; round < 300; ++round) {
+    BOOST_TEST(late.size() <= 3U);
+    for (const auto& [entry, exchange] : late) {
+      (void)End(entry, exchange, true);
+    }
+    now += 100ms;
+    for (const auto& [entry, probe] : Tick()) {
+      Answer(entry, probe, true);
+    }
+    late = Flood(1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_checked_no_more_often_than_its_budget_allows) {
+  std::vector<core::TimePoint> checks;
+  for (int round = 0; round < 600; ++round) {
+    now += 50ms;
+    for (const auto& [entry, probe] : Tick()) {
+      Answer(entry, probe, true);
+      checks.push_back(now);
+    }
+  }
+  BOOST_TEST(checks.size() > 60U);
+  for (std::size_t at = kProbeBudget; at < checks.size(); ++at) {
+    BOOST_TEST((checks[at] - checks[at - kProbeBudget] >= 1s));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(gets_calls_of_all_entries_once_it_says_that_it_is_warm) {
+  std::map<std::size_t, int> calls;
+  for (int round = 0; round < 200; ++round) {
+    now += 100ms;
+    for (const auto& [entry, probe] : Tick()) {
+      Answer(entry, probe, false);
+    }
+    for (const auto& [entry, exchange] : Flood(2)) {
+      ++calls[entry];
+      (void)End(entry, exchange, false);
+    }
+  }
+  BOOST_TEST(calls.size() == kEntries);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace trefoilbend::balancing
--- a/packages/balancing/test/target_table_test.cc
+++ b/packages/balancing/test/target_table_test.cc
@@ -34,8 +34,8 @@
 
   std::string Choose() {
     this->exchange = this->exchange.Next();
-    const auto* target =
-        this->table.Choose({}, core::VersionName{}, this->exchange, this->now);
+    const auto* target = this->table.Choose(
+        {}, core::VersionName{}, Purpose::kAttempt, this->exchange, this->now);
     return target == nullptr ? "" : target->name.Text();
   }
 
--- a/packages/inventory/src/files.cc
+++ b/packages/inventory/src/files.cc
@@ -142,6 +142,10 @@
     rules.probe_budget = static_cast<std::uint32_t>(
         section.Integer("probe-budget", {0, kMostProbes}, kDefaultProbeBudget));
     rules.trusts_refusals = section.YesNo("trust-refusals", false);
+    rules.health_path = section.Text("health-path", "");
+    if (!rules.health_path.empty() && rules.health_path.front() != '/') {
+      section.Refuse("health-path", "a path that begins with a slash");
+    }
   }
 
   void ReadRoute(const std::string& name, Section& section) {
--- a/tests/balancing/cold_test.cc
+++ b/tests/balancing/cold_test.cc
@@ -20,7 +20,8 @@
       Fleet::Builder{}
           .WithEntries(4)
           .WithTargets(4, {"--service-us", "5000", "--cold-bears", "3"})
-          .WithRules("[service stock]\ncold-allowance = 3\n")
+          .WithRules(
+              "[service stock]\ncold-allowance = 3\nhealth-path = /load\n")
           .Build();
 
   [[nodiscard]] std::unique_ptr<Driver> Drive(
@@ -34,6 +35,21 @@
     return this->fleet->Counts(target).at(name).get<int>();
   }
 
+  /** Takes the target from the list, waits until no entry sends anything there
+   * any more, and starts it anew. */
+  void RestartCold(const std::string& target) const {
+    this->fleet->List(target, "gone");
+    const auto is_idle = [&] {
+      const int before = this->Count(target, "handled");
+      return !Fleet::Await(
+          [&] { return this->Count(target, "handled") > before; },
+          std::chrono::milliseconds{300});
+    };
+    BOOST_TEST(Fleet::Await(is_idle));
+    this->fleet->Signal(target, SIGKILL);
+    this->fleet->Start(target, {"--cold"});
+  }
+
   [[nodiscard]] bool AwaitCount(const std::string& target,
                                 const std::string& name,
                                 const int least) const {
@@ -84,28 +100,35 @@
 BOOST_AUTO_TEST_CASE(sends_it_no_more_than_it_bears_and_then_its_part) {
   const auto driver = Drive("14");
   BOOST_TEST(AwaitCount("stock-2", "handled", 50));
-  fleet->List("stock-2", "gone");
-  const auto is_idle = [&] {
-    const int before = Count("stock-2", "handled");
-    return !Fleet::Await([&] { return Count("stock-2", "handled") > before; },
-                         std::chrono::milliseconds{300});
-  };
-  BOOST_TEST(Fleet::Await(is_idle));
-  fleet->Signal("stock-2", SIGKILL);
-  fleet->Start("stock-2", {"--cold"});
+  RestartCold("stock-2");
   WarmUp("stock-2", 100);
   CheckNothingLost(driver->Report());
 }
 
 BOOST_AUTO_TEST_CASE(waits_for_as_long_as_it_stays_cold) {
+  const auto driver = Drive("14");
+  BOOST_TEST(AwaitCount("stock-2", "handled", 50));
+  RestartCold("stock-2");
+  CheckNothingLost(driver->Report());
+  BOOST_TEST(Count("stock-2", "cold_handled") > 100);
+  BOOST_TEST(Count("stock-2", "most_in_flight_cold") <= kBears);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_target_restarts_before_the_list_tells)
+
+BOOST_AUTO_TEST_CASE(takes_its_calls_back_to_what_it_bears) {
   const auto driver = Drive("14");
   BOOST_TEST(AwaitCount("stock-2", "handled", 50));
   fleet->List("stock-2", "gone");
   fleet->Signal("stock-2", SIGKILL);
   fleet->Start("stock-2", {"--cold"});
+  BOOST_TEST(AwaitCount("stock-2", "cold_handled", 50));
+  const int overruns = Count("stock-2", "cold_overruns");
   CheckNothingLost(driver->Report());
   BOOST_TEST(Count("stock-2", "cold_handled") > 100);
-  BOOST_TEST(Count("stock-2", "most_in_flight_cold") <= kBears);
+  BOOST_TEST(Count("stock-2", "cold_overruns") == overruns);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -129,17 +152,18 @@
 
 BOOST_AUTO_TEST_CASE(ramps_each_of_them) {
   const auto driver = Drive("14");
-  const auto change = [&](const std::string& way) {
-    const CommandResult result =
-        Fleet::Control({"data-centre", way, "xela-2", "--entry",
-                        ToString(fleet->OperationsOf("entry-1"))});
+  const auto change = [&](std::vector<std::string> way) {
+    way.insert(way.begin(), "data-centre");
+    way.insert(way.end(),
+               {"xela-2", "--entry", ToString(fleet->OperationsOf("entry-1"))});
+    const CommandResult result = Fleet::Control(way);
     BOOST_TEST(result.exit_code == 0, result.output);
   };
-  change("out");
+  change({"out", "--force"});
   for (const char* target : {"stock-1", "stock-3"}) {
     fleet->Fault(target, "cold", 1);
   }
-  change("in");
+  change({"in"});
   for (const char* target : {"stock-1", "stock-3"}) {
     BOOST_TEST(AwaitCount(target, "cold_handled", 50));
   }
