Run tests side by side, each on a loopback network that it has claimed

Their networks followed from process ids alone, in four copies, and two tests could meet. Ruled out: shorter stories, which would show less.

--- a/cmake/TrefoilbendPackage.cmake
+++ b/cmake/TrefoilbendPackage.cmake
@@ -1,6 +1,7 @@
 if(TREFOILBEND_TESTS)
   add_library(trefoilbend_test_main OBJECT "${PROJECT_SOURCE_DIR}/cmake/test_main.cc")
   target_compile_definitions(trefoilbend_test_main PUBLIC BOOST_TEST_DYN_LINK)
+  target_include_directories(trefoilbend_test_main PUBLIC "${PROJECT_SOURCE_DIR}/tests")
   target_link_libraries(trefoilbend_test_main PUBLIC Boost::unit_test_framework)
 endif()
 
--- a/packages/entry/test/path_test.cc
+++ b/packages/entry/test/path_test.cc
@@ -1,6 +1,3 @@
-#include <unistd.h>
-
-#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
@@ -12,6 +9,7 @@
 #include <vector>
 
 #include "fakes.h"
+#include "support/loopback_network.h"
 #include "trefoilbend/entry/entry.h"
 #include "trefoilbend/entry/settings.h"
 #include "trefoilbend/http/client.h"
@@ -28,15 +26,6 @@
 constexpr std::chrono::seconds kTimeout{10};
 constexpr std::chrono::milliseconds kPoll{10};
 
-/** Loopback network of this process and fixture. */
-std::string Network() {
-  static std::atomic<int> fixtures{0};
-  constexpr int kOctet = 250;
-  const int number = static_cast<int>(getpid()) + 40'000 * fixtures++;
-  return "127." + std::to_string(number / kOctet % kOctet + 1) + '.' +
-         std::to_string(number % kOctet) + '.';
-}
-
 bool Await(const std::function<bool()>& condition) {
   const auto deadline = std::chrono::steady_clock::now() + kTimeout;
   while (!condition()) {
@@ -150,7 +139,7 @@
 
   [[nodiscard]] http::Address At(const int host) const {
     constexpr std::uint16_t kPort = 7000;
-    return {.host = this->network + std::to_string(host), .port = kPort};
+    return this->network.At(host, kPort);
   }
 
   [[nodiscard]] http::Address TargetAddress(const std::size_t target) const {
@@ -218,7 +207,7 @@
     return {this->At(1), "/lookup", length};
   }
 
-  std::string network = Network();
+  tests::LoopbackNetwork network;
   fakes::Loop loop;
   std::vector<std::unique_ptr<fakes::Target>> targets;
   fakes::Platform platform{this->loop.Context(),
--- a/packages/relay/test/relay_test.cc
+++ b/packages/relay/test/relay_test.cc
@@ -1,5 +1,3 @@
-#include <unistd.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
@@ -11,6 +9,7 @@
 #include <thread>
 #include <utility>
 
+#include "support/loopback_network.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/outcome.h"
 #include "trefoilbend/relay/duty.h"
@@ -21,16 +20,8 @@
 
 using namespace std::chrono_literals;
 
-/** Address of this process only, so that several can run at once. */
-http::Address HomeAddress() {
-  constexpr int kOctet = 250;
-  const int number = static_cast<int>(getpid());
-  return {.host = "127." + std::to_string(number / kOctet % kOctet + 1) + '.' +
-                  std::to_string(number % kOctet) + ".201",
-          .port = 7'300};
-}
-
-const http::Address kHome = HomeAddress();
+const tests::LoopbackNetwork kNetwork;
+const http::Address kHome = kNetwork.At(201, 7'300);
 
 core::CallRequest MakeRequest(const core::Duration timeout) {
   core::CallRequest request;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,7 +32,7 @@
     return
   fi
   rm -f "$report"
-  ctest --preset "$preset" --output-junit "$report" "$@"
+  ctest --preset "$preset" -j "$(nproc)" --output-junit "$report" "$@"
   if ! counts=$(scripts/known_red.py "$report" KNOWN-RED.txt); then
     echo "FAILED: report of $preset"
     failed=$((failed + 1))
--- a/tests/calls/stop_test.cc
+++ b/tests/calls/stop_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -64,4 +65,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(settings_that_are_read_again_under_load, Fixture)
+
+BOOST_AUTO_TEST_CASE(by_signals_cut_no_request) {
+  const auto driver = Drive("4");
+  for (int round = 0; round < 5; ++round) {
+    for (const char* entry : {"entry-1", "entry-2", "entry-3"}) {
+      fleet->Signal(entry, SIGHUP);
+    }
+    std::this_thread::sleep_for(300ms);
+  }
+  for (const char* entry : {"entry-1", "entry-2", "entry-3"}) {
+    BOOST_TEST(fleet->IsRunning(entry));
+  }
+  CheckThatNothingWasCut(driver->Report());
+}
+
+BOOST_AUTO_TEST_CASE(with_mistakes_leave_the_entry_at_work) {
+  const auto driver = Drive("4");
+  std::ofstream{fleet->Folder() + "/entry-2.ini", std::ios::app}
+      << "[log]\nlevel = shouting\n";
+  fleet->Signal("entry-2", SIGHUP);
+  std::this_thread::sleep_for(1s);
+  BOOST_TEST(fleet->IsRunning("entry-2"));
+  CheckThatNothingWasCut(driver->Report());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace trefoilbend::tests
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -1,8 +1,5 @@
 #include "fleet/fleet.h"
 
-#include <unistd.h>
-
-#include <atomic>
 #include <boost/filesystem.hpp>
 #include <boost/process.hpp>
 #include <csignal>
@@ -12,6 +9,7 @@
 #include <sstream>
 #include <thread>
 
+#include "support/loopback_network.h"
 #include "trefoilbend/http/message.h"
 
 namespace trefoilbend::tests {
@@ -31,17 +29,6 @@
 constexpr std::chrono::milliseconds kPoll{20};
 constexpr std::chrono::seconds kTimeout{10};
 
-/** Loopback network of this test, so that fleets do not meet. */
-std::string NetworkOfThisProcess() {
-  static std::atomic<int> fleets{0};
-  constexpr int kOctet = 250;
-  const int number = static_cast<int>(getpid()) + 40'000 * fleets++;
-  std::ostringstream network;
-  network << "127." << number / kOctet % kOctet + 1 << '.' << number % kOctet
-          << '.';
-  return network.str();
-}
-
 json Parse(const http::ResponseOutcome& outcome) {
   if (!core::Succeeded(outcome)) {
     return nullptr;
@@ -75,7 +62,7 @@
 }  // namespace
 
 struct Fleet::State {
-  std::string network = NetworkOfThisProcess();
+  LoopbackNetwork network;
   std::string folder;
   std::size_t entries{};
   std::size_t targets{};
@@ -95,7 +82,7 @@
       host = 1 + std::stoi(instance.substr(dash + 1));
       host += instance.starts_with("entry") ? 0 : kTargets;
     }
-    return {.host = this->network + std::to_string(host), .port = port};
+    return this->network.At(host, port);
   }
 
   void WriteInventory() const {
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -1,7 +1,5 @@
 #include "platform.h"
 
-#include <unistd.h>
-
 #include <boost/test/unit_test.hpp>
 
 #include "trefoilbend/entry/settings.h"
@@ -27,15 +25,6 @@
 constexpr std::chrono::milliseconds kPoll{10};
 constexpr std::chrono::seconds kTimeout{5};
 
-/** Loopback network of this process and fixture. */
-std::string Network() {
-  static std::atomic<int> fixtures{0};
-  constexpr int kOctet = 250;
-  const int number = static_cast<int>(getpid()) + 40'000 * fixtures++;
-  return "127." + std::to_string(number / kOctet % kOctet + 1) + '.' +
-         std::to_string(number % kOctet) + '.';
-}
-
 std::string Text(const std::string_view text) { return std::string{text}; }
 
 }  // namespace
@@ -114,7 +103,7 @@
       .dump();
 }
 
-Platform::Platform() : network(Network()) {
+Platform::Platform() {
   this->store = std::make_unique<stand_ins::Store>(
       this->context, this->At(kStoreHost, kFront));
   BOOST_REQUIRE(core::Succeeded(this->store->GetServer().Listen()));
@@ -262,7 +251,7 @@
 }
 
 http::Address Platform::At(const int host, const std::uint16_t port) const {
-  return {this->network + std::to_string(host), port};
+  return this->network.At(host, port);
 }
 
 }  // namespace trefoilbend::tests
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "store/store.h"
+#include "support/loopback_network.h"
 #include "trefoilbend/entry/entry.h"
 #include "trefoilbend/http/client.h"
 #include "trefoilbend/http/server.h"
@@ -157,7 +158,7 @@
   [[nodiscard]] static http::Response Get(const http::Address& address,
                                           const std::string& target);
 
-  std::string network;
+  LoopbackNetwork network;
   boost::asio::io_context context{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work = boost::asio::make_work_guard(this->context);
