Let watches pause longer in larger fleets

Change: the pause grows by 8 ms with each entry, from 200 ms to 1 s, half of the shortest time that changes have. Entries that are behind their peers wait for the pause before they read anew. Fleets of up to 25 entries do as before.

--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -19,6 +19,7 @@
 #include "trefoilbend/platform/backoff.h"
 #include "trefoilbend/registry/catalogue.h"
 #include "trefoilbend/registry/change_lines.h"
+#include "trefoilbend/registry/watch_pause.h"
 
 namespace trefoilbend::registry {
 
@@ -30,8 +31,9 @@
 constexpr const char* kFleetTable = "fleet";
 constexpr std::size_t kViews = 64;
 constexpr std::chrono::milliseconds kPublishRetry{50};
-/** Time for which a peer may know more before the tables are read anew. */
-constexpr std::chrono::milliseconds kBehind{400};
+/** Time for which a peer may know more, beyond the pause between two watches,
+ * before the tables are read anew. */
+constexpr std::chrono::milliseconds kBehind{200};
 constexpr platform::BackoffLimits kBackoff{
     .first = std::chrono::milliseconds{200},
     .most = std::chrono::milliseconds{1'000}};
@@ -151,7 +153,7 @@
     if (!this->IsBehind() || std::exchange(this->waits_for_news, true)) {
       return;
     }
-    this->behind_timer.expires_after(kBehind);
+    this->behind_timer.expires_after(this->pause + kBehind);
     this->behind_timer.async_wait(
         [this](const boost::system::error_code error) {
           this->waits_for_news = false;
@@ -276,10 +278,19 @@
       this->log.Info("{}", line);
     }
     this->update = std::move(*built);
+    this->SetPause(WatchPause(this->update.configuration->Entries().size()));
     this->delivered.assign(this->outlets.followers.size(), false);
     this->TellMembership(std::nullopt);
   }
 
+  void SetPause(const std::chrono::milliseconds time) noexcept {
+    this->pause = time;
+    for (internal::TableFollower* follower :
+         {&this->orders, &this->targets, &this->fleet}) {
+      follower->SetPause(time);
+    }
+  }
+
   [[nodiscard]] bool ForAll(bool (internal::TableFollower::*holds)()
                                 const noexcept) const {
     return (this->orders.*holds)() && (this->targets.*holds)() &&
@@ -390,6 +401,8 @@
   std::vector<bool> delivered;
   configuration::Update update;
   core::WallClock wall;
+  /** Time between a change of a table and the next watch. */
+  std::chrono::milliseconds pause = kLeastWatchPause;
   core::Revision newest_of_peers;
   /** Newest revision of a peer for which the tables were read anew. */
   core::Revision heard_of;
--- a/packages/registry/src/internal/table_follower.h
+++ b/packages/registry/src/internal/table_follower.h
@@ -13,6 +13,7 @@
 #include "trefoilbend/platform/backoff.h"
 #include "trefoilbend/platform/store.h"
 #include "trefoilbend/registry/catalogue.h"
+#include "trefoilbend/registry/watch_pause.h"
 
 namespace trefoilbend::registry::internal {
 
@@ -63,6 +64,14 @@
   /** @brief Reads the table and watches it; gives up what was under way. */
   void Read();
 
+  /**
+   * @brief Sets the time between a change and the next watch.
+   * @param time Time to wait.
+   */
+  void SetPause(const std::chrono::milliseconds time) noexcept {
+    this->pause = time;
+  }
+
   /** @return Whether the store answers for the table. */
   [[nodiscard]] bool Answers() const noexcept { return this->answers; }
 
@@ -83,6 +92,7 @@
   Table table;
   std::string name;
   std::chrono::milliseconds wait;
+  std::chrono::milliseconds pause = kLeastWatchPause;
   boost::asio::steady_timer timer;
   platform::Backoff backoff;
   /** Number of the read or watch under way; earlier ones are not heard. */
--- a/packages/registry/src/table_follower.cc
+++ b/packages/registry/src/table_follower.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** Time between a change and the next watch, so that changes that come together
- * are read together. */
-constexpr std::chrono::milliseconds kBatch{200};
 constexpr platform::BackoffLimits kBackoff{
     .first = std::chrono::milliseconds{200},
     .most = std::chrono::milliseconds{1'000}};
@@ -100,7 +97,7 @@
     return;
   }
   this->owner.NoteChange();
-  this->After(kBatch, &TableFollower::Watch);
+  this->After(this->pause, &TableFollower::Watch);
 }
 
 void TableFollower::NoteAnswer(const bool now_answers,
