--- a/packages/balancing/src/dispatcher_lookups.cc
+++ b/packages/balancing/src/dispatcher_lookups.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -14,11 +15,19 @@
 constexpr std::uint32_t kMostRounds = 2;
 /** Probes under way at a time. */
 constexpr std::size_t kMostProbes = 256;
-/** Time for which a call waits for the answers to its probes. */
-constexpr std::chrono::milliseconds kLookupTimeout{12};
+/** Bounds of the time for which a call waits for the answers to its probes. */
+constexpr std::chrono::milliseconds kLeastLookup{12};
+constexpr std::chrono::milliseconds kMostLookup{40};
+/** Part of a call's target latency for which it waits, as a divisor. */
+constexpr int kLookupPart = 10;
 /** Time after which a probe is given up. */
 constexpr std::chrono::milliseconds kProbeTimeout{150};
 
+core::Duration LookupTime(const core::CallRequest& request) noexcept {
+  return std::clamp<core::Duration>(request.objective / kLookupPart,
+                                    kLeastLookup, kMostLookup);
+}
+
 }  // namespace
 
 bool Dispatcher::Look(ServiceState& service, const core::CallId id,
@@ -45,7 +54,7 @@
     probed.targets.push_back(target->name);
   }
   call.trace.Add(std::move(probed), now);
-  this->lookups.Begin(id, probes, now + kLookupTimeout);
+  this->lookups.Begin(id, probes, now + LookupTime(*call.request));
   return true;
 }
 
--- a/packages/balancing/test/probing_test.cc
+++ b/packages/balancing/test/probing_test.cc
@@ -40,11 +40,13 @@
     (void)this->dispatcher.Configure({builder.Build(), listed}, this->now);
   }
 
-  [[nodiscard]] Decisions Submit() {
+  [[nodiscard]] Decisions Submit(
+      const std::chrono::milliseconds objective = 0ms) {
     auto request = std::make_shared<core::CallRequest>();
     request->service = core::ServiceName{"stock"};
     request->idempotent = true;
     request->deadline = this->now + 1s;
+    request->objective = objective;
     this->last_call = this->last_call.Next();
     return this->dispatcher.Submit({this->last_call, request}, this->now);
   }
@@ -164,6 +166,16 @@
   BOOST_TEST(std::holds_alternative<StartExchange>(decisions.back()));
 }
 
+BOOST_AUTO_TEST_CASE(hold_it_up_for_a_tenth_of_its_target_latency) {
+  const std::map<std::chrono::milliseconds, std::chrono::milliseconds> kWaits{
+      {0ms, 12ms}, {120ms, 12ms}, {250ms, 25ms}, {800ms, 40ms}};
+  for (const auto& [objective, wait] : kWaits) {
+    (void)Submit(objective);
+    BOOST_TEST((dispatcher.NextTick(now, now + 1s) == now + wait));
+    (void)dispatcher.Cancel({last_call}, now);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(forget_a_call_that_its_caller_has_left) {
   const Decisions decisions = Submit();
   BOOST_TEST(dispatcher.Cancel({last_call}, now).empty());
