--- a/packages/balancing/test/probing_test.cc
+++ b/packages/balancing/test/probing_test.cc
@@ -167,9 +167,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(hold_it_up_for_a_tenth_of_its_target_latency) {
-  const std::map<std::chrono::milliseconds, std::chrono::milliseconds> kWaits{
+  const std::map<std::chrono::milliseconds, std::chrono::milliseconds> waits{
       {0ms, 12ms}, {120ms, 12ms}, {250ms, 25ms}, {800ms, 40ms}};
-  for (const auto& [objective, wait] : kWaits) {
+  for (const auto& [objective, wait] : waits) {
     (void)Submit(objective);
     BOOST_TEST((dispatcher.NextTick(now, now + 1s) == now + wait));
     (void)dispatcher.Cancel({last_call}, now);
