Forget a fresh brake whose release has been replaced

Ruled out: services and calls of balancing, which are never removed before their last use. Change: a fresh brake that is no longer known is forgotten with it.

--- a/packages/rollout/src/coordinator.cc
+++ b/packages/rollout/src/coordinator.cc
@@ -23,6 +23,9 @@
   this->update = std::move(update);
   const inventory::Configuration& configuration = *this->update.configuration;
   this->brakes.Prune(configuration);
+  std::erase_if(this->fresh_brakes, [this](const ReleaseId& release) {
+    return !this->brakes.All().contains(release);
+  });
   std::map<core::ServiceName, State> next;
   for (const auto& [name, view] : configuration.Services()) {
     const auto* release = configuration.Find<inventory::Release>(name.Text());
