--- a/packages/rollout/test/coordinator_test.cc
+++ b/packages/rollout/test/coordinator_test.cc
@@ -222,6 +222,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(forget_a_fresh_brake_whose_release_is_replaced) {
+  Coordinator entry;
+  (void)Step(entry, std::nullopt);
+  entry.TakeBrakes({{IdOf(platform.Now()), "bad"}});
+  Release next = platform.Now();
+  next.begun += 10min;
+  inventory::Configuration::Builder builder{*platform.now};
+  builder.Put(next);
+  platform.now = builder.Build();
+  for (const ReleaseId& brake : Step(entry, std::nullopt).brakes) {
+    BOOST_TEST(entry.KnownBrakes().All().contains(brake));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(brake_on_peers_counts_while_the_platform_is_down) {
   Coordinator holder;
   RunTo(holder, 1);
