Check a cold target once after a freeze, not once for each missed round

Cause: found on reading the whole change: the time of the next check moved on by one round from the last one, so an entry that was frozen or late made up for all missed rounds in a row, beyond the target's probe budget. Ruled out: a check a round after the last one, which loses the order in which entries take turns. Change: the next check is the first of this entry's turns that is to come. Figures: the new story fails with the code before, balancing_test passes with it; the fleets were not run again.

--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -200,6 +200,9 @@
   if (!this->check_interval) {
     return due;
   }
+  const core::Duration round =
+      static_cast<core::Duration::rep>(std::max<std::size_t>(entries, 1)) *
+      *this->check_interval;
   for (TargetState& target : this->targets) {
     const bool shares = target.cold_share.calls > 0 ||
                         target.cold_time > core::Duration::zero();
@@ -209,12 +212,11 @@
     const core::TimePoint first =
         target.warm_up.ColdSince() +
         target.cold_share.rank * *this->check_interval;
-    if (now < std::max(first, target.next_check)) {
+    const core::TimePoint check = std::max(first, target.next_check);
+    if (now < check) {
       continue;
     }
-    target.next_check =
-        std::max(first, target.next_check) +
-        static_cast<core::Duration::rep>(entries) * *this->check_interval;
+    target.next_check = now + round - (now - check) % round;
     due.push_back(&target.instance);
   }
   return due;
--- a/packages/balancing/test/cold_test.cc
+++ b/packages/balancing/test/cold_test.cc
@@ -373,6 +373,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(is_checked_once_by_an_entry_that_was_frozen_for_long) {
+  now += 60s;
+  std::map<std::size_t, int> checks;
+  for (int round = 0; round < 20; ++round) {
+    for (const auto& [entry, probe] : Tick()) {
+      Answer(entry, probe, true);
+      ++checks[entry];
+    }
+    now += 10ms;
+  }
+  for (const auto& [entry, count] : checks) {
+    BOOST_TEST(count == 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(gets_calls_of_all_entries_once_it_says_that_it_is_warm) {
   std::map<std::size_t, int> calls;
   for (int round = 0; round < 200; ++round) {
