--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -70,6 +70,8 @@
   ColdPace cold_pace;
   /** @brief Whether it stands in another data centre than this entry. */
   bool far{};
+  /** @brief Whether it belongs to the entry's subset. */
+  bool preferred = true;
   /** @brief Whether its version's share is too small for it to take calls. */
   bool held_back{};
   /** @brief Time until which the target is left out because it failed, unless
@@ -123,6 +125,8 @@
     core::TimePoint cold_until{};
     /** @brief Whether it stands in another data centre than this entry. */
     bool far{};
+    /** @brief Whether the entry uses it before others. */
+    bool preferred = true;
   };
 
   /**
@@ -283,9 +287,18 @@
   }
 
  private:
+  /** Targets among which is chosen; each range holds the one before. */
+  enum class Range : std::uint8_t { kPreferred, kNotAvoided, kAll };
+
   void Collect(const std::vector<core::InstanceName>& excluded,
                const core::VersionName& version, core::TimePoint now,
-               bool with_avoided);
+               Range range);
+  /** Collects from the first range that has a candidate. */
+  void CollectUpTo(const std::vector<core::InstanceName>& excluded,
+                   const core::VersionName& version, core::TimePoint now,
+                   Range last);
+  [[nodiscard]] static bool IsIn(const TargetState& target, Range range,
+                                 core::TimePoint now) noexcept;
   void TakeReport(TargetState& target, const forwarding::LoadReport& report,
                   core::TimePoint now);
   void CompareReport(const TargetState& target,
--- a/packages/balancing/src/cold_share.cc
+++ b/packages/balancing/src/cold_share.cc
@@ -1,31 +1,19 @@
 #include "trefoilbend/balancing/cold_share.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <string>
-
-namespace trefoilbend::balancing {
 
-namespace {
+#include "internal/rendezvous.h"
 
-std::uint64_t Weight(const core::InstanceName& target,
-                     const core::InstanceName& entry) {
-  const std::string& key = target.Text();
-  const std::uint64_t seed = XXH64(key.data(), key.size(), 0);
-  return XXH64(entry.Text().data(), entry.Text().size(), seed);
-}
-
-}  // namespace
+namespace trefoilbend::balancing {
 
 ColdShare ShareOfColdTarget(const core::InstanceName& target,
                             const core::InstanceName& self,
                             const std::vector<core::InstanceName>& entries,
                             const std::uint32_t allowance) {
-  const std::uint64_t own = Weight(target, self);
+  const std::uint64_t own = internal::RendezvousWeight(target, self);
   const auto before = std::count_if(
       entries.begin(), entries.end(), [&](const core::InstanceName& entry) {
-        const std::uint64_t weight = Weight(target, entry);
+        const std::uint64_t weight = internal::RendezvousWeight(target, entry);
         return entry != self &&
                (weight > own || (weight == own && entry < self));
       });
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "internal/refusals.h"
+#include "trefoilbend/balancing/subset.h"
 #include "trefoilbend/core/invariant.h"
 
 namespace trefoilbend::balancing {
@@ -128,6 +129,7 @@
          .far = !this->options.data_centre.Empty() &&
                 target->data_centre != this->options.data_centre});
   }
+  PreferSubset(members, this->options.self);
   return members;
 }
 
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -75,6 +75,7 @@
     state.cold_pace.SetRate(member.cold_rate);
     state.cold_until = std::max(state.cold_until, member.cold_until);
     state.far = member.far;
+    state.preferred = member.preferred;
     if (this->has_had_usable && member.usable && !state.usable) {
       state.warm_up.Chill(now);
     }
@@ -142,10 +143,7 @@
     const std::vector<core::InstanceName>& excluded,
     const core::VersionName& version, const Purpose purpose,
     const core::ExchangeId exchange, const core::TimePoint now) {
-  this->Collect(excluded, version, now, false);
-  if (this->candidates.empty()) {
-    this->Collect(excluded, version, now, true);
-  }
+  this->CollectUpTo(excluded, version, now, Range::kAll);
   if (purpose == Purpose::kHedge) {
     std::erase_if(this->candidates, [this](const Candidate& candidate) {
       return this->targets[candidate.target].warm_up.IsCold();
@@ -166,17 +164,38 @@
   return &target.instance;
 }
 
+void TargetTable::CollectUpTo(const std::vector<core::InstanceName>& excluded,
+                              const core::VersionName& version,
+                              const core::TimePoint now, const Range last) {
+  for (const Range range :
+       {Range::kPreferred, Range::kNotAvoided, Range::kAll}) {
+    this->Collect(excluded, version, now, range);
+    if (!this->candidates.empty() || range == last) {
+      return;
+    }
+  }
+}
+
+bool TargetTable::IsIn(const TargetState& target, const Range range,
+                       const core::TimePoint now) noexcept {
+  if (range == Range::kAll) {
+    return true;
+  }
+  const bool preferred = target.preferred || IsColdNow(target, now);
+  return target.avoided_until <= now &&
+         (preferred || range == Range::kNotAvoided);
+}
+
 void TargetTable::Collect(const std::vector<core::InstanceName>& excluded,
                           const core::VersionName& version,
-                          const core::TimePoint now, const bool with_avoided) {
+                          const core::TimePoint now, const Range range) {
   this->candidates.clear();
   for (std::size_t at = 0; at < this->targets.size(); ++at) {
     const TargetState& target = this->targets[at];
     const bool tried = std::find(excluded.begin(), excluded.end(),
                                  target.instance.name) != excluded.end();
-    const bool avoided = target.avoided_until > now && !with_avoided;
     if (MayTakeCalls(target, now) && target.instance.version == version &&
-        !tried && !avoided && HasRoom(target, now)) {
+        !tried && IsIn(target, range, now) && HasRoom(target, now)) {
       this->candidates.push_back(this->Describe(at, now));
     }
   }
@@ -227,7 +246,7 @@
     const core::VersionName& version, const std::size_t most,
     const core::TimePoint now) {
   std::vector<const inventory::Instance*> chosen;
-  this->Collect(excluded, version, now, false);
+  this->CollectUpTo(excluded, version, now, Range::kNotAvoided);
   bool near_only = false;
   while (!this->candidates.empty() && chosen.size() < most) {
     const std::size_t at = this->strategy->Choose(this->candidates, now);
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -9,9 +9,11 @@
 
 #include "trefoilbend/balancing/duty.h"
 #include "trefoilbend/core/log.h"
+#include "trefoilbend/feed/duty.h"
 #include "trefoilbend/forwarding/duty.h"
 #include "trefoilbend/membership/duty.h"
 #include "trefoilbend/platform/client.h"
+#include "trefoilbend/registry/catalogue.h"
 #include "trefoilbend/registry/duty.h"
 #include "trefoilbend/relay/duty.h"
 #include "trefoilbend/rollout/duty.h"
@@ -70,6 +72,7 @@
         membership(settings.membership) {
     if (settings.registry) {
       this->catalogue.emplace(*settings.registry, this->metrics);
+      this->feed.emplace(registry::kTables);
     } else {
       this->relay.emplace(settings.callers.limits.calls);
       this->configuration.emplace(settings.configuration);
@@ -88,6 +91,8 @@
   std::optional<configuration::ConfigurationDuty> configuration;
   /** Follows the users' store, in place of the one before. */
   std::optional<registry::RegistryDuty> catalogue;
+  /** Tells peers what the registry knows, and asks them. */
+  std::optional<feed::FeedDuty> feed;
   membership::MembershipDuty membership;
 };
 
@@ -98,6 +103,7 @@
   Duties& all = *this->duties;
   all.membership.Stop();
   if (all.catalogue) {
+    all.feed->Stop();
     all.catalogue->Stop();
   }
   if (all.configuration) {
@@ -172,7 +178,9 @@
          .membership = &all.membership.ConfigurationInlet(),
          .automation = &all.rollout.ResultInlet()});
   } else {
+    all.feed->Start(all.catalogue->FeedInlet());
     all.catalogue->Start({.followers = followers,
+                          .feed = &all.feed->RegistryInlet(),
                           .membership = &all.membership.ConfigurationInlet(),
                           .automation = &all.rollout.ResultInlet()});
   }
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -261,6 +261,7 @@
         Milliseconds(section.Time("dead", {500ms, 10min}, options.limits.dead));
     this->self.peers = section.OptionalAddress("address");
     this->self.rollout = section.OptionalAddress("rollout-address");
+    this->self.feed = section.OptionalAddress("feed-address");
     std::istringstream seeds{section.Text("seeds", "")};
     for (std::string seed; seeds >> seed;) {
       const auto address = http::ParseAddress(seed);
--- /dev/null
+++ b/packages/feed/test/feed_test.cc
@@ -0,0 +1,166 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <future>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "support/loopback_network.h"
+#include "trefoilbend/core/duty.h"
+#include "trefoilbend/feed/duty.h"
+
+namespace trefoilbend::feed {
+
+namespace {
+
+using namespace std::chrono_literals;
+using platform::RowVersion;
+
+constexpr std::size_t kTables = 3;
+constexpr std::size_t kTargets = 1;
+
+const tests::LoopbackNetwork kNetwork;
+const http::Address kReader = kNetwork.At(1, 7'661);
+const http::Address kNobody = kNetwork.At(2, 7'661);
+
+/** One entry's feed with a stand-in for its registry. */
+struct End {
+  End() {
+    registry.Read(answers, [this](Answer&& answer) {
+      received.set_value(std::move(answer));
+    });
+    registry.Start();
+    feed.Start(answers);
+  }
+
+  ~End() {
+    feed.Stop();
+    registry.Stop();
+  }
+
+  void Send(ToFeed message) {
+    BOOST_REQUIRE(feed.RegistryInlet().TryPush(std::move(message)));
+  }
+
+  void Learn(const std::uint64_t version) {
+    Send(Learnt{.table = kTargets,
+                .news = platform::TableChanges{
+                    .changes = {{.row = {.key = "servers/a",
+                                         .value = std::string("\0\x01", 2),
+                                         .version = RowVersion{version}},
+                                 .deleted = false}},
+                    .version = RowVersion{version}}});
+  }
+
+  std::future<Answer> Begin(const http::Address& peer,
+                            const std::chrono::milliseconds wait,
+                            const std::uint64_t known = 0) {
+    received = {};
+    auto answer = received.get_future();
+    Send(Ask{.id = AskId{7},
+             .peer = peer,
+             .after = {RowVersion{0}, RowVersion{known}, RowVersion{0}},
+             .wait = wait,
+             .store_answers = true,
+             .confirmed = std::chrono::steady_clock::now()});
+    return answer;
+  }
+
+  core::Ring<Answer> answers{16};
+  core::Duty registry{"registry"};
+  FeedDuty feed{kTables};
+  std::promise<Answer> received;
+};
+
+/** A reader that knows one row, and an entry that listens to it. */
+struct Pair {
+  Pair() {
+    reader.Send(Listen{kReader});
+    reader.Learn(5);
+    reader.Send(Confirmation{.at = std::chrono::steady_clock::now() - 100ms,
+                             .store_answers = true});
+    while (!Succeeds(listener.Begin(kReader, 0ms).get())) {
+    }
+  }
+
+  static bool Succeeds(const Answer& answer) {
+    return std::holds_alternative<Heard>(answer.result);
+  }
+
+  static Heard HeardOf(std::future<Answer> answer) {
+    const Answer received = answer.get();
+    BOOST_REQUIRE(Succeeds(received));
+    return std::get<Heard>(received.result);
+  }
+
+  End reader;
+  End listener;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_entry_that_asks_a_reader, Pair)
+
+BOOST_AUTO_TEST_CASE(hears_rows_byte_for_byte_and_how_old_the_word_is) {
+  const Heard heard = HeardOf(listener.Begin(kReader, 0ms));
+  BOOST_REQUIRE(heard.tables.size() == 1);
+  BOOST_TEST(heard.tables[0].table == kTargets);
+  const auto& changes =
+      std::get<platform::TableChanges>(heard.tables[0].news).changes;
+  BOOST_REQUIRE(changes.size() == 1);
+  BOOST_TEST(changes[0].row.value == std::string("\0\x01", 2));
+  BOOST_TEST((changes[0].row.version == RowVersion{5}));
+  BOOST_TEST(heard.store_answers);
+  BOOST_REQUIRE(heard.confirmed.has_value());
+  BOOST_TEST((std::chrono::steady_clock::now() - *heard.confirmed >= 100ms));
+}
+
+BOOST_AUTO_TEST_SUITE(and_lacks_nothing)
+
+BOOST_AUTO_TEST_CASE(is_told_of_a_change_as_soon_as_there_is_one) {
+  auto answer = listener.Begin(kReader, 5s, 5);
+  BOOST_TEST((answer.wait_for(50ms) == std::future_status::timeout));
+  reader.Learn(6);
+  BOOST_REQUIRE((answer.wait_for(4s) == std::future_status::ready));
+  BOOST_TEST(HeardOf(std::move(answer)).tables.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(is_told_at_once_that_the_store_no_longer_answers) {
+  auto answer = listener.Begin(kReader, 5s, 5);
+  reader.Send(Confirmation{.at = std::nullopt, .store_answers = false});
+  BOOST_REQUIRE((answer.wait_for(4s) == std::future_status::ready));
+  const Heard heard = HeardOf(std::move(answer));
+  BOOST_TEST(!heard.store_answers);
+  BOOST_TEST(!heard.confirmed.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(is_told_when_the_store_has_confirmed_that) {
+  auto answer = listener.Begin(kReader, 5s, 5);
+  reader.Send(Confirmation{.at = std::chrono::steady_clock::now() + 1s,
+                           .store_answers = true});
+  BOOST_REQUIRE((answer.wait_for(4s) == std::future_status::ready));
+  BOOST_TEST(HeardOf(std::move(answer)).tables.empty());
+}
+
+BOOST_AUTO_TEST_CASE(hears_after_the_wait_that_there_is_nothing) {
+  const Heard heard = HeardOf(listener.Begin(kReader, 100ms, 5));
+  BOOST_TEST(heard.tables.empty());
+  BOOST_TEST(heard.confirmed.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(learns_soon_that_there_is_nobody) {
+  auto answer = listener.Begin(kNobody, 100ms);
+  BOOST_REQUIRE((answer.wait_for(2s) == std::future_status::ready));
+  BOOST_TEST(!Succeeds(answer.get()));
+}
+
+BOOST_AUTO_TEST_CASE(asks_again_after_a_failure) {
+  (void)listener.Begin(kNobody, 0ms).get();
+  BOOST_TEST(Succeeds(listener.Begin(kReader, 0ms).get()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::feed
--- /dev/null
+++ b/packages/feed/test/table_image_test.cc
@@ -0,0 +1,129 @@
+#include "trefoilbend/feed/table_image.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace trefoilbend::feed {
+
+namespace {
+
+using platform::Row;
+using platform::RowVersion;
+
+Row MakeRow(const std::string& key, const std::uint64_t version) {
+  return {.key = key,
+          .value = key + std::to_string(version),
+          .version = RowVersion{version}};
+}
+
+platform::TableChanges Deleted(const std::string& key,
+                               const std::uint64_t version) {
+  return {.changes = {{.row = {.key = key,
+                               .value = "",
+                               .version = RowVersion{version}},
+                       .deleted = true}},
+          .version = RowVersion{version}};
+}
+
+/** Keys of changes in their order, deleted ones with a minus. */
+std::vector<std::string> KeysOf(const TableNews& news) {
+  std::vector<std::string> keys;
+  for (const auto& change : std::get<platform::TableChanges>(news).changes) {
+    keys.push_back((change.deleted ? "-" : "") + change.row.key);
+  }
+  return keys;
+}
+
+struct WithThreeRows {
+  WithThreeRows() {
+    image.Take(platform::TableState{
+        .rows = {MakeRow("a", 3), MakeRow("b", 9), MakeRow("c", 5)},
+        .version = RowVersion{10}});
+  }
+
+  TableImage image{2};
+};
+
+using Keys = std::vector<std::string>;
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(an_image_of_a_table_with_three_rows, WithThreeRows)
+
+BOOST_AUTO_TEST_SUITE(when_a_peer_asks)
+
+BOOST_AUTO_TEST_CASE(tells_one_that_knows_nothing_all_rows_by_their_versions) {
+  BOOST_TEST(KeysOf(image.After(RowVersion{0})) == (Keys{"a", "c", "b"}));
+}
+
+BOOST_AUTO_TEST_CASE(tells_one_that_lags_only_what_it_lacks) {
+  BOOST_TEST(KeysOf(image.After(RowVersion{5})) == Keys{"b"});
+}
+
+BOOST_AUTO_TEST_CASE(tells_one_that_is_ahead_nothing) {
+  BOOST_TEST(!image.HasNews(RowVersion{12}));
+  BOOST_TEST(KeysOf(image.After(RowVersion{12})).empty());
+}
+
+BOOST_AUTO_TEST_CASE(tells_up_to_which_version_it_knows_the_table) {
+  const TableNews news = image.After(RowVersion{9});
+  BOOST_TEST(
+      (std::get<platform::TableChanges>(news).version == RowVersion{10}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_row_is_deleted)
+
+BOOST_AUTO_TEST_CASE(tells_it_to_those_that_may_have_the_row) {
+  image.Take(Deleted("c", 14));
+  BOOST_TEST(image.HasNews(RowVersion{13}));
+  BOOST_TEST(KeysOf(image.After(RowVersion{10})) == Keys{"-c"});
+}
+
+BOOST_AUTO_TEST_CASE(tells_it_before_the_row_that_takes_its_place) {
+  image.Take(Deleted("c", 14));
+  image.Take(platform::TableChanges{
+      .changes = {{.row = MakeRow("c", 15), .deleted = false}},
+      .version = RowVersion{15}});
+  BOOST_TEST(KeysOf(image.After(RowVersion{10})) == (Keys{"-c", "c"}));
+}
+
+BOOST_AUTO_TEST_CASE(notices_it_too_when_the_whole_table_is_read_anew) {
+  image.Take(platform::TableState{.rows = {MakeRow("a", 3), MakeRow("b", 9)},
+                                  .version = RowVersion{20}});
+  BOOST_TEST(KeysOf(image.After(RowVersion{10})) == Keys{"-c"});
+}
+
+BOOST_AUTO_TEST_CASE(gives_the_whole_table_once_it_has_forgotten_deletions) {
+  for (const char* key : {"a", "b", "c"}) {
+    image.Take(Deleted(key, image.Version().Value() + 1));
+  }
+  BOOST_TEST(std::holds_alternative<platform::TableState>(
+      image.After(RowVersion{10})));
+  BOOST_TEST(std::holds_alternative<platform::TableChanges>(
+      image.After(RowVersion{11})));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_it_hears_what_is_older)
+
+BOOST_AUTO_TEST_CASE(keeps_a_table_that_is_newer_than_a_stale_read) {
+  image.Take(platform::TableState{.rows = {}, .version = RowVersion{8}});
+  BOOST_TEST(KeysOf(image.After(RowVersion{0})).size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_a_row_that_is_newer_than_a_repeated_change) {
+  image.Take(platform::TableChanges{
+      .changes = {{.row = MakeRow("b", 4), .deleted = false}},
+      .version = RowVersion{10}});
+  BOOST_TEST(KeysOf(image.After(RowVersion{5})) == Keys{"b"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::feed
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -68,6 +68,9 @@
   if (instance.rollout) {
     object["rollout"] = http::ToString(*instance.rollout);
   }
+  if (instance.feed) {
+    object["feed"] = http::ToString(*instance.feed);
+  }
   if (instance.operations) {
     object["operations"] = http::ToString(*instance.operations);
   }
@@ -198,6 +201,9 @@
   if (object.contains("rollout")) {
     instance.rollout = AddressOf(object.at("rollout"));
   }
+  if (object.contains("feed")) {
+    instance.feed = AddressOf(object.at("feed"));
+  }
   if (object.contains("operations")) {
     instance.operations = AddressOf(object.at("operations"));
   }
--- a/packages/membership/src/duty.cc
+++ b/packages/membership/src/duty.cc
@@ -13,6 +13,7 @@
 #include "trefoilbend/inventory/codec.h"
 #include "trefoilbend/inventory/snapshot.h"
 #include "trefoilbend/rpc/duty.h"
+#include "trefoilbend/rpc/listener.h"
 
 namespace trefoilbend::membership {
 
@@ -109,7 +110,8 @@
           loop(loop),
           table(loop.options.self, loop.options.incarnation,
                 loop.options.limits, std::random_device{}()),
-          server(kj::heap<Server>(*this)),
+          listener(io, wire::Gossip::Client(kj::heap<Server>(*this)), "gossip",
+                   loop.log),
           tasks(*this) {
       this->delivered.assign(loop.outlets.followers.size(), true);
       this->rounds =
@@ -237,7 +239,7 @@
       }
       this->news = std::move(progress);
       this->table.Configure(this->news.configuration, Now());
-      this->ListenOn(this->table.OwnAddress());
+      this->listener.ListenOn(this->table.OwnAddress());
       this->Publish();
     }
 
@@ -287,42 +289,16 @@
       }
     }
 
-    void ListenOn(const std::optional<http::Address>& address) {
-      if (this->address == address) {
-        return;
-      }
-      this->address = address;
-      if (!address) {
-        this->listening = nullptr;
-        return;
-      }
-      this->listening =
-          this->io.provider->getNetwork()
-              .parseAddress(http::ToString(*address).c_str())
-              .then([this](kj::Own<kj::NetworkAddress>&& parsed) {
-                auto receiver = parsed->listen();
-                auto accepting = this->server.listen(*receiver);
-                return accepting.attach(kj::mv(receiver));
-              })
-              .eagerlyEvaluate([this](kj::Exception&& exception) {
-                this->loop.log.Warn("Cannot take peers' gossip: {}.",
-                                    exception.getDescription().cStr());
-                this->address.reset();
-              });
-    }
-
     kj::AsyncIoContext& io;
     Loop& loop;
     MemberTable table;
     configuration::Progress news;
     View view;
     std::vector<bool> delivered;
-    std::optional<http::Address> address;
     std::mt19937_64 random{std::random_device{}()};
     unsigned exchanges = 0;
     bool fetching = false;
-    capnp::TwoPartyServer server;
-    kj::Promise<void> listening = nullptr;
+    rpc::Listener listener;
     kj::TaskSet tasks;
     kj::Promise<void> rounds = nullptr;
   };
--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -131,12 +131,16 @@
     return this->desired ? this->desired->version : 0;
   }
 
+  /** @return Entries that have registered. */
+  [[nodiscard]] std::vector<inventory::Instance> Entries() const;
+
   /** @return Rows that could not be read since the last call. */
   [[nodiscard]] std::vector<std::string> TakeUnreadable();
 
  private:
   struct Target {
     TargetRecord record;
+    platform::RowVersion version;
     core::TimePoint cold_until{};
     /** Time at which a lapsed registration is dropped. */
     std::optional<core::TimePoint> lapses;
--- a/packages/registry/include/trefoilbend/registry/duty.h
+++ b/packages/registry/include/trefoilbend/registry/duty.h
@@ -7,6 +7,7 @@
 
 #include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/ring.h"
+#include "trefoilbend/feed/messages.h"
 #include "trefoilbend/inventory/objects.h"
 #include "trefoilbend/membership/messages.h"
 #include "trefoilbend/platform/store.h"
@@ -34,6 +35,8 @@
 struct Outlets {
   /** @brief Duties that follow the configuration. */
   std::vector<core::Ring<configuration::Update>*> followers;
+  /** @brief What this entry learns of the store, and its questions to peers. */
+  core::Ring<feed::ToFeed>* feed{};
   /** @brief What the duty that talks to the peers needs. */
   core::Ring<configuration::Progress>* membership{};
   /** @brief Results for the duty that moves releases. */
@@ -68,6 +71,9 @@
   /** @return Ring for what is known of the peers. */
   [[nodiscard]] core::Ring<membership::View>& MembershipInlet() noexcept;
 
+  /** @return Ring for the answers of peers to questions of the feed. */
+  [[nodiscard]] core::Ring<feed::Answer>& FeedInlet() noexcept;
+
   /** @return Ring for the order to leave. */
   [[nodiscard]] core::Ring<Leave>& LeaveInlet() noexcept;
 
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -170,9 +170,14 @@
     this->targets.erase(row.key);
     return;
   }
-  const core::TimePoint cold_until = now + record->cold_for;
+  const auto known = this->targets.find(row.key);
+  const bool again =
+      known != this->targets.end() && known->second.version == row.version;
+  const core::TimePoint cold_until =
+      again ? known->second.cold_until : now + record->cold_for;
   this->targets.insert_or_assign(
-      row.key, Target{std::move(*record), cold_until, std::nullopt});
+      row.key,
+      Target{std::move(*record), row.version, cold_until, std::nullopt});
 }
 
 void Catalogue::RemoveTarget(const std::string& key,
@@ -399,6 +404,15 @@
   return transaction;
 }
 
+std::vector<inventory::Instance> Catalogue::Entries() const {
+  std::vector<inventory::Instance> registered;
+  registered.reserve(this->entries.size());
+  for (const auto& [key, entry] : this->entries) {
+    registered.push_back(entry);
+  }
+  return registered;
+}
+
 std::vector<std::string> Catalogue::TakeUnreadable() {
   return std::exchange(this->unreadable, {});
 }
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -1,6 +1,7 @@
 #include "trefoilbend/registry/duty.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
@@ -8,12 +9,15 @@
 #include <string>
 #include <utility>
 
+#include "internal/feed_outbox.h"
 #include "internal/metrics.h"
+#include "internal/peer_source.h"
+#include "internal/release_writer.h"
 #include "internal/table_follower.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/duty.h"
-#include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/log.h"
+#include "trefoilbend/feed/readers.h"
 #include "trefoilbend/inventory/codec.h"
 #include "trefoilbend/inventory/snapshot.h"
 #include "trefoilbend/platform/backoff.h"
@@ -34,6 +38,9 @@
 /** Time for which a peer may know more, beyond the pause between two watches,
  * before the tables are read anew. */
 constexpr std::chrono::milliseconds kBehind{200};
+/** Longest time after which an entry that reads for others confirms that
+ * nothing has changed; feed::kMostAge covers it. */
+constexpr std::chrono::milliseconds kReaderWatch{700};
 constexpr platform::BackoffLimits kBackoff{
     .first = std::chrono::milliseconds{200},
     .most = std::chrono::milliseconds{1'000}};
@@ -44,13 +51,15 @@
 
 }  // namespace
 
-class RegistryDuty::Loop final : public internal::FollowerOwner {
+class RegistryDuty::Loop final : public internal::FollowerOwner,
+                                 public internal::PeerSourceOwner {
  public:
   Loop(Options options, prometheus::Registry& metrics)
       : from_automation(kRequests),
         from_peers(kPeerMessages),
         leave(kOrders),
         views(kViews),
+        from_feed(kPeerMessages),
         options(std::move(options)),
         store(this->options.store(this->duty.Context())),
         catalogue(*this->options.codec),
@@ -61,14 +70,20 @@
                 this->options.codec->TargetsTable(), this->options.watch),
         fleet(*this, this->duty.Context(), Table::kFleet, kFleetTable,
               this->options.watch),
+        outbox(this->duty.Context()),
+        source(*this, this->duty.Context(), this->options.self),
+        releases(*this->store, this->catalogue, this->metrics),
         registration_timer(this->duty.Context()),
         drop_timer(this->duty.Context()),
         behind_timer(this->duty.Context()),
         publish_timer(this->duty.Context()) {
     this->duty.Read(this->from_automation,
-                    [this](configuration::ChangeRequest&& request) {
-                      this->Commit(std::move(request));
+                    [this](const configuration::ChangeRequest& request) {
+                      this->releases.Commit(request);
                     });
+    this->duty.Read(this->from_feed, [this](const feed::Answer& answer) {
+      this->source.Take(answer);
+    });
     this->duty.Read(this->from_peers,
                     [this](const configuration::PeerRevisions& passed) {
                       this->TakeFromPeer(passed);
@@ -82,8 +97,15 @@
   void Start(Outlets writes) {
     this->outlets = std::move(writes);
     this->delivered.assign(this->outlets.followers.size(), true);
+    if (this->outlets.automation != nullptr) {
+      this->releases.Start(*this->outlets.automation);
+    }
     boost::asio::post(this->duty.Context(), [this] {
-      this->ReadTables();
+      this->outbox.Start(*this->outlets.feed);
+      this->outbox.Send(feed::Listen{this->options.self.feed});
+      this->source.Start(*this->outlets.feed);
+      this->orders.Read();
+      this->targets.Read();
       this->Register();
     });
     this->duty.Start();
@@ -102,9 +124,19 @@
   }
 
   void NoteAnswers() override {
-    this->catalogue.NoteStore(this->ForAll(&internal::TableFollower::Answers),
-                              Now());
+    this->catalogue.NoteStore(this->StoreAnswers(), Now());
     this->AwaitDrop();
+    this->Confirm();
+  }
+
+  void NoteLearnt(const Table table, feed::TableNews news) override {
+    this->outbox.Send(feed::Learnt{.table = static_cast<std::size_t>(table),
+                                   .news = std::move(news)});
+    this->Confirm();
+  }
+
+  [[nodiscard]] bool IsBacklogged() const noexcept override {
+    return this->outbox.IsBacklogged();
   }
 
   /** Once all tables were read anew, this entry knows what its peers know. */
@@ -114,6 +146,7 @@
     if (!reading && this->heard_of != core::Revision{}) {
       this->catalogue.CatchUp(this->heard_of);
     }
+    this->ConfigureSource();
   }
 
   /** Changes of one batch are published together. */
@@ -121,7 +154,50 @@
     if (std::exchange(this->changed, true)) {
       return;
     }
-    boost::asio::post(this->duty.Context(), [this] { this->Publish(); });
+    boost::asio::post(this->duty.Context(), [this] {
+      this->ConfigureSource();
+      this->Publish();
+    });
+  }
+
+  [[nodiscard]] std::vector<platform::RowVersion> KnownVersions()
+      const override {
+    return {this->catalogue.VersionOf(Table::kOrders),
+            this->catalogue.VersionOf(Table::kTargets),
+            this->catalogue.VersionOf(Table::kFleet)};
+  }
+
+  [[nodiscard]] bool StoreAnswers() const override {
+    return this->ForAll(&internal::TableFollower::Answers);
+  }
+
+  void Hear(const feed::Heard& heard) override {
+    for (const feed::Learnt& learnt : heard.tables) {
+      this->Followers().at(learnt.table)->Hear(learnt.news);
+    }
+    if (!heard.confirmed) {
+      return;
+    }
+    for (internal::TableFollower* follower : this->Followers()) {
+      follower->HearConfirmed(*heard.confirmed, heard.store_answers);
+    }
+    this->Confirm();
+    this->TellMembership(*heard.confirmed);
+  }
+
+  void ReadStore() override {
+    this->metrics.listens.Set(0);
+    this->SetPace();
+    for (internal::TableFollower* follower : this->Followers()) {
+      follower->Activate();
+    }
+  }
+
+  void LeaveStoreToPeer() override {
+    this->metrics.listens.Set(1);
+    for (internal::TableFollower* follower : this->Followers()) {
+      follower->Rest();
+    }
   }
 
   void NoteWatched(const core::TimePoint sent) override {
@@ -132,6 +208,7 @@
   core::Ring<configuration::PeerRevisions> from_peers;
   core::Ring<Leave> leave;
   core::Ring<membership::View> views;
+  core::Ring<feed::Answer> from_feed;
   core::Duty duty{"registry"};
 
  private:
@@ -150,6 +227,8 @@
       }
     }
     this->newest_of_peers = newest;
+    this->peers = view.peers;
+    this->ConfigureSource();
     if (!this->IsBehind() || std::exchange(this->waits_for_news, true)) {
       return;
     }
@@ -202,6 +281,7 @@
           const bool done =
               std::holds_alternative<platform::Committed>(outcome);
           this->metrics.CountCall("write", done);
+          this->ReadOwnRow();
           if (done) {
             this->log.Info("Registered.");
             return;
@@ -217,6 +297,13 @@
         });
   }
 
+  /** The fleet's table is read once the own row should be in it. */
+  void ReadOwnRow() {
+    if (!this->fleet.IsKnown() && !this->fleet.IsReading()) {
+      this->fleet.Read();
+    }
+  }
+
   void Unregister() {
     this->leaving = true;
     this->store->Transact(
@@ -278,17 +365,60 @@
       this->log.Info("{}", line);
     }
     this->update = std::move(*built);
-    this->SetPause(WatchPause(this->update.configuration->Entries().size()));
+    this->SetPace();
     this->delivered.assign(this->outlets.followers.size(), false);
     this->TellMembership(std::nullopt);
   }
 
-  void SetPause(const std::chrono::milliseconds time) noexcept {
-    this->pause = time;
-    for (internal::TableFollower* follower :
-         {&this->orders, &this->targets, &this->fleet}) {
-      follower->SetPause(time);
+  [[nodiscard]] std::array<internal::TableFollower*, kTables>
+  Followers() noexcept {
+    return {&this->orders, &this->targets, &this->fleet};
+  }
+
+  /** Whoever reads for others confirms what it knows often; all that read for
+   * themselves alone take turns. */
+  void SetPace() {
+    const std::size_t entries = this->catalogue.Entries().size();
+    const bool for_peers = this->source.ReadsForPeers();
+    this->pause = WatchPause(for_peers ? feed::ReaderCount(entries) : entries);
+    const std::chrono::milliseconds wait =
+        for_peers ? kReaderWatch : this->options.watch;
+    this->orders.SetPace(wait, this->pause);
+    this->targets.SetPace(wait, this->pause);
+    this->fleet.SetPace(this->options.watch, this->pause);
+  }
+
+  /** Entries that are registered and not known to be in trouble may read. */
+  void ConfigureSource() {
+    std::vector<feed::Candidate> live;
+    for (const inventory::Instance& entry : this->catalogue.Entries()) {
+      if (entry.feed && this->IsLive(entry.name)) {
+        live.push_back({.name = entry.name,
+                        .data_centre = entry.data_centre,
+                        .address = *entry.feed});
+      }
     }
+    this->source.Configure(live);
+  }
+
+  [[nodiscard]] bool IsLive(const core::InstanceName& entry) const {
+    const auto found = std::find_if(
+        this->peers.begin(), this->peers.end(),
+        [&](const membership::Peer& peer) { return peer.name == entry; });
+    return found == this->peers.end() ||
+           found->state == membership::PeerState::kAlive;
+  }
+
+  /** Tells the peers' duty how well the tables are known. Entries tell each
+   * other of their own rows, so the fleet's table may be older. */
+  void Confirm() {
+    feed::Confirmation confirmation{.at = std::nullopt,
+                                    .store_answers = this->StoreAnswers()};
+    if (this->ForAll(&internal::TableFollower::IsKnown)) {
+      confirmation.at = std::min(this->orders.ConfirmedAt().value_or(Now()),
+                                 this->targets.ConfirmedAt().value_or(Now()));
+    }
+    this->outbox.Send(confirmation);
   }
 
   [[nodiscard]] bool ForAll(bool (internal::TableFollower::*holds)()
@@ -331,60 +461,6 @@
     });
   }
 
-  void Commit(configuration::ChangeRequest request) {
-    for (const inventory::Change& change : request.changes) {
-      const auto* after = change.after
-                              ? std::get_if<inventory::Release>(&*change.after)
-                              : nullptr;
-      if (after != nullptr) {
-        platform::Transaction transaction = this->catalogue.MoveRelease(*after);
-        transaction.conditions.insert(transaction.conditions.end(),
-                                      request.fences.begin(),
-                                      request.fences.end());
-        this->CommitRelease(request.request, *after, transaction);
-        return;
-      }
-    }
-    this->Finish(request.request,
-                 configuration::ChangeRefused{
-                     .effect_unknown = false,
-                     .message = "Only releases can be changed here."});
-  }
-
-  void CommitRelease(const configuration::RequestId request,
-                     const inventory::Release& after,
-                     const platform::Transaction& transaction) {
-    this->store->Transact(
-        transaction,
-        [this, request, after](const platform::TransactOutcome& outcome) {
-          if (std::holds_alternative<platform::Committed>(outcome)) {
-            this->log.Info(
-                "Release moved. service={} version={} state={} share={}",
-                after.name.Text(), after.version.Text(),
-                static_cast<int>(after.state), after.share);
-            this->Finish(request, configuration::ChangeAccepted{});
-            return;
-          }
-          const auto* failure = std::get_if<platform::Unavailable>(&outcome);
-          this->metrics.CountCall("write", failure == nullptr);
-          this->Finish(
-              request,
-              configuration::ChangeRefused{
-                  .effect_unknown =
-                      failure != nullptr && failure->effect_unknown,
-                  .message = failure == nullptr ? "A row has changed meanwhile."
-                                                : failure->message});
-        });
-  }
-
-  void Finish(const configuration::RequestId request,
-              decltype(configuration::ChangeResult::result) result) {
-    core::CheckInvariant(
-        this->outlets.automation->TryPush(
-            {.request = request, .result = std::move(result)}),
-        "the ring for results has room for every request's result");
-  }
-
   Options options;
   Outlets outlets;
   std::unique_ptr<platform::WatchedStore> store;
@@ -393,6 +469,9 @@
   internal::TableFollower orders;
   internal::TableFollower targets;
   internal::TableFollower fleet;
+  internal::FeedOutbox outbox;
+  internal::PeerSource source;
+  internal::ReleaseWriter releases;
   boost::asio::steady_timer registration_timer;
   boost::asio::steady_timer drop_timer;
   boost::asio::steady_timer behind_timer;
@@ -403,6 +482,7 @@
   core::WallClock wall;
   /** Time between a change of a table and the next watch. */
   std::chrono::milliseconds pause = kLeastWatchPause;
+  std::vector<membership::Peer> peers;
   core::Revision newest_of_peers;
   /** Newest revision of a peer for which the tables were read anew. */
   core::Revision heard_of;
@@ -436,6 +516,10 @@
   return this->loop->leave;
 }
 
+core::Ring<feed::Answer>& RegistryDuty::FeedInlet() noexcept {
+  return this->loop->from_feed;
+}
+
 void RegistryDuty::Start(Outlets outlets) {
   this->loop->Start(std::move(outlets));
 }
--- a/packages/registry/src/internal/metrics.h
+++ b/packages/registry/src/internal/metrics.h
@@ -33,6 +33,8 @@
   prometheus::Counter& unreadable;
   /** @brief Reads that were older than what is known. */
   prometheus::Counter& stale;
+  /** @brief 1 while a peer tells this entry what the store holds, else 0. */
+  prometheus::Gauge& listens;
 
  private:
   prometheus::Gauge& answered;
--- a/packages/registry/src/internal/table_follower.h
+++ b/packages/registry/src/internal/table_follower.h
@@ -5,11 +5,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "internal/metrics.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/log.h"
+#include "trefoilbend/feed/table_image.h"
 #include "trefoilbend/platform/backoff.h"
 #include "trefoilbend/platform/store.h"
 #include "trefoilbend/registry/catalogue.h"
@@ -37,6 +39,16 @@
   /** @brief Takes note that a whole table was read. */
   virtual void NoteRead() = 0;
 
+  /**
+   * @brief Takes note of what was learnt of a table, and as of when.
+   * @param table Which table it is.
+   * @param news Changes or the whole table.
+   */
+  virtual void NoteLearnt(Table table, feed::TableNews news) = 0;
+
+  /** @return Whether what was learnt waits to be passed on to peers. */
+  [[nodiscard]] virtual bool IsBacklogged() const noexcept = 0;
+
   /** @brief Takes note that the catalogue has changed. */
   virtual void NoteChange() = 0;
 
@@ -47,7 +59,8 @@
   virtual void NoteWatched(core::TimePoint sent) = 0;
 };
 
-/** @brief Reads one table of the store and watches it from then on. */
+/** @brief Reads one table of the store and watches it while it is active; else
+ * it hears from a peer. */
 class TableFollower {
  public:
   /**
@@ -61,15 +74,41 @@
   TableFollower(FollowerOwner& owner, boost::asio::io_context& context,
                 Table table, std::string name, std::chrono::milliseconds wait);
 
-  /** @brief Reads the table and watches it; gives up what was under way. */
+  /** @brief Reads the table; gives up what was under way. */
   void Read();
 
+  /** @brief Watches the table from what is known on. */
+  void Activate();
+
+  /** @brief Stops watching; a read under way goes on. */
+  void Rest();
+
   /**
-   * @brief Sets the time between a change and the next watch.
-   * @param time Time to wait.
+   * @brief Takes what a peer knows of the table.
+   * @param news Changes or the whole table.
    */
-  void SetPause(const std::chrono::milliseconds time) noexcept {
-    this->pause = time;
+  void Hear(const feed::TableNews& news);
+
+  /**
+   * @brief Takes note of how a peer stands to the store.
+   * @param as_of Time as of which the peer knows the table.
+   * @param answering Whether the store answers the peer.
+   */
+  void HearConfirmed(core::TimePoint as_of, bool answering);
+
+  /**
+   * @brief Sets the pace of watches; one under way that would wait longer gives
+   * way to another.
+   * @param now_wait Longest time that the store waits for a change.
+   * @param now_pause Time between a change and the next watch.
+   */
+  void SetPace(std::chrono::milliseconds now_wait,
+               std::chrono::milliseconds now_pause);
+
+  /** @return Time as of which the table is known; nothing before its first
+   * read. */
+  [[nodiscard]] std::optional<core::TimePoint> ConfirmedAt() const noexcept {
+    return this->confirmed_at;
   }
 
   /** @return Whether the store answers for the table. */
@@ -100,6 +139,10 @@
   bool answers = true;
   bool known = false;
   bool reading = false;
+  bool active = false;
+  /** Whether a watch is under way. */
+  bool watching = false;
+  std::optional<core::TimePoint> confirmed_at;
   core::Log log{"registry"};
 };
 
--- a/packages/registry/src/metrics.cc
+++ b/packages/registry/src/metrics.cc
@@ -19,6 +19,11 @@
                 .Help("Reads of the store that were older than what is known.")
                 .Register(registry)
                 .Add({})),
+      listens(prometheus::BuildGauge()
+                  .Name("trefoilbend_store_listens")
+                  .Help("Whether a peer tells this entry what the store holds.")
+                  .Register(registry)
+                  .Add({})),
       answered(prometheus::BuildGauge()
                    .Name("trefoilbend_store_answered_timestamp_seconds")
                    .Help("Time of the store's last answer, by this entry's "
--- a/packages/registry/src/table_follower.cc
+++ b/packages/registry/src/table_follower.cc
@@ -1,5 +1,6 @@
 #include "internal/table_follower.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -11,6 +12,9 @@
     .first = std::chrono::milliseconds{200},
     .most = std::chrono::milliseconds{1'000}};
 
+/** Time after which it is looked again whether peers' news were passed on. */
+constexpr std::chrono::milliseconds kBacklogTime{50};
+
 core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
 
 }  // namespace
@@ -28,6 +32,7 @@
 
 void TableFollower::Read() {
   this->reading = true;
+  this->watching = false;
   this->owner.GetStore().ReadTable(
       this->name,
       [this, begun = ++this->turn](const platform::TableOutcome& outcome) {
@@ -58,12 +63,64 @@
   }
   this->known = true;
   this->reading = false;
+  this->confirmed_at = Now();
+  this->owner.NoteLearnt(this->table, state);
   this->owner.NoteRead();
   this->owner.NoteChange();
+  if (this->active) {
+    this->Watch();
+  }
+}
+
+void TableFollower::Activate() {
+  if (std::exchange(this->active, true) || this->reading) {
+    return;
+  }
   this->Watch();
 }
 
+void TableFollower::SetPace(const std::chrono::milliseconds now_wait,
+                            const std::chrono::milliseconds now_pause) {
+  this->pause = now_pause;
+  if (std::exchange(this->wait, now_wait) > now_wait && this->watching) {
+    this->Watch();
+  }
+}
+
+void TableFollower::Rest() {
+  this->active = false;
+  if (!this->reading) {
+    ++this->turn;
+    this->watching = false;
+    this->timer.cancel();
+  }
+}
+
+void TableFollower::Hear(const feed::TableNews& news) {
+  Catalogue& catalogue = this->owner.GetCatalogue();
+  if (const auto* state = std::get_if<platform::TableState>(&news)) {
+    if (!catalogue.Take(this->table, *state, Now())) {
+      return;
+    }
+  } else {
+    catalogue.Take(this->table, std::get<platform::TableChanges>(news), Now());
+  }
+  this->owner.NoteLearnt(this->table, news);
+  this->owner.NoteChange();
+}
+
+void TableFollower::HearConfirmed(const core::TimePoint as_of,
+                                  const bool answering) {
+  this->confirmed_at = std::max(this->confirmed_at.value_or(as_of), as_of);
+  this->NoteAnswer(answering, "a peer says so");
+}
+
 void TableFollower::Watch() {
+  if (this->owner.IsBacklogged()) {
+    this->After(kBacklogTime, &TableFollower::Watch);
+    return;
+  }
+  this->watching = true;
   this->owner.GetStore().Watch(
       this->name, this->owner.GetCatalogue().VersionOf(this->table), this->wait,
       [this, sent = Now(),
@@ -76,6 +133,7 @@
 
 void TableFollower::OnWatched(const platform::ChangesOutcome& outcome,
                               const core::TimePoint sent) {
+  this->watching = false;
   const auto* failure = std::get_if<platform::Unavailable>(&outcome);
   this->owner.GetMetrics().CountCall("watch", failure == nullptr);
   if (std::holds_alternative<platform::HistoryLost>(outcome)) {
@@ -91,6 +149,8 @@
   }
   const auto& changes = std::get<platform::TableChanges>(outcome);
   this->owner.GetCatalogue().Take(this->table, changes, Now());
+  this->confirmed_at = Now();
+  this->owner.NoteLearnt(this->table, changes);
   this->owner.NoteWatched(sent);
   if (changes.changes.empty()) {
     this->Watch();
--- a/packages/relay/src/duty.cc
+++ b/packages/relay/src/duty.cc
@@ -1,9 +1,7 @@
 #include "trefoilbend/relay/duty.h"
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
-#include <optional>
 #include <utility>
 
 #include "internal/peers.h"
@@ -12,6 +10,7 @@
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/core/outcome.h"
 #include "trefoilbend/rpc/duty.h"
+#include "trefoilbend/rpc/listener.h"
 
 namespace trefoilbend::relay {
 
@@ -28,7 +27,7 @@
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
       std::visit(core::Visitor{[](std::monostate) {},
                                [this](const Listen& order) {
-                                 this->state->ListenOn(order.address);
+                                 this->state->listener.ListenOn(order.address);
                                },
                                [this](PassCall& call) {
                                  this->state->Pass(std::move(call));
@@ -56,8 +55,7 @@
   /** What lives on the duty's thread. */
   struct State {
     State(kj::AsyncIoContext& io, Loop& loop)
-        : io(io),
-          loop(loop),
+        : loop(loop),
           peers(io),
           server_capability(kj::heap<internal::Server>(
               loop.max_calls,
@@ -65,7 +63,8 @@
                 return loop.callers->TryPush(std::move(call));
               })),
           server(static_cast<internal::Server&>(*server_capability)),
-          two_party(wire::Relay::Client(kj::mv(server_capability))) {}
+          listener(io, wire::Relay::Client(kj::mv(server_capability)), "calls",
+                   loop.log) {}
 
     void Pass(PassCall call) {
       this->peers.Pass(std::move(call), [this](CallReturned returned) {
@@ -75,34 +74,11 @@
       });
     }
 
-    void ListenOn(const http::Address& address) {
-      if (this->address == address) {
-        return;
-      }
-      this->address = address;
-      this->listening =
-          this->io.provider->getNetwork()
-              .parseAddress(http::ToString(address).c_str())
-              .then([this](kj::Own<kj::NetworkAddress>&& parsed) {
-                auto receiver = parsed->listen();
-                auto accepting = this->two_party.listen(*receiver);
-                return accepting.attach(kj::mv(receiver), kj::mv(parsed));
-              })
-              .eagerlyEvaluate([this](kj::Exception&& exception) {
-                this->loop.log.Warn("Cannot take peers' calls: {}.",
-                                    exception.getDescription().cStr());
-                this->address.reset();
-              });
-    }
-
-    kj::AsyncIoContext& io;
     Loop& loop;
     internal::Peers peers;
     kj::Own<wire::Relay::Server> server_capability;
     internal::Server& server;
-    capnp::TwoPartyServer two_party;
-    kj::Promise<void> listening = nullptr;
-    std::optional<http::Address> address;
+    rpc::Listener listener;
   };
 
   std::size_t max_calls;
--- a/packages/rollout/src/peers_duty.cc
+++ b/packages/rollout/src/peers_duty.cc
@@ -1,6 +1,5 @@
 #include "trefoilbend/rollout/peers_duty.h"
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
@@ -13,6 +12,8 @@
 #include "rollout.capnp.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/rpc/duty.h"
+#include "trefoilbend/rpc/link.h"
+#include "trefoilbend/rpc/listener.h"
 
 namespace trefoilbend::rollout {
 
@@ -39,10 +40,10 @@
   core::Ring<PeerReport>& rollout;
 };
 
-/** Connection to one peer, with one report under way at a time. */
-class Link {
+/** Sends reports to one peer, one at a time. */
+class Reporter {
  public:
-  explicit Link(kj::AsyncIoContext& io) : io(io) {}
+  explicit Reporter(kj::AsyncIoContext& io) : io(io), link(io) {}
 
   void Send(const http::Address& address, const Brakes::Reasons& brakes,
             const Windows& windows) {
@@ -58,7 +59,7 @@
             .then([this] { this->busy = false; })
             .eagerlyEvaluate([this](kj::Exception&&) {
               this->busy = false;
-              this->Close();
+              this->link.Close();
             });
   }
 
@@ -66,44 +67,19 @@
   kj::Promise<void> Report(const http::Address& address,
                            const Brakes::Reasons& brakes,
                            const Windows& windows) {
-    if (this->client.get() != nullptr) {
-      return this->Call(brakes, windows);
-    }
-    return this->io.provider->getNetwork()
-        .parseAddress(http::ToString(address).c_str())
-        .then([](kj::Own<kj::NetworkAddress>&& parsed) {
-          auto connecting = parsed->connect();
-          return connecting.attach(kj::mv(parsed));
-        })
-        .then([this, brakes, windows](kj::Own<kj::AsyncIoStream>&& opened) {
-          this->stream = kj::mv(opened);
-          this->client = kj::heap<capnp::TwoPartyClient>(*this->stream);
-          this->peer = this->client->bootstrap().castAs<wire::Peer>();
-          return this->Call(brakes, windows);
-        });
-  }
-
-  kj::Promise<void> Call(const Brakes::Reasons& brakes,
-                         const Windows& windows) {
-    auto request = KJ_ASSERT_NONNULL(this->peer).reportRequest();
-    internal::Encode(brakes,
-                     request.initBrakes(static_cast<unsigned>(brakes.size())));
-    internal::Encode(
-        windows, request.initEvidence(static_cast<unsigned>(windows.size())));
-    return request.send().ignoreResult();
-  }
-
-  void Close() {
-    this->peer = nullptr;
-    this->client = nullptr;
-    this->stream = nullptr;
+    return this->link.Open(address).then([brakes,
+                                          windows](wire::Peer::Client peer) {
+      auto request = peer.reportRequest();
+      internal::Encode(
+          brakes, request.initBrakes(static_cast<unsigned>(brakes.size())));
+      internal::Encode(
+          windows, request.initEvidence(static_cast<unsigned>(windows.size())));
+      return request.send().ignoreResult();
+    });
   }
 
   kj::AsyncIoContext& io;
-  kj::Own<kj::AsyncIoStream> stream;
-  kj::Own<capnp::TwoPartyClient> client;
-  // A second bootstrap on a closed connection would throw.
-  kj::Maybe<wire::Peer::Client> peer;
+  rpc::Link<wire::Peer> link;
   bool busy = false;
   kj::Promise<void> sending = nullptr;
 };
@@ -135,12 +111,12 @@
     State(kj::AsyncIoContext& io, core::Ring<PeerReport>& rollout,
           const core::Log& log)
         : io(io),
-          log(log),
-          two_party(wire::Peer::Client(kj::heap<ReportServer>(rollout))) {}
+          listener(io, wire::Peer::Client(kj::heap<ReportServer>(rollout)),
+                   "reports", log) {}
 
     void Send(const OutgoingReport& report) {
-      if (report.self && this->address != report.self) {
-        this->ListenOn(*report.self);
+      if (report.self) {
+        this->listener.ListenOn(report.self);
       }
       static const Windows kNone;
       for (const http::Address& peer : report.peers) {
@@ -151,37 +127,17 @@
         if (report.brakes.empty() && windows.empty()) {
           continue;
         }
-        auto& link = this->links[peer];
-        if (link == nullptr) {
-          link = std::make_unique<Link>(this->io);
+        auto& reporter = this->reporters[peer];
+        if (reporter == nullptr) {
+          reporter = std::make_unique<Reporter>(this->io);
         }
-        link->Send(peer, report.brakes, windows);
+        reporter->Send(peer, report.brakes, windows);
       }
     }
 
-    void ListenOn(const http::Address& wanted) {
-      this->address = wanted;
-      this->listening =
-          this->io.provider->getNetwork()
-              .parseAddress(http::ToString(wanted).c_str())
-              .then([this](kj::Own<kj::NetworkAddress>&& parsed) {
-                auto receiver = parsed->listen();
-                auto accepting = this->two_party.listen(*receiver);
-                return accepting.attach(kj::mv(receiver), kj::mv(parsed));
-              })
-              .eagerlyEvaluate([this](kj::Exception&& exception) {
-                this->log.Warn("Cannot take peers' reports: {}.",
-                               exception.getDescription().cStr());
-                this->address.reset();
-              });
-    }
-
     kj::AsyncIoContext& io;
-    const core::Log& log;
-    capnp::TwoPartyServer two_party;
-    std::map<http::Address, std::unique_ptr<Link>> links;
-    kj::Promise<void> listening = nullptr;
-    std::optional<http::Address> address;
+    rpc::Listener listener;
+    std::map<http::Address, std::unique_ptr<Reporter>> reporters;
   };
 
   State* state{};
--- a/packages/rpc/include/trefoilbend/rpc/fwd.h
+++ b/packages/rpc/include/trefoilbend/rpc/fwd.h
@@ -4,6 +4,10 @@
 namespace trefoilbend::rpc {
 
 class Duty;
+class Listener;
+
+template <typename Interface>
+class Link;
 
 }  // namespace trefoilbend::rpc
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -50,9 +50,8 @@
 }
 
 check_lint() {
-  git ls-files '*.cc' | grep -v '\.capnp\.' |
-    xargs run-clang-tidy -quiet -extra-arg=-Wno-unknown-warning-option -p build/release -j "$(nproc)" >build/lint.log 2>&1 ||
-    { grep -E 'error:|warning:' build/lint.log | sort -u | head -40; return 1; }
+  scripts/lint.py build/release >build/lint.log 2>&1 ||
+    { grep -E 'error:|warning:|not built' build/lint.log | sort -u | head -40; return 1; }
 }
 
 step_format() { check "format" check_format; }
--- /dev/null
+++ b/tests/users_platform/feed_test.cc
@@ -0,0 +1,146 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <thread>
+
+#include "platform.h"
+
+namespace trefoilbend::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Time in which a change is in force on the users' platform. */
+constexpr std::chrono::milliseconds kInForce{2'000};
+constexpr int kFleet = 5;
+
+/** Five entries, two of which read the store for all. */
+struct Fleet : Platform {
+  Fleet() {
+    this->WriteDesiredState(1);
+    for (int number = 1; number <= kFleet; ++number) {
+      this->StartEntry(number);
+    }
+    BOOST_REQUIRE(Await([this] { return this->Listeners().size() == 3; }));
+  }
+
+  /** Numbers of the entries that hear from a peer. */
+  [[nodiscard]] std::map<int, bool> Listeners() const {
+    std::map<int, bool> listeners;
+    for (int number = 1; number <= kFleet; ++number) {
+      if (this->Metrics(number).find("\ntrefoilbend_store_listens 1") !=
+          std::string::npos) {
+        listeners[number] = true;
+      }
+    }
+    return listeners;
+  }
+
+  [[nodiscard]] int FirstReader() const {
+    int number = 1;
+    for (const auto listeners = this->Listeners();
+         listeners.contains(number);) {
+      ++number;
+    }
+    return number;
+  }
+
+  [[nodiscard]] int CallsOf(const std::string& path) {
+    int calls = 0;
+    this->OnStore([&](stand_ins::Store& store) {
+      const auto found = store.Calls().find(path);
+      calls = found == store.Calls().end() ? 0 : found->second;
+    });
+    return calls;
+  }
+
+  /** Whether every entry but one answers a path with a status in time. */
+  [[nodiscard]] bool AllBecome(const std::string& path, const int status,
+                               const int but = 0) {
+    return Await(
+        [&] {
+          for (int number = 1; number <= kFleet; ++number) {
+            if (number != but &&
+                this->Call(path, "GET", number).status != status) {
+              return false;
+            }
+          }
+          return true;
+        },
+        kInForce);
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entries_two_of_which_read_the_store_for_all, Fleet)
+
+BOOST_AUTO_TEST_CASE(ask_it_no_more_often_when_nothing_changes_than_two_would) {
+  constexpr std::chrono::seconds kQuiet{3};
+  const int before = CallsOf("/rows-feed");
+  std::this_thread::sleep_for(kQuiet);
+  constexpr int kTables = 3;
+  constexpr int kReaders = 2;
+  const int most = kReaders * kTables * (kQuiet / 700ms + 1);
+  BOOST_TEST(CallsOf("/rows-feed") - before <= most);
+}
+
+BOOST_AUTO_TEST_CASE(all_know_of_a_change_in_time) {
+  WriteDesiredState(2, "/other/");
+  BOOST_TEST(AllBecome("/other/", 200));
+  BOOST_TEST(AllBecome("/look/1", 404));
+}
+
+BOOST_AUTO_TEST_SUITE(when_one_that_reads_ends_without_notice)
+
+BOOST_AUTO_TEST_CASE(the_others_know_of_the_next_change_in_time) {
+  const int reader = FirstReader();
+  EndEntry(reader);
+  WriteDesiredState(2, "/other/");
+  BOOST_TEST(AllBecome("/other/", 200, reader));
+}
+
+BOOST_AUTO_TEST_CASE(another_one_reads_in_its_place) {
+  const int reader = FirstReader();
+  EndEntry(reader);
+  BOOST_TEST(Await([&] { return this->Listeners().size() == 2; }, 20s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_store_is_away)
+
+BOOST_AUTO_TEST_CASE(serve_on_and_know_what_changed_meanwhile_once_it_is_back) {
+  OnStore([](auto& store) { store.faults.busy = true; });
+  std::this_thread::sleep_for(3s);
+  BOOST_TEST(AllBecome("/look/1", 200));
+  OnStore([](auto& store) { store.faults.busy = false; });
+  WriteDesiredState(2, "/other/");
+  BOOST_TEST(AllBecome("/other/", 200));
+}
+
+BOOST_AUTO_TEST_CASE(read_anew_what_its_history_no_longer_tells) {
+  OnStore([](auto& store) {
+    store.ForgetHistory();
+    store.Write("servers/a", std::nullopt);
+    store.Write("servers/b", std::nullopt);
+  });
+  BOOST_TEST(Await(
+      [this] {
+        for (int number = 1; number <= kFleet; ++number) {
+          if (Call("/look/1", "GET", number).body != "c") {
+            return false;
+          }
+        }
+        return true;
+      },
+      kInForce));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::tests
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -17,10 +17,12 @@
 constexpr std::uint16_t kDirectory = 8'143;
 constexpr std::uint16_t kPeers = 8'146;
 constexpr std::uint16_t kOperations = 8'147;
+constexpr std::uint16_t kFeed = 7'661;
 constexpr std::uint16_t kTarget = 8'200;
-constexpr int kEntryHost = 1;
 constexpr int kStoreHost = 2;
 constexpr int kFirstTargetHost = 10;
+/** Hosts of the entries follow this one by their numbers. */
+constexpr int kEntries = 100;
 constexpr const char* kHost = "a.example";
 constexpr std::chrono::milliseconds kPoll{10};
 constexpr std::chrono::seconds kTimeout{5};
@@ -119,18 +121,18 @@
 }
 
 Platform::~Platform() {
-  this->running.reset();
+  this->running.clear();
   this->context.stop();
   this->thread.join();
 }
 
-void Platform::StartEntry() {
-  const auto address = [this](const std::uint16_t port) {
-    return http::ToString(this->At(kEntryHost, port));
+void Platform::StartEntry(const int number) {
+  const auto address = [this, number](const std::uint16_t port) {
+    return http::ToString(this->At(kEntries + number, port));
   };
   auto parsed = settings::Document::Parse("test", "");
   settings::Document& document = std::get<0>(parsed);
-  document.Set("entry", "name", "entry-1");
+  document.Set("entry", "name", "entry-" + std::to_string(number));
   document.Set("entry", "data-centre", "near");
   document.Set("callers", "address", address(kFront));
   document.Set("callers", "directory", address(kDirectory));
@@ -147,14 +149,16 @@
   document.Set("platform", "timeout", "300ms");
   document.Set("platform", "watch", "1s");
   document.Set("membership", "address", address(kPeers));
+  document.Set("membership", "feed-address", address(kFeed));
   document.Set("operations", "address", address(kOperations));
   document.Set("log", "level", "off");
   auto read = entry::ReadSettings(document);
   BOOST_REQUIRE(core::Succeeded(read));
-  this->running = entry::Entry::Builder{}
-                      .WithSettings(std::get<0>(std::move(read)))
-                      .Build();
-  BOOST_REQUIRE(core::Succeeded(this->running->Start()));
+  std::unique_ptr<entry::Entry>& made = this->running[number];
+  made = entry::Entry::Builder{}
+             .WithSettings(std::get<0>(std::move(read)))
+             .Build();
+  BOOST_REQUIRE(core::Succeeded(made->Start()));
 }
 
 void Platform::WriteDesiredState(const int version, const std::string& prefix,
@@ -201,9 +205,9 @@
 }
 
 http::Response Platform::Call(const std::string& path,
-                              const std::string& method) {
+                              const std::string& method, const int number) {
   const auto outcome =
-      http::SendAndWait(this->At(kEntryHost, kFront),
+      http::SendAndWait(this->At(kEntries + number, kFront),
                         {.method = method,
                          .target = path,
                          .fields = {{"Host", kHost},
@@ -216,17 +220,17 @@
                                   : http::Response{.status = 0, .fields = {}};
 }
 
-int Platform::Readiness() const {
-  return Get(this->At(kEntryHost, kReady), "/ready").status;
+int Platform::Readiness(const int number) const {
+  return Get(this->At(kEntries + number, kReady), "/ready").status;
 }
 
 http::Response Platform::Directory() const {
-  return Get(this->At(kEntryHost, kDirectory),
+  return Get(this->At(kEntries + 1, kDirectory),
              "/resolve?Name=a.example&Region=r&Zone=near");
 }
 
-std::string Platform::Metrics() const {
-  return Get(this->At(kEntryHost, kOperations), "/metrics").body;
+std::string Platform::Metrics(const int number) const {
+  return Get(this->At(kEntries + number, kOperations), "/metrics").body;
 }
 
 http::Response Platform::Get(const http::Address& address,
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -86,8 +86,8 @@
   std::shared_ptr<http::Server> server;
 };
 
-/** @brief One entry in this process between a store and three targets: a and b
- * in the data centre near, c in far. */
+/** @brief Entries in this process between a store and three targets: a and b in
+ * the data centre near, c in far. Stories of one entry use the first. */
 class Platform {
  public:
   Platform();
@@ -96,8 +96,17 @@
   Platform(const Platform&) = delete;
   Platform& operator=(const Platform&) = delete;
 
-  /** @brief Starts the entry. */
-  void StartEntry();
+  /**
+   * @brief Starts an entry.
+   * @param number Number of the entry, from 1.
+   */
+  void StartEntry(int number = 1);
+
+  /**
+   * @brief Ends an entry without any notice.
+   * @param number Number of the entry.
+   */
+  void EndEntry(int number) { this->running.erase(number); }
 
   /**
    * @brief Writes what operators want: routes to the service stock.
@@ -126,22 +135,32 @@
    * @brief Sends a client's request to the entry.
    * @param path Path of the request.
    * @param method Method of the request.
+   * @param number Number of the entry.
    * @return The response.
    */
   [[nodiscard]] http::Response Call(const std::string& path,
-                                    const std::string& method = "GET");
+                                    const std::string& method = "GET",
+                                    int number = 1);
 
-  /** @return Status of the entry's readiness. */
-  [[nodiscard]] int Readiness() const;
+  /**
+   * @brief Asks an entry whether it is ready.
+   * @param number Number of the entry.
+   * @return Status of the answer.
+   */
+  [[nodiscard]] int Readiness(int number = 1) const;
 
-  /** @return Metrics of the entry as text. */
-  [[nodiscard]] std::string Metrics() const;
+  /**
+   * @brief Reads an entry's metrics.
+   * @param number Number of the entry.
+   * @return The metrics as text.
+   */
+  [[nodiscard]] std::string Metrics(int number = 1) const;
 
   /** @return Answer of the entry's directory. */
   [[nodiscard]] http::Response Directory() const;
 
-  /** @return The entry, which runs after StartEntry. */
-  [[nodiscard]] entry::Entry& GetEntry() noexcept { return *this->running; }
+  /** @return The first entry, which runs after StartEntry. */
+  [[nodiscard]] entry::Entry& GetEntry() { return *this->running.at(1); }
 
   /**
    * @brief Waits for a condition.
@@ -165,7 +184,7 @@
   std::unique_ptr<stand_ins::Store> store;
   std::map<std::string, std::unique_ptr<Endpoint>> targets;
   std::thread thread;
-  std::unique_ptr<entry::Entry> running;
+  std::map<int, std::unique_ptr<entry::Entry>> running;
   int calls = 0;
 };
 
