Take a target that owes the answer to a probe for slow, and leave it alone longer

Change: a target with a probe under way is not asked again; after 25 ms without an answer it counts as seven times slower; probes without any answer double the time for which it is left out, from 0.5 to 4 s.

--- a/packages/balancing/include/trefoilbend/balancing/strategy.h
+++ b/packages/balancing/include/trefoilbend/balancing/strategy.h
@@ -40,6 +40,9 @@
   /** @brief Time that work took at the last report, in multiples of the usual,
    * if the target tells it. */
   std::optional<double> slowdown{};
+  /** @brief Time for which the target has owed the answer to a probe; 0 if it
+   * owes none. */
+  core::Duration silence{};
   /** @brief Whether the target stands in another data centre. */
   bool far{};
 };
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -77,6 +77,10 @@
   /** @brief Time until which the target is left out because it failed, unless
    * all others are left out too. */
   core::TimePoint avoided_until{};
+  /** @brief Time at which the probe was sent that waits for its answer. */
+  std::optional<core::TimePoint> probed_since;
+  /** @brief Probes in sequence that got no answer. */
+  std::uint32_t silent_probes{};
 };
 
 /** @brief What a target is chosen for. */
@@ -222,6 +226,13 @@
   [[nodiscard]] std::vector<const inventory::Instance*> ToCheck(
       std::size_t entries, core::TimePoint now);
 
+  /**
+   * @brief Takes note of a probe that is sent.
+   * @param target Name of the target.
+   * @param now Current time.
+   */
+  void NoteProbe(const core::InstanceName& target, core::TimePoint now);
+
   /**
    * @brief Takes note of a probe's answer.
    * @param ended Report of the probe.
--- a/packages/balancing/src/dispatcher_lookups.cc
+++ b/packages/balancing/src/dispatcher_lookups.cc
@@ -47,6 +47,7 @@
   for (const inventory::Instance* target : targets) {
     decisions.push_back(
         this->MakeProbe(call.request->service, service, *target, now));
+    service.targets.NoteProbe(target->name, now);
     probes.push_back(this->last_probe);
   }
   TraceProbed probed;
--- a/packages/balancing/src/strategy.cc
+++ b/packages/balancing/src/strategy.cc
@@ -168,6 +168,10 @@
  private:
   /** Slowness of a target of which nothing fresh is known. */
   static constexpr double kUnknownSlowdown = 2.0;
+  /** Slowness of a target that does not answer a probe. */
+  static constexpr double kSilentSlowdown = 7.0;
+  /** Time in which a target that is alive answers a probe. */
+  static constexpr std::chrono::milliseconds kUsualProbe{25};
   /** Time in which a report loses all but 1/e of its weight. */
   static constexpr std::chrono::duration<double> kFading{0.4};
   /** Weight of a free slot that is taken, beside one that is waited for. */
@@ -181,7 +185,10 @@
   static double Cost(const Candidate& candidate) noexcept {
     const double weight = std::exp(-(candidate.report_age / kFading));
     const double told = candidate.slowdown.value_or(kUnknownSlowdown);
-    const double slowdown = weight * told + (1 - weight) * kUnknownSlowdown;
+    const double known = weight * told + (1 - weight) * kUnknownSlowdown;
+    const double slowdown = candidate.silence > kUsualProbe
+                                ? std::max(known, kSilentSlowdown)
+                                : known;
     const double slots = candidate.slots;
     const double others =
         std::max(0.0, weight * candidate.reported - candidate.in_flight);
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -20,6 +20,8 @@
 /** Slowness up to which a target counts as undisturbed by its neighbours. */
 constexpr double kQuietSlowdown = 1.5;
 constexpr std::chrono::milliseconds kAvoidance{500};
+/** Doublings of the avoidance of a target that answers no probe. */
+constexpr std::uint32_t kMostSilentDoublings = 3;
 constexpr std::chrono::milliseconds kFirstAvoidance{100};
 constexpr std::uint32_t kMostDoublings = 4;
 constexpr std::uint32_t kFailuresToAvoid = 3;
@@ -259,7 +261,8 @@
       return chosen;
     }
     near_only = near_only || good;
-    if (!fresh && !(near_only && candidate.far)) {
+    const bool asked = candidate.silence > core::Duration::zero();
+    if (!fresh && !asked && !(near_only && candidate.far)) {
       chosen.push_back(&this->targets[candidate.target].instance);
     }
     this->candidates.erase(this->candidates.begin() +
@@ -268,6 +271,16 @@
   return chosen;
 }
 
+void TargetTable::NoteProbe(const core::InstanceName& name,
+                            const core::TimePoint now) {
+  const auto position = this->positions.find(name);
+  if (position == this->positions.end()) {
+    return;
+  }
+  TargetState& target = this->targets[position->second];
+  target.probed_since = target.probed_since.value_or(now);
+}
+
 void TargetTable::Probed(const forwarding::ProbeEnded& ended,
                          const core::TimePoint now) {
   const auto position = this->positions.find(ended.target);
@@ -278,8 +291,12 @@
   const auto& report = ended.report;
   const bool is_other =
       report && !report->name.Empty() && report->name != target.instance.name;
+  target.probed_since.reset();
+  target.silent_probes = report ? 0 : target.silent_probes + 1;
   if (!report || !report->healthy || is_other) {
-    target.avoided_until = now + kAvoidance;
+    const std::uint32_t doublings =
+        std::min(std::max(target.silent_probes, 1U) - 1, kMostSilentDoublings);
+    target.avoided_until = now + kAvoidance * (1U << doublings);
   }
   if (!report || is_other) {
     return;
@@ -312,6 +329,9 @@
           .sent_since_report = target.sent_since_report,
           .owed = owed / median,
           .slowdown = target.report.slowdown,
+          .silence = target.probed_since ? std::max(now - *target.probed_since,
+                                                    core::Duration{1})
+                                         : core::Duration::zero(),
           .far = target.far};
 }
 
--- a/packages/balancing/test/probing_test.cc
+++ b/packages/balancing/test/probing_test.cc
@@ -176,6 +176,31 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(are_not_asked_again_while_they_owe_an_answer) {
+  std::map<core::InstanceName, int> asked;
+  for (int call = 0; call < 3; ++call) {
+    for (const Decision& decision : Submit()) {
+      ++asked[std::get<StartProbe>(decision).target];
+    }
+  }
+  BOOST_TEST(asked.size() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(get_no_call_while_others_answer) {
+  std::map<core::InstanceName, StartProbe> silent;
+  for (int call = 0; call < 4; ++call) {
+    for (const Decision& decision : Submit()) {
+      const auto& probe = std::get<StartProbe>(decision);
+      silent.emplace(probe.target, probe);
+    }
+  }
+  now += 30ms;
+  for (int call = 0; call < 20; ++call) {
+    BOOST_TEST(!silent.contains(Send()));
+    now += 1ms;
+  }
+}
+
 BOOST_AUTO_TEST_CASE(forget_a_call_that_its_caller_has_left) {
   const Decisions decisions = Submit();
   BOOST_TEST(dispatcher.Cancel({last_call}, now).empty());
--- a/packages/balancing/test/target_table_test.cc
+++ b/packages/balancing/test/target_table_test.cc
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace trefoilbend::balancing {
 
@@ -50,6 +52,18 @@
                       this->now);
   }
 
+  bool ChoosesBoth() {
+    bool a = false;
+    bool b = false;
+    for (int call = 0; call < 30; ++call) {
+      const std::string chosen = Choose();
+      a = a || chosen == "a";
+      b = b || chosen == "b";
+      Answer(chosen, 200);
+    }
+    return a && b;
+  }
+
   TargetTable table{MakeStrategy("adaptive", 1)};
   core::ExchangeId exchange;
   core::TimePoint now{10s};
@@ -59,6 +73,37 @@
 
 BOOST_FIXTURE_TEST_SUITE(a_table_of_targets, Fixture)
 
+BOOST_AUTO_TEST_SUITE(one_of_which_answers_no_probe)
+
+BOOST_AUTO_TEST_CASE(leaves_it_alone_twice_as_long_after_each_probe) {
+  const std::vector<std::chrono::milliseconds> times{500ms, 1s, 2s, 4s, 4s};
+  for (const std::chrono::milliseconds time : times) {
+    table.Probed({.target = core::InstanceName{"a"}}, now);
+    const core::TimePoint until = now + time;
+    now = until - 1ms;
+    for (int call = 0; call < 10; ++call) {
+      BOOST_TEST(Choose() == "b");
+      Answer("b", 200);
+    }
+    now = until;
+    BOOST_TEST(ChoosesBoth());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(forgives_it_as_soon_as_it_answers) {
+  table.Probed({.target = core::InstanceName{"a"}}, now);
+  table.Probed({.target = core::InstanceName{"a"}}, now);
+  now += 1s;
+  table.Probed({.target = core::InstanceName{"a"},
+                .report = forwarding::HealthReport{.healthy = true}},
+               now);
+  table.Probed({.target = core::InstanceName{"a"}}, now);
+  now += 500ms;
+  BOOST_TEST(ChoosesBoth());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(one_of_which_says_that_it_drains)
 
 BOOST_AUTO_TEST_CASE(gives_it_no_call_until_a_report_says_otherwise) {
