Make the stories of silent and preferred targets fail without their mechanism

The use of the subset by a table had no story. Change: answering targets are disturbed in the first, all targets are asked in the second, and a table of 100 targets shows that calls go to the subset first.

--- a/packages/balancing/test/probing_test.cc
+++ b/packages/balancing/test/probing_test.cc
@@ -178,15 +178,19 @@
 
 BOOST_AUTO_TEST_CASE(are_not_asked_again_while_they_owe_an_answer) {
   std::map<core::InstanceName, int> asked;
-  for (int call = 0; call < 3; ++call) {
+  for (int call = 0; call < 6; ++call) {
     for (const Decision& decision : Submit()) {
       ++asked[std::get<StartProbe>(decision).target];
     }
   }
-  BOOST_TEST(asked.size() == 6);
+  BOOST_TEST(asked.size() == 12);
 }
 
-BOOST_AUTO_TEST_CASE(get_no_call_while_others_answer) {
+BOOST_AUTO_TEST_CASE(get_no_call_while_others_answer_though_disturbed) {
+  constexpr double kAnswersSlowly = 3;
+  for (auto& [target, slow] : slowness) {
+    slow = kAnswersSlowly;
+  }
   std::map<core::InstanceName, StartProbe> silent;
   for (int call = 0; call < 4; ++call) {
     for (const Decision& decision : Submit()) {
--- a/packages/balancing/test/subset_test.cc
+++ b/packages/balancing/test/subset_test.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace trefoilbend::balancing {
@@ -43,6 +46,42 @@
       [](const auto& member) { return member.preferred && !member.far; }));
 }
 
+/** A table of a large service whose targets take one call each. */
+struct Calls {
+  Calls() {
+    Members members = Targets(100, 4);
+    PreferSubset(members, Entry(1));
+    for (auto& one : members) {
+      one.instance.slots = 6;
+      one.limit = 1;
+      one.cold_share = {.calls = 1};
+      if (one.preferred) {
+        preferred.insert(one.instance.name);
+      }
+    }
+    table.SetMembers(std::move(members), now);
+  }
+
+  /** Starts calls; returns how many of their targets are preferred. */
+  std::size_t PreferredAmong(const std::size_t calls) {
+    std::size_t found = 0;
+    for (std::size_t call = 0; call < calls; ++call) {
+      const auto* target =
+          table.Choose({}, core::VersionName{"v1"}, Purpose::kAttempt,
+                       core::ExchangeId{call + 1}, now);
+      BOOST_REQUIRE(target != nullptr);
+      chosen.insert(target->name);
+      found += preferred.contains(target->name) ? 1 : 0;
+    }
+    return found;
+  }
+
+  TargetTable table{MakeStrategy("quiet", 1)};
+  core::TimePoint now{std::chrono::seconds{10}};
+  std::set<core::InstanceName> preferred;
+  std::set<core::InstanceName> chosen;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(a_subset_of_the_targets)
@@ -141,6 +180,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(that_calls_use, Calls)
+
+BOOST_AUTO_TEST_CASE(gets_them_all_while_it_has_room) {
+  BOOST_TEST(PreferredAmong(kSubset) == kSubset);
+}
+
+BOOST_AUTO_TEST_CASE(leaves_to_the_others_what_it_has_no_room_for) {
+  BOOST_TEST(PreferredAmong(kSubset + 10) == kSubset);
+  BOOST_TEST(chosen.size() == kSubset + 10);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace trefoilbend::balancing
