Give each process random numbers of its own, and divide split routes evenly

Cause: every entry seeded its random numbers with 1. Ruled out: desired states that reach some entries late (log of all 19: in force everywhere within 15 ms); requests of the other part that are lost. Change: seeds from the system's random device; a split route advances by the golden ratio from a random place, so that few requests on each entry add up to the weights, also over changes of the configuration.

--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -34,7 +34,8 @@
   std::string strategy = "adaptive";
   /** @brief Bounds of each service's queue. */
   admission::QueueLimits queue;
-  /** @brief Seed of the random numbers. */
+  /** @brief Seed of the random numbers; different on all entries, so that they
+   * do not choose alike. */
   std::uint64_t seed = 1;
   /** @brief Attempts that one call may take. */
   std::uint32_t attempts = 3;
--- a/packages/callers/include/trefoilbend/callers/router.h
+++ b/packages/callers/include/trefoilbend/callers/router.h
@@ -2,6 +2,7 @@
 #define TREFOILBEND_CALLERS_ROUTER_H_
 
 #include <cstdint>
+#include <map>
 #include <random>
 
 #include "trefoilbend/callers/classify.h"
@@ -16,7 +17,9 @@
  public:
   /**
    * @brief Makes a router.
-   * @param seed Seed of the random division among a route's services.
+   * @param seed Seed of the places at which the division of routes among their
+   * services begins; different on all entries, so that few requests on each
+   * add up to the weights.
    */
   explicit Router(const std::uint64_t seed) : random(seed) {}
 
@@ -42,8 +45,11 @@
                                  core::CallRequest& request);
   [[nodiscard]] const core::ServiceName& ChooseService(
       const inventory::Route& route);
+  /** Next position within a route's shares, evenly spread over all bits. */
+  [[nodiscard]] std::uint64_t NextPosition(const core::RouteName& route);
 
   std::mt19937_64 random;
+  std::map<core::RouteName, std::uint64_t> positions;
   inventory::ConfigurationPtr configuration;
   std::uint32_t lowest_rank{};
 };
--- a/packages/callers/src/router.cc
+++ b/packages/callers/src/router.cc
@@ -14,10 +14,20 @@
 /** Time that a call may take when neither its route nor its caller says. */
 constexpr std::chrono::seconds kDefaultTimeout{10};
 
+/** Fraction of 2^64 that is the golden ratio's: multiples of it spread evenly
+ * at every length (Weyl's sequence; Knuth, TAOCP volume 3, section 6.4). */
+constexpr std::uint64_t kGoldenStep = 0x9E3779B97F4A7C15U;
+/** Bits of a position within a route's shares. */
+constexpr unsigned kPositionBits = 32;
+
 }  // namespace
 
 void Router::Configure(inventory::ConfigurationPtr next) {
   this->configuration = std::move(next);
+  std::erase_if(this->positions, [this](const auto& entry) {
+    return this->configuration->Find<inventory::Route>(entry.first.Text()) ==
+           nullptr;
+  });
   this->lowest_rank = 0;
   for (const auto& [host, routes] : this->configuration->Hosts()) {
     for (const inventory::Route* route : routes) {
@@ -64,6 +74,15 @@
   return true;
 }
 
+std::uint64_t Router::NextPosition(const core::RouteName& route) {
+  auto [place, is_new] = this->positions.try_emplace(route);
+  if (is_new) {
+    place->second = this->random();
+  }
+  place->second += kGoldenStep;
+  return place->second >> kPositionBits;
+}
+
 const core::ServiceName& Router::ChooseService(const inventory::Route& route) {
   std::uint64_t all = 0;
   for (const inventory::TrafficShare& share : route.split) {
@@ -72,8 +91,7 @@
   if (all == 0) {
     return route.service;
   }
-  std::uniform_int_distribution<std::uint64_t> draw{0, all - 1};
-  std::uint64_t left = draw(this->random);
+  std::uint64_t left = this->NextPosition(route.name) * all >> kPositionBits;
   for (const inventory::TrafficShare& share : route.split) {
     if (left < share.weight) {
       return share.service;
--- a/packages/callers/test/router_test.cc
+++ b/packages/callers/test/router_test.cc
@@ -38,7 +38,8 @@
     split.split = {{.service = ServiceName{"stock"}, .weight = 90},
                    {.service = ServiceName{"catalogue"}, .weight = 10}};
     this->builder.Put(split);
-    this->router.Configure(this->builder.Build());
+    this->configuration = this->builder.Build();
+    this->router.Configure(this->configuration);
   }
 
   [[nodiscard]] std::optional<core::CallRequest> Find(
@@ -54,6 +55,7 @@
   }
 
   inventory::Configuration::Builder builder;
+  inventory::ConfigurationPtr configuration;
   Router router{1};
 };
 
@@ -105,6 +107,35 @@
   BOOST_TEST(counts["catalogue"] < kRequests * 13 / 100);
 }
 
+BOOST_AUTO_TEST_CASE(is_divided_so_by_many_entries_with_few_requests_each) {
+  constexpr int kEntries = 19;
+  constexpr int kRequests = 17;
+  int minor = 0;
+  for (int entry = 0; entry < kEntries; ++entry) {
+    router = Router{static_cast<std::uint64_t>(entry)};
+    router.Configure(configuration);
+    for (int request = 0; request < kRequests; ++request) {
+      const auto found = Find("a.example", "/split/7");
+      BOOST_REQUIRE(found.has_value());
+      minor += found->service.Text() == "catalogue" ? 1 : 0;
+    }
+  }
+  BOOST_TEST(minor > kEntries * kRequests * 7 / 100);
+  BOOST_TEST(minor < kEntries * kRequests * 13 / 100);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_place_when_the_configuration_changes) {
+  int minor = 0;
+  for (int request = 0; request < 100; ++request) {
+    router.Configure(configuration);
+    const auto found = Find("a.example", "/split/7");
+    BOOST_REQUIRE(found.has_value());
+    minor += found->service.Text() == "catalogue" ? 1 : 0;
+  }
+  BOOST_TEST(minor >= 9);
+  BOOST_TEST(minor <= 11);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace trefoilbend::callers
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -1,6 +1,7 @@
 #include "trefoilbend/entry/settings.h"
 
 #include <chrono>
+#include <random>
 #include <sstream>
 #include <utility>
 
@@ -112,6 +113,8 @@
     this->result.callers.self = self;
     this->result.balancing.self = self;
     this->result.callers.incarnation = NewIncarnation();
+    this->result.callers.seed = std::random_device{}();
+    this->result.balancing.seed = std::random_device{}();
     this->result.configuration.self = self;
     this->result.operations.self = self;
     this->result.membership.self = self;
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -40,6 +40,15 @@
   BOOST_TEST(settings.log_levels.at("operations") == "warn");
 }
 
+BOOST_AUTO_TEST_CASE(give_each_process_random_numbers_of_its_own) {
+  const auto one = Read(kText);
+  const auto other = Read(kText);
+  BOOST_TEST(core::ValueOf(one).callers.seed !=
+             core::ValueOf(other).callers.seed);
+  BOOST_TEST(core::ValueOf(one).balancing.seed !=
+             core::ValueOf(other).balancing.seed);
+}
+
 BOOST_AUTO_TEST_CASE(take_a_log_level_for_each_part) {
   for (const std::string part :
        {"callers", "relay", "configuration", "operations", "rollout",
