--- a/packages/membership/include/trefoilbend/membership/member_table.h
+++ b/packages/membership/include/trefoilbend/membership/member_table.h
@@ -101,6 +101,16 @@
    */
   void NotePlatform(core::TimePoint sent);
 
+  /**
+   * @brief Tells whether the platform's word is fresh, so that no peer's is
+   * needed beside it.
+   * @param now Current time.
+   * @return Whether the platform has answered of late.
+   */
+  [[nodiscard]] bool HasFreshPlatform(core::TimePoint now) const noexcept {
+    return this->platform && now - *this->platform < this->limits.fresh;
+  }
+
   /** @brief Raises this entry's heartbeat; called once a round. */
   void Beat();
 
--- a/packages/membership/src/duty.cc
+++ b/packages/membership/src/duty.cc
@@ -180,7 +180,7 @@
 
     void Fetch() {
       const auto peer = this->ChooseSource();
-      if (this->fetching || !peer) {
+      if (this->fetching || !peer || !this->WantsRevisions()) {
         return;
       }
       this->fetching = true;
@@ -201,6 +201,14 @@
               .attach(kj::defer([this] { this->fetching = false; })));
     }
 
+    /** Without recent revisions a peer sends its whole configuration, which is
+     * of use only to an entry that hears nothing of the platform. */
+    [[nodiscard]] bool WantsRevisions() const {
+      return this->news.configuration == nullptr ||
+             this->news.recent != nullptr ||
+             !this->table.HasFreshPlatform(Now());
+    }
+
     [[nodiscard]] core::Revision Revision() const {
       return this->news.configuration == nullptr
                  ? core::Revision{}
--- a/packages/membership/src/member_table.cc
+++ b/packages/membership/src/member_table.cc
@@ -191,7 +191,7 @@
   if (this->configuration == nullptr) {
     return false;
   }
-  if (this->platform && now - *this->platform < this->limits.fresh) {
+  if (this->HasFreshPlatform(now)) {
     return true;
   }
   const bool is_member = this->configuration->Find<inventory::Instance>(
--- a/packages/membership/test/member_table_test.cc
+++ b/packages/membership/test/member_table_test.cc
@@ -129,6 +129,17 @@
   BOOST_TEST(fleet.Observe(3).current);
 }
 
+BOOST_AUTO_TEST_CASE(needs_its_peers_word_once_the_platforms_is_old) {
+  Fleet fleet{3};
+  MemberTable& table = fleet.tables[0];
+  BOOST_TEST(!table.HasFreshPlatform(fleet.clock.Now()));
+  table.NotePlatform(fleet.clock.Now());
+  fleet.clock.Advance(MembershipLimits{}.fresh - 1ms);
+  BOOST_TEST(table.HasFreshPlatform(fleet.clock.Now()));
+  fleet.clock.Advance(1ms);
+  BOOST_TEST(!table.HasFreshPlatform(fleet.clock.Now()));
+}
+
 BOOST_AUTO_TEST_CASE(takes_it_back_when_it_returns) {
   Fleet fleet{19};
   fleet.Run(40, Always);
--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Runs clang-tidy on every source file that it has not passed as it is.
 
-Usage: lint.py BUILD
+Usage: lint.py BUILD [JOBS]
 
 A file passes once for the same bytes of itself and of all that it includes, the same command, the
 same rules and the same clang-tidy; its digest is kept in the cache folder. Failures are not kept.
@@ -91,6 +91,7 @@
 
 def main():
     build = pathlib.Path(sys.argv[1]).resolve()
+    jobs = int(sys.argv[2]) if len(sys.argv) > 2 else os.cpu_count()
     listed = output_of("git", "ls-files", "*.cc").splitlines()
     sources = {(ROOT / name).resolve() for name in listed if ".capnp." not in name}
     found = keys(build, sources)
@@ -101,7 +102,7 @@
     todo = [path for path, key in found.items() if not (CACHE / key).exists()]
     print(f"{len(found)} files, {len(todo)} to check", flush=True)
     failed = bool(unbuilt)
-    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
         for path, (passed, text) in zip(todo, pool.map(lambda one: check(build, one), todo)):
             if passed:
                 (CACHE / found[path]).touch()
