Let the entries with most processor time read the store for all

Ruled out: the listener's own processor: its calls were sent within 45 ms at the same time. Change: entries register their processor time ([entry] cores, from the users' limits), and those with most read; the readers are chosen anew only when the fleet's table or the peers' state changes.

--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -30,6 +30,7 @@
 constexpr std::uint64_t kMostTraces = 64U << 20U;
 constexpr std::uint64_t kMostHedgePercent = 50;
 constexpr std::uint64_t kWholePercent = 100;
+constexpr double kMostCores = 1'024;
 /** Longer than a configuration or list needs to be known everywhere. */
 constexpr std::chrono::seconds kShareDelay{10};
 
@@ -122,6 +123,8 @@
     this->self.role = inventory::Role::kEntry;
     this->self.data_centre =
         core::DataCentreName{section.Text("data-centre", "")};
+    this->self.processor_percent = static_cast<std::uint32_t>(
+        kWholePercent * section.Decimal("cores", {0.01, kMostCores}, 1.0));
     this->result.membership.incarnation = this->result.callers.incarnation;
   }
 
--- a/packages/feed/include/trefoilbend/feed/readers.h
+++ b/packages/feed/include/trefoilbend/feed/readers.h
@@ -2,6 +2,7 @@
 #define TREFOILBEND_FEED_READERS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "trefoilbend/core/name.h"
@@ -15,6 +16,8 @@
   core::InstanceName name;
   /** @brief Data centre in which it stands. */
   core::DataCentreName data_centre;
+  /** @brief Its processor time, in percent of a core. */
+  std::uint32_t processor_percent{};
   /** @brief Address on which it tells its peers what it has read. */
   http::Address address;
 
@@ -30,8 +33,9 @@
 [[nodiscard]] std::size_t ReaderCount(std::size_t entries) noexcept;
 
 /**
- * @brief Chooses the entries that read the store for all, in as many data
- * centres as there are; entries that know the same candidates choose alike.
+ * @brief Chooses the entries that read the store for all, those with most
+ * processor time first, in as many data centres as there are; entries that know
+ * the same candidates choose alike.
  * @param candidates Live entries.
  * @param count Number of readers.
  * @return The readers, fewer if there are fewer candidates.
--- a/packages/feed/src/readers.cc
+++ b/packages/feed/src/readers.cc
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace trefoilbend::feed {
@@ -28,11 +29,12 @@
 
 std::vector<Candidate> ChooseReaders(std::vector<Candidate> candidates,
                                      const std::size_t count) {
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::pair{HashOf(a.name.Text()), a.name} <
-                     std::pair{HashOf(b.name.Text()), b.name};
-            });
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) {
+        return std::tuple{b.processor_percent, HashOf(a.name.Text()), a.name} <
+               std::tuple{a.processor_percent, HashOf(b.name.Text()), b.name};
+      });
   std::set<core::DataCentreName> represented;
   std::stable_partition(
       candidates.begin(), candidates.end(),
--- a/packages/feed/test/source_plan_test.cc
+++ b/packages/feed/test/source_plan_test.cc
@@ -75,6 +75,19 @@
   BOOST_TEST((ReadersOf(fleet) == readers));
 }
 
+BOOST_AUTO_TEST_CASE(prefers_those_with_most_processor_time) {
+  std::vector<Candidate> fleet = Fleet(120, 3);
+  for (Candidate& entry : fleet) {
+    entry.processor_percent = 10;
+  }
+  for (const std::size_t strong : {30U, 31U, 32U, 60U}) {
+    fleet[strong].processor_percent = 50;
+  }
+  for (const Candidate& reader : ReadersOf(fleet)) {
+    BOOST_TEST(reader.processor_percent == 50);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(divides_the_listeners_among_the_readers) {
   const std::vector<Candidate> fleet = Fleet(120, 3);
   std::map<core::InstanceName, int> listeners;
--- a/packages/inventory/include/trefoilbend/inventory/objects.h
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -82,6 +82,8 @@
   std::optional<http::Address> relay;
   /** @brief Address on which an entry takes its peers' release evidence. */
   std::optional<http::Address> rollout;
+  /** @brief Processor time of an entry, in percent of a core. */
+  std::uint32_t processor_percent{};
   /** @brief Address on which an entry tells its peers what the store holds. */
   std::optional<http::Address> feed;
   /** @brief Address on which an entry talks to operators. */
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -70,6 +70,7 @@
   }
   if (instance.feed) {
     object["feed"] = http::ToString(*instance.feed);
+    object["processor_percent"] = instance.processor_percent;
   }
   if (instance.operations) {
     object["operations"] = http::ToString(*instance.operations);
@@ -203,6 +204,8 @@
   }
   if (object.contains("feed")) {
     instance.feed = AddressOf(object.at("feed"));
+    instance.processor_percent =
+        object.value("processor_percent", std::uint32_t{0});
   }
   if (object.contains("operations")) {
     instance.operations = AddressOf(object.at("operations"));
--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -134,6 +134,11 @@
   /** @return Entries that have registered. */
   [[nodiscard]] std::vector<inventory::Instance> Entries() const;
 
+  /** @return Number of the entries that have registered. */
+  [[nodiscard]] std::size_t EntryCount() const noexcept {
+    return this->entries.size();
+  }
+
   /** @return Rows that could not be read since the last call. */
   [[nodiscard]] std::vector<std::string> TakeUnreadable();
 
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -134,6 +134,10 @@
   void NoteLearnt(const Table table, feed::TableNews news) override {
     this->outbox.Send(feed::Learnt{.table = static_cast<std::size_t>(table),
                                    .news = std::move(news)});
+    if (table == Table::kFleet) {
+      boost::asio::post(this->duty.Context(),
+                        [this] { this->ConfigureSource(); });
+    }
     this->Confirm();
   }
 
@@ -156,10 +160,7 @@
     if (std::exchange(this->changed, true)) {
       return;
     }
-    boost::asio::post(this->duty.Context(), [this] {
-      this->ConfigureSource();
-      this->Publish();
-    });
+    boost::asio::post(this->duty.Context(), [this] { this->Publish(); });
   }
 
   [[nodiscard]] std::vector<platform::RowVersion> KnownVersions()
@@ -389,7 +390,7 @@
   /** Whoever reads for others confirms what it knows often; all that read for
    * themselves alone take turns. */
   void SetPace() {
-    const std::size_t entries = this->catalogue.Entries().size();
+    const std::size_t entries = this->catalogue.EntryCount();
     const bool for_peers = this->source.ReadsForPeers();
     this->pause = WatchPause(for_peers ? feed::ReaderCount(entries) : entries);
     const std::chrono::milliseconds wait =
@@ -407,6 +408,7 @@
       if (entry.feed && this->IsLive(entry.name)) {
         live.push_back({.name = entry.name,
                         .data_centre = entry.data_centre,
+                        .processor_percent = entry.processor_percent,
                         .address = *entry.feed});
       }
     }
--- a/packages/settings/include/trefoilbend/settings/section.h
+++ b/packages/settings/include/trefoilbend/settings/section.h
@@ -91,6 +91,16 @@
       const std::string& key, Range<std::uint64_t> range,
       std::optional<std::uint64_t> fallback = std::nullopt);
 
+  /**
+   * @brief Reads a number that may have decimals, such as 0.2.
+   * @param key Key to read.
+   * @param range Bounds of the number.
+   * @param fallback Value if the key is missing.
+   * @return The number.
+   */
+  [[nodiscard]] double Decimal(const std::string& key, Range<double> range,
+                               double fallback);
+
   /**
    * @brief Reads a number of bytes with a unit: B, KiB or MiB.
    * @param key Key to read.
--- a/packages/settings/src/section.cc
+++ b/packages/settings/src/section.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 #include <utility>
 
 #include "trefoilbend/settings/wall_time.h"
@@ -163,6 +164,25 @@
   return quantity->number;
 }
 
+double Section::Decimal(const std::string& key, const Range<double> range,
+                        const double fallback) {
+  std::ostringstream expected;
+  expected << "a number between " << range.least << " and " << range.most;
+  const auto value = this->Require(key, true, expected.str());
+  if (!value) {
+    return fallback;
+  }
+  double number{};
+  const char* end = value->data() + value->size();
+  const auto [rest, problem] = std::from_chars(value->data(), end, number);
+  if (problem != std::errc{} || rest != end || number < range.least ||
+      number > range.most) {
+    this->Refuse(key, expected.str());
+    return fallback;
+  }
+  return number;
+}
+
 std::uint64_t Section::Bytes(const std::string& key,
                              const Range<std::uint64_t> range,
                              const std::uint64_t fallback) {
--- a/packages/settings/test/section_test.cc
+++ b/packages/settings/test/section_test.cc
@@ -62,6 +62,15 @@
   BOOST_TEST(reading.mistakes.size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(takes_decimals_where_they_make_sense) {
+  Reading reading{{{"share", "0.2"}, {"bad", "0,2"}, {"far", "7.5"}}};
+  BOOST_TEST(reading.section.Decimal("share", {0.1, 4}, 1) == 0.2);
+  BOOST_TEST(reading.section.Decimal("missing", {0.1, 4}, 1) == 1);
+  (void)reading.section.Decimal("bad", {0.1, 4}, 1);
+  (void)reading.section.Decimal("far", {0.1, 4}, 1);
+  BOOST_TEST(reading.mistakes.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(tells_that_a_required_key_is_missing) {
   Reading reading{{}};
   (void)reading.section.Integer("slots", {1, 10});
--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import shlex
 import subprocess
 import sys
 
@@ -66,6 +67,12 @@
     return digest.hexdigest()
 
 
+def object_of(command):
+    """Returns the path of the object that a command makes."""
+    words = shlex.split(command)
+    return words[words.index("-o") + 1]
+
+
 def keys(build, sources):
     """Returns the key of each source that the build compiles."""
     digests = Digests()
@@ -74,7 +81,7 @@
     found = {}
     for entry in json.loads((build / "compile_commands.json").read_text()):
         path = pathlib.Path(entry["directory"], entry["file"]).resolve()
-        files = dependencies.get(entry["output"])
+        files = dependencies.get(object_of(entry["command"]))
         if path in sources and files:
             found[path] = key_of(entry["command"], files, digests, common)
     return found
