--- a/packages/registry/test/peer_source_test.cc
+++ b/packages/registry/test/peer_source_test.cc
@@ -88,12 +88,12 @@
     Run(10ms);
   }
 
-  boost::asio::io_context context{1};
   core::Ring<feed::ToFeed> ring{16};
-  std::vector<feed::Candidate> fleet = Fleet();
+  boost::asio::io_context context{1};
   Owner owner;
-  PeerSource source{owner, context, SomeListener()};
+  std::vector<feed::Candidate> fleet = Fleet();
   std::vector<feed::Ask> asks;
+  PeerSource source{owner, context, SomeListener()};
 };
 
 }  // namespace
--- a/tests/users_platform/feed_test.cc
+++ b/tests/users_platform/feed_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <thread>
@@ -82,10 +83,10 @@
   constexpr std::chrono::seconds kQuiet{3};
   const int before = CallsOf("/rows-feed");
   std::this_thread::sleep_for(kQuiet);
-  constexpr int kTables = 3;
-  constexpr int kReaders = 2;
-  const int most = kReaders * kTables * (kQuiet / 700ms + 1);
-  BOOST_TEST(CallsOf("/rows-feed") - before <= most);
+  constexpr std::int64_t kTables = 3;
+  constexpr std::int64_t kReaders = 2;
+  constexpr std::int64_t kMost = kReaders * kTables * (kQuiet / 700ms + 1);
+  BOOST_TEST(CallsOf("/rows-feed") - before <= kMost);
 }
 
 BOOST_AUTO_TEST_CASE(all_know_of_a_change_in_time) {
