Tell why a target without a row is kept, and how old a choice's list is

- registry: `Table has changed.` with version, source and age for each batch of rows; `Row of a target is gone, keeps the target.`; a histogram of the time between two confirmations of a table and a counter of kept targets.
- balancing: `list_age_ms`, `list_told_by` in `Sent.`; `waited_ms` in `Arrived.` (from reading the request to its first decision) and in `Attempt ended.` (from the choice to the sending).
How well the targets are known comes through a ring of its own from the registry.

Tests: the_trace_of_a_call, tells_how_old_what_was_known_was_and_how_long_it_ waited; after_an_outage, tells_once_which_targets_it_keeps.

--- a/packages/balancing/include/trefoilbend/balancing/call_trace.h
+++ b/packages/balancing/include/trefoilbend/balancing/call_trace.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "trefoilbend/balancing/strategy.h"
+#include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/call.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/name.h"
@@ -37,12 +38,17 @@
   Candidate known;
   /** @brief Number of targets that might have been chosen. */
   std::size_t candidates{};
+  /** @brief How well the list of targets was known, if that is told. */
+  std::optional<configuration::TargetKnowledge> knowledge{};
 };
 
 /** @brief An attempt ended. */
 struct TraceEnded {
   /** @brief Target of the attempt. */
   core::InstanceName target;
+  /** @brief Time from the choice to the sending; nothing if nothing was sent.
+   */
+  std::optional<core::Duration> waited{};
   /** @brief How the attempt ended. */
   forwarding::ExchangeResult result = forwarding::ExchangeResult::kNotSent;
   /** @brief Status of the answer; 0 without one. */
--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -87,6 +87,14 @@
   [[nodiscard]] Decisions Configure(const configuration::Update& update,
                                     core::TimePoint now);
 
+  /**
+   * @brief Takes note of how well the targets are known.
+   * @param now_known Time as of which they are known, and who told it.
+   */
+  void Note(const configuration::TargetKnowledge& now_known) noexcept {
+    this->knowledge = now_known;
+  }
+
   /**
    * @brief Takes a call.
    * @param call Call that needs a target.
@@ -279,6 +287,7 @@
   std::unordered_map<forwarding::ProbeId, core::ServiceName> probed_services;
   forwarding::ProbeId last_probe;
   core::Revision revision;
+  std::optional<configuration::TargetKnowledge> knowledge;
   std::vector<CallTrace> traces;
 };
 
--- a/packages/balancing/include/trefoilbend/balancing/duty.h
+++ b/packages/balancing/include/trefoilbend/balancing/duty.h
@@ -53,6 +53,10 @@
   [[nodiscard]] core::Ring<configuration::Update>&
   ConfigurationInlet() noexcept;
 
+  /** @return Ring for how well the targets are known. */
+  [[nodiscard]] core::Ring<configuration::TargetKnowledge>&
+  KnowledgeInlet() noexcept;
+
   /** @return Ring for brakes. */
   [[nodiscard]] core::Ring<rollout::BrakeOrder>& RolloutInlet() noexcept;
 
--- a/packages/balancing/src/call_trace.cc
+++ b/packages/balancing/src/call_trace.cc
@@ -25,7 +25,7 @@
   return kTexts.at(static_cast<std::size_t>(kind));
 }
 
-std::string LineOf(const TraceProbed& step) {
+std::string LineOf(const TraceProbed& step, core::TimePoint /*now*/) {
   std::string targets;
   for (const core::InstanceName& target : step.targets) {
     targets += (targets.empty() ? "" : ",") + target.Text();
@@ -33,23 +33,34 @@
   return "Asked targets for their load. targets=" + targets;
 }
 
-std::string LineOf(const TraceSent& step) {
+std::string LineOf(const TraceSent& step, const core::TimePoint now) {
   const bool told = step.known.slowdown.has_value();
-  return fmt::format(
+  const std::string line = fmt::format(
       "{} target={} candidates={} own_in_flight={} told_requests={} slots={} "
       "told_slowdown={:.2f} told_age_ms={:.0f} far={}",
       TextOf(step.kind), step.target.Text(), step.candidates,
       step.known.in_flight, step.known.reported, step.known.slots,
       step.known.slowdown.value_or(0),
       told ? Milliseconds(step.known.report_age) : -1.0, step.known.far);
+  if (!step.knowledge) {
+    return line;
+  }
+  const bool own = step.knowledge->told_by == configuration::ToldBy::kStore;
+  return line + fmt::format(" list_age_ms={:.0f} list_told_by={}",
+                            Milliseconds(now - step.knowledge->as_of),
+                            own ? "store" : "peer");
 }
 
-std::string LineOf(const TraceEnded& step) {
-  return fmt::format("Attempt ended. target={} result={} status={}",
-                     step.target.Text(), ToString(step.result), step.status);
+std::string LineOf(const TraceEnded& step, core::TimePoint /*now*/) {
+  const std::string waited =
+      step.waited ? fmt::format(" waited_ms={:.1f}", Milliseconds(*step.waited))
+                  : "";
+  return fmt::format("Attempt ended. target={}{} result={} status={}",
+                     step.target.Text(), waited, ToString(step.result),
+                     step.status);
 }
 
-std::string LineOf(const TraceRefused& step) {
+std::string LineOf(const TraceRefused& step, core::TimePoint /*now*/) {
   const bool not_run = step.refusal.run == core::RunState::kNotRun;
   return fmt::format("Refused. reason={} run={} retry_after_ms={}",
                      core::ToString(step.refusal.reason),
@@ -57,9 +68,13 @@
                      step.refusal.retry_after.count());
 }
 
-std::string LineOf(const TraceCallerLeft& /*step*/) { return "Caller left."; }
+std::string LineOf(const TraceCallerLeft& /*step*/, core::TimePoint /*now*/) {
+  return "Caller left.";
+}
 
-std::string LineOf(const TraceBroken& /*step*/) { return "Answer broke."; }
+std::string LineOf(const TraceBroken& /*step*/, core::TimePoint /*now*/) {
+  return "Answer broke.";
+}
 
 bool IsTrouble(const TraceStep& step) noexcept {
   const auto* ended = std::get_if<TraceEnded>(&step);
@@ -146,15 +161,18 @@
   }
   lines.push_back(fmt::format(
       "Arrived. id={} at_ms=0 service={} route={} idempotent={} urgent={} "
-      "left_ms={:.0f} objective_ms={} revision={}",
+      "left_ms={:.0f} objective_ms={} waited_ms={:.1f} revision={}",
       this->request->id, this->request->service.Text(),
       this->request->route.Text(), this->request->idempotent,
       this->request->urgency == core::Urgency::kUrgent,
       Milliseconds(this->request->deadline - this->arrived),
-      this->request->objective.count(), this->revision.Value()));
+      this->request->objective.count(),
+      Milliseconds(this->arrived - this->request->received),
+      this->revision.Value()));
   for (const Timed& one : this->steps) {
-    const std::string line =
-        std::visit([](const auto& step) { return LineOf(step); }, one.step);
+    const std::string line = std::visit(
+        [&](const auto& step) { return LineOf(step, this->arrived + one.at); },
+        one.step);
     const std::size_t sentence = line.find(". ");
     const std::size_t end =
         sentence == std::string::npos ? line.size() : sentence + 1;
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -247,6 +247,7 @@
       "an exchange that ended belongs to a call in flight");
   CallState& call = found->second;
   call.trace.Add(TraceEnded{.target = ended.target,
+                            .waited = ended.waited,
                             .result = ended.result,
                             .status = ended.status},
                  now);
@@ -355,7 +356,8 @@
   call.trace.Add(TraceSent{.kind = kind,
                            .target = target->name,
                            .known = service.targets.LastChoice(),
-                           .candidates = service.targets.LastCandidates()},
+                           .candidates = service.targets.LastCandidates(),
+                           .knowledge = this->knowledge},
                  now);
   call.tried.push_back(target->name);
   ++call.sends;
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kMessagesPerCall = 6;
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kBrakes = 1'024;
+constexpr std::size_t kKnowledge = 16;
 /** Bytes of a line before its text: time, level and part. */
 constexpr std::size_t kLineHead = 48;
 constexpr std::chrono::milliseconds kReport{200};
@@ -30,6 +31,7 @@
       : from_callers(max_calls * kMessagesPerCall),
         from_forwarding(max_calls * kMessagesPerCall),
         from_configuration(kConfigurations),
+        from_registry(kKnowledge),
         from_rollout(kBrakes),
         dispatcher(std::move(options)),
         sampler(traces),
@@ -65,6 +67,10 @@
           this->metrics.SetRevision(update.configuration->Revision());
           this->Carry(this->dispatcher.Configure(update, Now()));
         });
+    this->duty.Read(this->from_registry,
+                    [this](const configuration::TargetKnowledge& knowledge) {
+                      this->dispatcher.Note(knowledge);
+                    });
     this->duty.Read(this->from_rollout,
                     [this](const rollout::BrakeOrder& order) {
                       this->dispatcher.Brake(order.release);
@@ -80,6 +86,7 @@
   core::Ring<FromCallers> from_callers;
   core::Ring<forwarding::ToBalancing> from_forwarding;
   core::Ring<configuration::Update> from_configuration;
+  core::Ring<configuration::TargetKnowledge> from_registry;
   core::Ring<rollout::BrakeOrder> from_rollout;
   core::Duty duty{"balancing"};
 
@@ -201,6 +208,11 @@
   return this->loop->from_configuration;
 }
 
+core::Ring<configuration::TargetKnowledge>&
+BalancingDuty::KnowledgeInlet() noexcept {
+  return this->loop->from_registry;
+}
+
 core::Ring<rollout::BrakeOrder>& BalancingDuty::RolloutInlet() noexcept {
   return this->loop->from_rollout;
 }
--- a/packages/balancing/test/call_trace_test.cc
+++ b/packages/balancing/test/call_trace_test.cc
@@ -20,6 +20,7 @@
     made->id = "9c41";
     made->service = core::ServiceName{"stock"};
     made->objective = 200ms;
+    made->received = this->start - 4ms;
     made->deadline = this->start + 800ms;
     this->trace = CallTrace{made, core::Revision{12}, this->start};
   }
@@ -28,13 +29,15 @@
     this->trace.Add(TraceSent{.kind = kind,
                               .target = core::InstanceName{"i-1"},
                               .known = {.in_flight = 1, .slots = 6},
-                              .candidates = 23},
+                              .candidates = 23,
+                              .knowledge = {{.as_of = at - 700ms}}},
                     at);
   }
 
   void End(const ExchangeResult result, const std::uint16_t status,
            const core::TimePoint at) {
     this->trace.Add(TraceEnded{.target = core::InstanceName{"i-1"},
+                               .waited = 3ms,
                                .result = result,
                                .status = status},
                     at);
@@ -62,6 +65,15 @@
   BOOST_TEST(lines[2].ends_with("result=answered status=200"));
 }
 
+BOOST_AUTO_TEST_CASE(tells_how_old_what_was_known_was_and_how_long_it_waited) {
+  Send(AttemptKind::kFirst, start + 2ms);
+  End(ExchangeResult::kAnswered, 200, start + 80ms);
+  const auto lines = trace.Lines();
+  BOOST_TEST(lines[0].find("waited_ms=4.0") != std::string::npos);
+  BOOST_TEST(lines[1].ends_with("list_age_ms=700 list_told_by=store"));
+  BOOST_TEST(lines[2].find("waited_ms=3.0") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(tells_a_repeat_from_a_hedge) {
   Send(AttemptKind::kRepeat, start);
   Send(AttemptKind::kHedge, start);
--- a/packages/callers/src/classify.cc
+++ b/packages/callers/src/classify.cc
@@ -31,6 +31,7 @@
   if (wishes.timeout) {
     timeout = std::min<std::chrono::microseconds>(timeout, *wishes.timeout);
   }
+  request.received = now;
   request.deadline = now + timeout;
 }
 
--- a/packages/callers/src/router.cc
+++ b/packages/callers/src/router.cc
@@ -70,6 +70,7 @@
   if (wishes.timeout) {
     timeout = std::min<std::chrono::microseconds>(timeout, *wishes.timeout);
   }
+  request.received = now;
   request.deadline = now + timeout;
   return true;
 }
--- a/packages/configuration/include/trefoilbend/configuration/messages.h
+++ b/packages/configuration/include/trefoilbend/configuration/messages.h
@@ -46,6 +46,17 @@
   std::optional<CallerBounds> bounds{};
 };
 
+/** @brief Who told what is known of the targets. */
+enum class ToldBy : std::uint8_t { kStore, kPeer };
+
+/** @brief How well the targets are known. */
+struct TargetKnowledge {
+  /** @brief Time as of which they are known. */
+  core::TimePoint as_of{};
+  /** @brief Who confirmed it. */
+  ToldBy told_by = ToldBy::kStore;
+};
+
 /** @brief Newest revisions, the oldest of them first, shared by the duties. */
 using RecentRevisions = std::shared_ptr<const std::vector<inventory::Revised>>;
 
--- a/packages/core/include/trefoilbend/core/call.h
+++ b/packages/core/include/trefoilbend/core/call.h
@@ -51,6 +51,8 @@
   /** @brief Time within which an answer has its full worth; zero if the route
    * has no such objective. */
   std::chrono::milliseconds objective{};
+  /** @brief Time at which the request was read whole. */
+  TimePoint received{};
   /** @brief Time at which the caller stops waiting. */
   TimePoint deadline{};
   /** @brief Time up to which a target's answer is awaited if it is later than
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -182,6 +182,7 @@
     all.catalogue->Start({.followers = followers,
                           .feed = &all.feed->RegistryInlet(),
                           .membership = &all.membership.ConfigurationInlet(),
+                          .choosing = &all.balancing.KnowledgeInlet(),
                           .automation = &all.rollout.ResultInlet()});
   }
 }
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -185,6 +185,9 @@
   /** @brief Time from the start of the exchange to the answer's head, or to the
    * failure. */
   core::Duration latency{};
+  /** @brief Time from the start of the exchange to the sending of the request;
+   * nothing if it was not sent. */
+  std::optional<core::Duration> waited{};
   /** @brief Load that the target told with its answer. */
   std::optional<LoadReport> load;
   /** @brief Where the answer can go on after it broke; nothing if the caller
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -132,7 +132,7 @@
   if (this->ended) {
     return;
   }
-  this->sent = true;
+  this->waited = this->Elapsed();
   beast::http::async_write(
       *this->connection, this->out,
       [self = this->shared_from_this()](const boost::system::error_code error,
@@ -367,7 +367,7 @@
     this->Finish(ExchangeResult::kBrokenWithinAnswer);
     return;
   }
-  if (!this->sent) {
+  if (!this->waited) {
     this->Finish(ExchangeResult::kNotSent);
     return;
   }
@@ -393,6 +393,7 @@
                    .result = result,
                    .status = status,
                    .latency = answered ? this->latency : this->Elapsed(),
+                   .waited = this->waited,
                    .load = this->load,
                    .resume = answered ? std::nullopt : this->resume});
 }
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -121,7 +121,8 @@
   std::array<char, kPartSize> part;
   std::optional<LoadReport> load;
   std::optional<ResumePoint> resume;
-  bool sent{};
+  /** Time from the start to the sending of the request. */
+  std::optional<core::Duration> waited;
   bool head_passed{};
   bool abandoned{};
   /** What is reported of an answer that is not passed on. */
--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -34,6 +35,14 @@
  * registration lapsed meanwhile register again. */
 inline constexpr std::chrono::milliseconds kReturnTime{2'000};
 
+/** @brief A target that is kept though its row is gone. */
+struct KeptTarget {
+  /** @brief Key of the row. */
+  std::string key;
+  /** @brief Time for which it is kept at least. */
+  core::Duration left{};
+};
+
 /**
  * @brief What operators, targets and entries have written to the store, made
  * into one configuration.
@@ -142,6 +151,11 @@
   /** @return Rows that could not be read since the last call. */
   [[nodiscard]] std::vector<std::string> TakeUnreadable();
 
+  /** @return Targets that were kept without a row since the last call. */
+  [[nodiscard]] std::vector<KeptTarget> TakeKept() {
+    return std::exchange(this->kept, {});
+  }
+
  private:
   struct Target {
     TargetRecord record;
@@ -214,6 +228,7 @@
   std::map<core::ServiceName, inventory::Release> current;
   inventory::ConfigurationPtr restored;
   std::vector<std::string> unreadable;
+  std::vector<KeptTarget> kept;
   bool reachable = true;
   core::TimePoint returned_at{};
 };
--- a/packages/registry/include/trefoilbend/registry/duty.h
+++ b/packages/registry/include/trefoilbend/registry/duty.h
@@ -39,6 +39,9 @@
   core::Ring<feed::ToFeed>* feed{};
   /** @brief What the duty that talks to the peers needs. */
   core::Ring<configuration::Progress>* membership{};
+  /** @brief How well the targets are known, for the duty that chooses them;
+   * may be null. */
+  core::Ring<configuration::TargetKnowledge>* choosing{};
   /** @brief Results for the duty that moves releases. */
   core::Ring<configuration::ChangeResult>* automation{};
 };
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -191,6 +191,7 @@
     return;
   }
   found->second.lapses = std::max(this->returned_at, now) + kReturnTime;
+  this->kept.push_back({.key = key, .left = *found->second.lapses - now});
 }
 
 std::vector<std::string> Catalogue::TargetKeys() const {
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -49,6 +49,7 @@
     .first = std::chrono::milliseconds{200},
     .most = std::chrono::milliseconds{1'000}};
 constexpr std::size_t kMostUnreadableNamed = 8;
+constexpr std::size_t kMostKeptNamed = 8;
 constexpr std::size_t kMostChangeLines = 24;
 
 core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
@@ -180,7 +181,9 @@
 
   void Hear(const feed::Heard& heard) override {
     for (const feed::Learnt& learnt : heard.tables) {
-      this->Followers().at(learnt.table)->Hear(learnt.news);
+      this->Followers()
+          .at(learnt.table)
+          ->Hear(learnt.news, heard.confirmed.value_or(Now()));
     }
     if (!heard.confirmed) {
       return;
@@ -364,6 +367,7 @@
   void Rebuild() {
     auto built = this->catalogue.Build(this->wall.Seconds());
     this->WarnUnreadable();
+    this->TellKept();
     if (!built ||
         !(this->has_update || this->ForAll(&internal::TableFollower::IsKnown) ||
           built->bounds == std::nullopt)) {
@@ -440,6 +444,19 @@
                                  this->targets.ConfirmedAt().value_or(Now()));
     }
     this->outbox.Send(confirmation);
+    this->TellChoosing();
+  }
+
+  /** The duty that chooses targets tells with each call how old what it knew
+   * was; a word that finds the ring full is followed by another. */
+  void TellChoosing() {
+    if (this->outlets.choosing == nullptr || !this->targets.ConfirmedAt()) {
+      return;
+    }
+    if (!this->outlets.choosing->TryPush({.as_of = *this->targets.ConfirmedAt(),
+                                          .told_by = this->targets.ToldBy()})) {
+      this->log.Debug("The ring of what is known of targets is full.");
+    }
   }
 
   [[nodiscard]] bool ForAll(bool (internal::TableFollower::*holds)()
@@ -448,6 +465,20 @@
            (this->fleet.*holds)();
   }
 
+  void TellKept() {
+    const std::vector<KeptTarget> kept = this->catalogue.TakeKept();
+    this->metrics.kept.Increment(static_cast<double>(kept.size()));
+    for (std::size_t at = 0; at < std::min(kept.size(), kMostKeptNamed); ++at) {
+      this->log.Info(
+          "Row of a target is gone, keeps the target. row={} left_ms={} "
+          "store_answers={}",
+          kept[at].key,
+          std::chrono::duration_cast<std::chrono::milliseconds>(kept[at].left)
+              .count(),
+          this->StoreAnswers());
+    }
+  }
+
   void WarnUnreadable() {
     const auto keys = this->catalogue.TakeUnreadable();
     this->metrics.unreadable.Increment(static_cast<double>(keys.size()));
--- a/packages/registry/src/internal/metrics.h
+++ b/packages/registry/src/internal/metrics.h
@@ -3,10 +3,13 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <string>
 
+#include "trefoilbend/core/clock.h"
+
 namespace trefoilbend::registry::internal {
 
 /** @brief Metrics of what is read from the store. */
@@ -25,14 +28,24 @@
    */
   void CountCall(const std::string& kind, bool answered);
 
+  /**
+   * @brief Counts the time between two confirmations of a table.
+   * @param table Name of the table.
+   * @param gap Time between what was known before and what is known now.
+   */
+  void CountGap(const std::string& table, core::Duration gap);
+
  private:
   prometheus::Family<prometheus::Counter>& store_calls;
+  prometheus::Family<prometheus::Histogram>& gaps;
 
  public:
   /** @brief Rows that could not be read. */
   prometheus::Counter& unreadable;
   /** @brief Reads that were older than what is known. */
   prometheus::Counter& stale;
+  /** @brief Targets that were kept though their rows were gone. */
+  prometheus::Counter& kept;
   /** @brief 1 while a peer tells this entry what the store holds, else 0. */
   prometheus::Gauge& listens;
 
--- a/packages/registry/src/internal/table_follower.h
+++ b/packages/registry/src/internal/table_follower.h
@@ -4,11 +4,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 
 #include "internal/metrics.h"
+#include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/feed/table_image.h"
@@ -86,8 +88,9 @@
   /**
    * @brief Takes what a peer knows of the table.
    * @param news Changes or the whole table.
+   * @param as_of Time as of which the peer knows the table.
    */
-  void Hear(const feed::TableNews& news);
+  void Hear(const feed::TableNews& news, core::TimePoint as_of);
 
   /**
    * @brief Takes note of how a peer stands to the store.
@@ -109,6 +112,11 @@
     return this->confirmed_at;
   }
 
+  /** @return Who confirmed last what is known of the table. */
+  [[nodiscard]] configuration::ToldBy ToldBy() const noexcept {
+    return this->told_by;
+  }
+
   /** @return Whether the store answers for the table. */
   [[nodiscard]] bool Answers() const noexcept { return this->answers; }
 
@@ -125,6 +133,10 @@
   void OnRead(const platform::TableOutcome& outcome);
   void OnWatched(const platform::ChangesOutcome& outcome, core::TimePoint sent);
   void NoteAnswer(bool now_answers, const std::string& message);
+  /** Takes note of the time as of which the table is known. */
+  void NoteConfirmed(core::TimePoint as_of, configuration::ToldBy by);
+  /** Tells that rows have changed, and how old that word is. */
+  void LogChanges(std::size_t changes, core::TimePoint as_of) const;
   void After(std::chrono::milliseconds wait, void (TableFollower::*step)());
 
   FollowerOwner& owner;
@@ -142,6 +154,7 @@
   /** Whether a watch is under way. */
   bool watching = false;
   std::optional<core::TimePoint> confirmed_at;
+  configuration::ToldBy told_by = configuration::ToldBy::kStore;
   core::Log log{"registry"};
 };
 
--- a/packages/registry/src/table_follower.cc
+++ b/packages/registry/src/table_follower.cc
@@ -66,7 +66,8 @@
   }
   this->known = true;
   this->reading = false;
-  this->confirmed_at = Now();
+  this->NoteConfirmed(Now(), configuration::ToldBy::kStore);
+  this->LogChanges(state.rows.size(), Now());
   this->owner.NoteLearnt(this->table, state);
   this->owner.NoteRead();
   this->owner.NoteChange();
@@ -110,14 +111,19 @@
   }
 }
 
-void TableFollower::Hear(const feed::TableNews& news) {
+void TableFollower::Hear(const feed::TableNews& news,
+                         const core::TimePoint as_of) {
   Catalogue& catalogue = this->owner.GetCatalogue();
+  this->told_by = configuration::ToldBy::kPeer;
   if (const auto* state = std::get_if<platform::TableState>(&news)) {
     if (!catalogue.Take(this->table, *state, Now())) {
       return;
     }
+    this->LogChanges(state->rows.size(), as_of);
   } else {
-    catalogue.Take(this->table, std::get<platform::TableChanges>(news), Now());
+    const auto& changes = std::get<platform::TableChanges>(news);
+    catalogue.Take(this->table, changes, Now());
+    this->LogChanges(changes.changes.size(), as_of);
   }
   this->owner.NoteLearnt(this->table, news);
   this->owner.NoteChange();
@@ -125,10 +131,32 @@
 
 void TableFollower::HearConfirmed(const core::TimePoint as_of,
                                   const bool answering) {
-  this->confirmed_at = std::max(this->confirmed_at.value_or(as_of), as_of);
+  this->NoteConfirmed(as_of, configuration::ToldBy::kPeer);
   this->NoteAnswer(answering, "a peer says so");
 }
 
+void TableFollower::NoteConfirmed(const core::TimePoint as_of,
+                                  const configuration::ToldBy by) {
+  const core::TimePoint before = this->confirmed_at.value_or(as_of);
+  if (as_of < before) {
+    return;
+  }
+  this->told_by = by;
+  this->confirmed_at = as_of;
+  this->owner.GetMetrics().CountGap(this->name, as_of - before);
+}
+
+void TableFollower::LogChanges(const std::size_t changes,
+                               const core::TimePoint as_of) const {
+  const bool own = this->told_by == configuration::ToldBy::kStore;
+  this->log.Info(
+      "Table has changed. table={} version={} rows={} told_by={} age_ms={}",
+      this->name, this->owner.GetCatalogue().VersionOf(this->table).Value(),
+      changes, own ? "store" : "peer",
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now() - as_of)
+          .count());
+}
+
 void TableFollower::Watch() {
   if (this->owner.IsBacklogged()) {
     this->After(kBacklogTime, &TableFollower::Watch);
@@ -167,13 +195,14 @@
   }
   const auto& changes = std::get<platform::TableChanges>(outcome);
   this->owner.GetCatalogue().Take(this->table, changes, Now());
-  this->confirmed_at = Now();
+  this->NoteConfirmed(Now(), configuration::ToldBy::kStore);
   this->owner.NoteLearnt(this->table, changes);
   this->owner.NoteWatched(sent);
   if (changes.changes.empty()) {
     this->Watch();
     return;
   }
+  this->LogChanges(changes.changes.size(), Now());
   this->owner.NoteChange();
   this->After(this->pace.pause, &TableFollower::Watch);
 }
--- a/packages/registry/test/catalogue_test.cc
+++ b/packages/registry/test/catalogue_test.cc
@@ -268,6 +268,18 @@
   BOOST_TEST((Live() == Names{"b"}));
 }
 
+BOOST_AUTO_TEST_CASE(tells_once_which_targets_it_keeps) {
+  catalogue.NoteStore(false, now);
+  now += 8s;
+  catalogue.NoteStore(true, now);
+  Delete(Table::kTargets, "a");
+  const std::vector<KeptTarget> kept = catalogue.TakeKept();
+  BOOST_REQUIRE(kept.size() == 1U);
+  BOOST_TEST(kept.front().key == "a");
+  BOOST_TEST((kept.front().left == kReturnTime));
+  BOOST_TEST(catalogue.TakeKept().empty());
+}
+
 BOOST_AUTO_TEST_CASE(drops_one_that_was_draining_at_once) {
   Write(Table::kTargets, "a", "v1 draining");
   catalogue.NoteStore(false, now);
