--- a/stand_ins/store/store.cc
+++ b/stand_ins/store/store.cc
@@ -54,6 +54,35 @@
                      .Build(context);
 }
 
+core::Outcome<std::monostate, std::string> Store::Open(
+    const http::Address& address) {
+  std::shared_ptr<http::Server>& opened = this->further[address];
+  if (opened) {
+    return std::monostate{};
+  }
+  opened =
+      http::Server::Builder{}
+          .On(address)
+          .WithHandler([this, address](const http::Request& request,
+                                       http::Respond respond) {
+            this->Handle(request, [this, address, respond = std::move(respond)](
+                                      const http::Response& response) {
+              const bool away = this->faults.turned_away.contains(address);
+              respond(away ? Answer({}, 503) : response);
+            });
+          })
+          .Build(this->context);
+  return opened->Listen();
+}
+
+void Store::ForgetWatchers() {
+  for (const Watcher& watcher : this->watchers) {
+    watcher.timer->cancel();
+    this->unanswered.push_back(watcher.respond);
+  }
+  this->watchers.clear();
+}
+
 void Store::Handle(const http::Request& request, http::Respond respond) {
   static const std::map<std::pair<std::string, std::string>, Method> kMethods{
       {{"POST", "/rows-tx"}, &Store::Transact},
@@ -66,6 +95,7 @@
   }
   ++this->calls[path];
   if (this->faults.silent) {
+    this->unanswered.push_back(std::move(respond));
     return;
   }
   if (this->faults.over_rate > 0) {
@@ -131,6 +161,10 @@
 
 void Store::Feed(const http::Request& request, const http::Respond& respond) {
   auto query = http::QueryOf(request.target);
+  if (query["TableName"] == this->faults.silent_table) {
+    this->unanswered.push_back(respond);
+    return;
+  }
   Watcher watcher{
       .table = query["TableName"],
       .after = NumberOf(query["after"]),
--- a/stand_ins/store/store.h
+++ b/stand_ins/store/store.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,11 @@
   int stale_reads = 0;
   /** @brief Calls that are answered 429. */
   int over_rate = 0;
+  /** @brief Further addresses whose callers are answered 503, while the others
+   * are served. */
+  std::set<http::Address> turned_away;
+  /** @brief Table whose watches are not answered; empty for none. */
+  std::string silent_table;
 };
 
 /** @brief Stand-in for the users' store, over HTTP. */
@@ -48,6 +54,18 @@
   /** @return Server of the store. */
   [[nodiscard]] http::Server& GetServer() noexcept { return *this->server; }
 
+  /**
+   * @brief Opens a further address, whose callers can be turned away alone.
+   * @param address Address to listen on; one that is open stays so.
+   * @return Nothing, or the reason why the address cannot be used.
+   */
+  [[nodiscard]] core::Outcome<std::monostate, std::string> Open(
+      const http::Address& address);
+
+  /** @brief Never answers the watches that wait now, as on connections that
+   * went silent. */
+  void ForgetWatchers();
+
   /** @brief Switches of the faults; set on the store's thread only. */
   StoreFaults faults;
 
@@ -96,8 +114,11 @@
   VersionedTable table;
   VersionedTable before;
   std::vector<Watcher> watchers;
+  /** Calls that get no answer; their connections stay open. */
+  std::vector<http::Respond> unanswered;
   std::map<std::string, int> calls;
   std::shared_ptr<http::Server> server;
+  std::map<http::Address, std::shared_ptr<http::Server>> further;
 };
 
 }  // namespace trefoilbend::stand_ins
--- a/tests/users_platform/feed_test.cc
+++ b/tests/users_platform/feed_test.cc
@@ -1,9 +1,12 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <numeric>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "platform.h"
 
@@ -39,13 +42,43 @@
     return listeners;
   }
 
-  [[nodiscard]] int FirstReader() const {
-    int number = 1;
-    for (const auto listeners = this->Listeners();
-         listeners.contains(number);) {
-      ++number;
+  /** Numbers of the entries that read the store for all. */
+  [[nodiscard]] std::vector<int> Readers() const {
+    std::vector<int> readers;
+    const auto listeners = this->Listeners();
+    for (int number = 1; number <= kFleet; ++number) {
+      if (!listeners.contains(number)) {
+        readers.push_back(number);
+      }
     }
-    return number;
+    return readers;
+  }
+
+  [[nodiscard]] static std::vector<int> All() {
+    std::vector<int> all(kFleet);
+    std::iota(all.begin(), all.end(), 1);
+    return all;
+  }
+
+  [[nodiscard]] int FirstReader() const { return this->Readers().front(); }
+
+  /** Removes the rows of the targets a and b, which stay up. */
+  void RemoveNearTargets() {
+    this->OnStore([](stand_ins::Store& store) {
+      store.Write("servers/a", std::nullopt);
+      store.Write("servers/b", std::nullopt);
+    });
+  }
+
+  /** Whether some entries send their calls to target c alone in time. */
+  [[nodiscard]] bool UseOnlyTheFarTarget(const std::vector<int>& entries) {
+    return Await(
+        [&] {
+          return std::all_of(entries.begin(), entries.end(), [&](int number) {
+            return this->Call("/look/1", "GET", number).body == "c";
+          });
+        },
+        kInForce);
   }
 
   [[nodiscard]] int CallsOf(const std::string& path) {
@@ -133,21 +166,50 @@
 }
 
 BOOST_AUTO_TEST_CASE(read_anew_what_its_history_no_longer_tells) {
+  OnStore([](auto& store) { store.ForgetHistory(); });
+  RemoveNearTargets();
+  BOOST_TEST(UseOnlyTheFarTarget(All()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_store_turns_some_away_and_serves_the_others)
+
+/** Calls to targets that had left, since the readers could not reach the store
+ * and all others took that for an outage (incident DRAIN). */
+BOOST_AUTO_TEST_CASE(those_that_are_served_leave_targets_whose_rows_are_gone) {
+  std::vector<int> served = All();
+  for (const int reader : Readers()) {
+    TurnAway(reader);
+    std::erase(served, reader);
+  }
+  std::this_thread::sleep_for(1s);
+  RemoveNearTargets();
+  BOOST_TEST(UseOnlyTheFarTarget(served));
+}
+
+/** Calls to targets that had left, for 2 s after a listener had turned from one
+ * reader to another (incident DRAIN). */
+BOOST_AUTO_TEST_CASE(listeners_of_one_reader_hear_of_removals_from_the_other) {
+  const int reader = FirstReader();
+  std::vector<int> served = All();
+  std::erase(served, reader);
+  TurnAway(reader);
+  std::this_thread::sleep_for(700ms);
+  RemoveNearTargets();
+  BOOST_TEST(UseOnlyTheFarTarget(served));
+}
+
+/** Calls to targets that had left, since another table of the store could not
+ * be watched (incident DRAIN). */
+BOOST_AUTO_TEST_CASE(removals_hold_though_another_table_is_silent) {
   OnStore([](auto& store) {
-    store.ForgetHistory();
-    store.Write("servers/a", std::nullopt);
-    store.Write("servers/b", std::nullopt);
+    store.faults.silent_table = "fleet";
+    store.ForgetWatchers();
   });
-  BOOST_TEST(Await(
-      [this] {
-        for (int number = 1; number <= kFleet; ++number) {
-          if (Call("/look/1", "GET", number).body != "c") {
-            return false;
-          }
-        }
-        return true;
-      },
-      kInForce));
+  std::this_thread::sleep_for(3s);
+  RemoveNearTargets();
+  BOOST_TEST(UseOnlyTheFarTarget(All()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/path_test.cc
+++ b/tests/users_platform/path_test.cc
@@ -217,6 +217,22 @@
   }
 }
 
+/** Changes unknown for 15 s, since an entry that reads for itself alone did not
+ * notice that its watches had gone silent (incident DRAIN). */
+BOOST_AUTO_TEST_CASE(puts_it_into_force_though_its_watches_went_silent_before) {
+  constexpr std::chrono::seconds kInTouch{3};
+  BOOST_REQUIRE(Await([this] {
+    bool watches = false;
+    OnStore(
+        [&](auto& store) { watches = store.Calls().contains("/rows-feed"); });
+    return watches;
+  }));
+  OnStore([](auto& store) { store.ForgetWatchers(); });
+  std::this_thread::sleep_for(kInTouch);
+  WriteDesiredState(2, "/other/");
+  BOOST_TEST(BecomesStatus("/other/1", 200));
+}
+
 BOOST_AUTO_TEST_CASE(takes_it_once_the_store_is_back) {
   OnStore([](auto& store) { store.faults.silent = true; });
   std::this_thread::sleep_for(1'500ms);
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -19,6 +19,8 @@
 constexpr std::uint16_t kOperations = 8'147;
 constexpr std::uint16_t kFeed = 7'661;
 constexpr std::uint16_t kTarget = 8'200;
+/** Ports of the store follow this one by the numbers of its entries. */
+constexpr std::uint16_t kStorePorts = 9'000;
 constexpr int kStoreHost = 2;
 constexpr int kFirstTargetHost = 10;
 /** Hosts of the entries follow this one by their numbers. */
@@ -144,10 +146,12 @@
   document.Set("balancing", "probes", "2");
   document.Set("balancing", "fleet-attempts", "50");
   document.Set("platform", "kind", "users-store");
-  document.Set("platform", "address",
-               http::ToString(this->At(kStoreHost, kFront)));
+  this->OnStore([&](stand_ins::Store& one) {
+    BOOST_REQUIRE(core::Succeeded(one.Open(this->StoreOf(number))));
+  });
+  document.Set("platform", "address", http::ToString(this->StoreOf(number)));
   document.Set("platform", "timeout", "300ms");
-  document.Set("platform", "watch", "1s");
+  document.Set("platform", "watch", "15s");
   document.Set("membership", "address", address(kPeers));
   document.Set("membership", "feed-address", address(kFeed));
   document.Set("operations", "address", address(kOperations));
@@ -196,6 +200,16 @@
   done.get_future().get();
 }
 
+void Platform::TurnAway(const int number, const bool away) {
+  this->OnStore([&](stand_ins::Store& one) {
+    if (away) {
+      one.faults.turned_away.insert(this->StoreOf(number));
+    } else {
+      one.faults.turned_away.erase(this->StoreOf(number));
+    }
+  });
+}
+
 int Platform::Runs() const {
   int all = 0;
   for (const auto& [id, target] : this->targets) {
@@ -254,6 +268,10 @@
   return true;
 }
 
+http::Address Platform::StoreOf(const int number) const {
+  return this->At(kStoreHost, static_cast<std::uint16_t>(kStorePorts + number));
+}
+
 http::Address Platform::At(const int host, const std::uint16_t port) const {
   return this->network.At(host, port);
 }
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -123,6 +123,14 @@
    */
   void OnStore(const std::function<void(stand_ins::Store&)>& action);
 
+  /**
+   * @brief Has the store turn an entry away, or serve it again; it serves the
+   * others meanwhile.
+   * @param number Number of the entry.
+   * @param away Whether it is turned away.
+   */
+  void TurnAway(int number, bool away = true);
+
   /** @return A target by its identity. */
   [[nodiscard]] Endpoint& Target(const std::string& id) {
     return *this->targets.at(id);
@@ -174,6 +182,8 @@
 
  private:
   [[nodiscard]] http::Address At(int host, std::uint16_t port) const;
+  /** Address under which an entry knows the store. */
+  [[nodiscard]] http::Address StoreOf(int number) const;
   [[nodiscard]] static http::Response Get(const http::Address& address,
                                           const std::string& target);
 
