Judge outages by the age of what is known, not by what others can reach

Cause: a target whose row is gone was kept while the store counted as out of reach, and for 2 s after. Whether it did was hearsay: a reader's word that the store did not answer it overruled what an entry had just read itself, a silent watch of any table counted for all tables, and nothing but the next answer of a watch of up to 15 s ended it. Without a bound, since nothing was dropped before that.

Now an outage is a time of 2.5 s in which nobody has confirmed what this entry knows of the table of the targets; for 2 s after it rows that are gone count as lapsed, and a target is dropped once it is known as of then not to be back. A change in touch is known within 2 s, and registrations last 4.5 s, so the two cannot be taken for each other. A reader's word that the store turns it away decides only whom an entry listens to: it asks another and reads by itself at once, no longer after 1.6 s.

drops_nothing_while_the_store_is_away became drops_nothing_while_the_store_ is_away_again: nothing can be read while nobody confirms anything, so the story adds the silence, the return and the time after it.

--- a/packages/feed/include/trefoilbend/feed/messages.h
+++ b/packages/feed/include/trefoilbend/feed/messages.h
@@ -34,7 +34,8 @@
 struct Confirmation {
   /** @brief Time as of which all tables are known; nothing if they are not. */
   std::optional<core::TimePoint> at;
-  /** @brief Whether the store answers. */
+  /** @brief Whether the store answers this entry; peers do not wait for news of
+   * one that it does not answer. */
   bool store_answers{};
 };
 
@@ -51,9 +52,6 @@
   std::vector<platform::RowVersion> after;
   /** @brief Longest time that the peer waits for news. */
   std::chrono::milliseconds wait{};
-  /** @brief Whether this entry believes that the store answers; the peer waits
-   * only while it believes the same. */
-  bool store_answers{};
   /** @brief Time as of which this entry knows the store, if it does; the peer
    * does not wait once it knows it as of a later time. */
   std::optional<core::TimePoint> confirmed;
@@ -69,7 +67,8 @@
   /** @brief Time as of which the peer knows the store; nothing if it does not
    * know all tables. */
   std::optional<core::TimePoint> confirmed;
-  /** @brief Whether the store answers the peer. */
+  /** @brief Whether the store answers the peer; it tells nothing of whether the
+   * store answers others. */
   bool store_answers{};
 };
 
--- a/packages/feed/src/duty.cc
+++ b/packages/feed/src/duty.cc
@@ -104,7 +104,8 @@
                                               ask](wire::Feed::Client client) {
         auto request = client.watchRequest();
         request.setWaitMs(static_cast<std::uint32_t>(ask.wait.count()));
-        request.setStoreAnswers(ask.store_answers);
+        // Earlier programs wait only if told what they believe themselves.
+        request.setStoreAnswers(true);
         request.setKnown(ask.confirmed.has_value());
         if (ask.confirmed) {
           request.setAgeMs(internal::AgeOf(*ask.confirmed,
--- a/packages/feed/src/server.cc
+++ b/packages/feed/src/server.cc
@@ -56,8 +56,8 @@
                               std::chrono::milliseconds{params.getAgeMs()}
                         : core::TimePoint{};
   if (wait == 0 || this->HasNews(params.getAfter()) ||
-      params.getStoreAnswers() != this->confirmation.store_answers ||
-      this->IsNewerThan(known) || this->waiting.size() >= kMostWaiting) {
+      !this->confirmation.store_answers || this->IsNewerThan(known) ||
+      this->waiting.size() >= kMostWaiting) {
     this->Tell(context);
     return kj::READY_NOW;
   }
--- a/packages/feed/test/feed_test.cc
+++ b/packages/feed/test/feed_test.cc
@@ -62,7 +62,6 @@
              .peer = peer,
              .after = {RowVersion{0}, RowVersion{known}, RowVersion{0}},
              .wait = wait,
-             .store_answers = true,
              .confirmed = std::chrono::steady_clock::now()});
     return answer;
   }
@@ -136,6 +135,13 @@
   BOOST_TEST(!heard.confirmed.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(does_not_wait_for_one_that_the_store_does_not_answer) {
+  reader.Send(Confirmation{.at = std::nullopt, .store_answers = false});
+  (void)listener.Begin(kReader, 0ms).get();
+  auto answer = listener.Begin(kReader, 5s, 5);
+  BOOST_TEST((answer.wait_for(4s) == std::future_status::ready));
+}
+
 BOOST_AUTO_TEST_CASE(is_told_when_the_store_has_confirmed_that) {
   auto answer = listener.Begin(kReader, 5s, 5);
   reader.Send(Confirmation{.at = std::chrono::steady_clock::now() + 1s,
--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -35,6 +35,14 @@
  * registration lapsed meanwhile register again. */
 inline constexpr std::chrono::milliseconds kReturnTime{2'000};
 
+/** @brief Time without a word on the targets' table from which the store counts
+ * as having been away; registrations last longer. */
+inline constexpr std::chrono::milliseconds kOutage{2'500};
+
+/** @brief The same within kReturnTime after an outage, so that a store that
+ * comes and goes does not drop the targets. */
+inline constexpr std::chrono::milliseconds kRelapse{1'200};
+
 /** @brief A target that is kept though its row is gone. */
 struct KeptTarget {
   /** @brief Key of the row. */
@@ -78,11 +86,16 @@
             core::TimePoint now);
 
   /**
-   * @brief Takes note of whether the store answers.
-   * @param reachable Whether it does.
-   * @param now Current time.
+   * @brief Takes note of the time as of which a table is known; called before
+   * what is news as of that time is taken.
+   *
+   * An outage of the store is a time without such a word, whoever told it. What
+   * an entry or a peer can reach by itself does not count.
+   *
+   * @param table Which table it is.
+   * @param as_of Time as of which the table is known.
    */
-  void NoteStore(bool reachable, core::TimePoint now) noexcept;
+  void NoteConfirmed(Table table, core::TimePoint as_of) noexcept;
 
   /**
    * @brief Takes a peer's configuration if it is newer than what is known.
@@ -104,14 +117,10 @@
 
   /**
    * @brief Drops the targets whose registration lapsed in an outage and that
-   * have not come back in time.
-   * @param now Current time.
+   * are known not to have come back in time.
    * @return Whether any was dropped.
    */
-  [[nodiscard]] bool DropLapsed(core::TimePoint now);
-
-  /** @return Time of the next drop, if one is due. */
-  [[nodiscard]] std::optional<core::TimePoint> NextDrop() const;
+  [[nodiscard]] bool DropLapsed();
 
   /**
    * @brief Makes the configuration of what is known.
@@ -161,7 +170,7 @@
     TargetRecord record;
     platform::RowVersion version;
     core::TimePoint cold_until{};
-    /** Time at which a lapsed registration is dropped. */
+    /** Time up to which a target without a row may register again. */
     std::optional<core::TimePoint> lapses;
   };
 
@@ -198,7 +207,8 @@
   [[nodiscard]] std::vector<std::string> FleetKeys() const;
 
   void Advance(Table table, platform::RowVersion version) noexcept;
-  [[nodiscard]] bool IsAfterOutage(core::TimePoint now) const noexcept;
+  /** Whether the targets' table was last known soon after an outage. */
+  [[nodiscard]] bool IsAfterOutage() const noexcept;
   /** Whether the tables hold all that a peer's configuration was made from. */
   [[nodiscard]] bool Includes(
       const inventory::Configuration& other) const noexcept;
@@ -229,8 +239,10 @@
   inventory::ConfigurationPtr restored;
   std::vector<std::string> unreadable;
   std::vector<KeptTarget> kept;
-  bool reachable = true;
-  core::TimePoint returned_at{};
+  /** Time as of which the targets' table is known. */
+  std::optional<core::TimePoint> confirmed;
+  /** Time as of which it was known again after the last outage. */
+  std::optional<core::TimePoint> returned_at;
 };
 
 }  // namespace trefoilbend::registry
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -79,21 +79,29 @@
   known = std::max(known, version);
 }
 
-void Catalogue::NoteStore(const bool now_reachable,
-                          const core::TimePoint now) noexcept {
-  if (!std::exchange(this->reachable, now_reachable) && now_reachable) {
-    this->returned_at = now;
-    for (auto& [key, target] : this->targets) {
-      if (target.lapses) {
-        target.lapses = now + kReturnTime;
-      }
+void Catalogue::NoteConfirmed(const Table table,
+                              const core::TimePoint as_of) noexcept {
+  if (table != Table::kTargets || as_of <= this->confirmed) {
+    return;
+  }
+  const bool was_away =
+      this->confirmed &&
+      as_of - *this->confirmed >= (this->IsAfterOutage() ? kRelapse : kOutage);
+  this->confirmed = as_of;
+  if (!was_away) {
+    return;
+  }
+  this->returned_at = as_of;
+  for (auto& [key, target] : this->targets) {
+    if (target.lapses) {
+      target.lapses = as_of + kReturnTime;
     }
   }
 }
 
-bool Catalogue::IsAfterOutage(const core::TimePoint now) const noexcept {
-  return !this->reachable || (this->returned_at != core::TimePoint{} &&
-                              now - this->returned_at < kReturnTime);
+bool Catalogue::IsAfterOutage() const noexcept {
+  return this->returned_at &&
+         *this->confirmed - *this->returned_at < kReturnTime;
 }
 
 core::Revision Catalogue::Revision() const noexcept {
@@ -180,18 +188,18 @@
       Target{std::move(*record), row.version, cold_until, std::nullopt});
 }
 
-void Catalogue::RemoveTarget(const std::string& key,
-                             const core::TimePoint now) {
+void Catalogue::RemoveTarget(const std::string& key, core::TimePoint /*now*/) {
   const auto found = this->targets.find(key);
   if (found == this->targets.end()) {
     return;
   }
-  if (found->second.record.draining || !this->IsAfterOutage(now)) {
+  if (found->second.record.draining || !this->IsAfterOutage()) {
     this->targets.erase(found);
     return;
   }
-  found->second.lapses = std::max(this->returned_at, now) + kReturnTime;
-  this->kept.push_back({.key = key, .left = *found->second.lapses - now});
+  found->second.lapses = *this->returned_at + kReturnTime;
+  this->kept.push_back(
+      {.key = key, .left = *found->second.lapses - *this->confirmed});
 }
 
 std::vector<std::string> Catalogue::TargetKeys() const {
@@ -204,25 +212,13 @@
   return keys;
 }
 
-bool Catalogue::DropLapsed(const core::TimePoint now) {
-  if (!this->reachable) {
-    return false;
-  }
-  return std::erase_if(this->targets, [&](const auto& entry) {
-           return entry.second.lapses && *entry.second.lapses <= now;
+bool Catalogue::DropLapsed() {
+  return std::erase_if(this->targets, [this](const auto& entry) {
+           return entry.second.lapses &&
+                  *entry.second.lapses <= *this->confirmed;
          }) > 0;
 }
 
-std::optional<core::TimePoint> Catalogue::NextDrop() const {
-  std::optional<core::TimePoint> next;
-  for (const auto& [key, target] : this->targets) {
-    if (target.lapses && (!next || *target.lapses < *next)) {
-      next = target.lapses;
-    }
-  }
-  return next;
-}
-
 void Catalogue::PutFleetRow(const platform::Row& row, core::TimePoint /*now*/) {
   auto object = inventory::DecodeObject(row.value);
   if (object && std::holds_alternative<inventory::Instance>(*object)) {
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -81,7 +81,6 @@
         source(*this, this->duty.Context(), this->options.self),
         releases(*this->store, this->catalogue, this->metrics),
         registration_timer(this->duty.Context()),
-        drop_timer(this->duty.Context()),
         behind_timer(this->duty.Context()),
         publish_timer(this->duty.Context()) {
     this->duty.Read(this->from_automation,
@@ -130,11 +129,7 @@
     return this->metrics;
   }
 
-  void NoteAnswers() override {
-    this->catalogue.NoteStore(this->StoreAnswers(), Now());
-    this->AwaitDrop();
-    this->Confirm();
-  }
+  void NoteAnswers() override { this->Confirm(); }
 
   void NoteLearnt(const Table table, feed::TableNews news) override {
     this->outbox.Send(feed::Learnt{.table = static_cast<std::size_t>(table),
@@ -175,21 +170,15 @@
             this->catalogue.VersionOf(Table::kFleet)};
   }
 
-  [[nodiscard]] bool StoreAnswers() const override {
-    return this->ForAll(&internal::TableFollower::Answers);
-  }
-
   void Hear(const feed::Heard& heard) override {
     for (const feed::Learnt& learnt : heard.tables) {
-      this->Followers()
-          .at(learnt.table)
-          ->Hear(learnt.news, heard.confirmed.value_or(Now()));
+      this->Followers().at(learnt.table)->Hear(learnt.news, heard.confirmed);
     }
     if (!heard.confirmed) {
       return;
     }
     for (internal::TableFollower* follower : this->Followers()) {
-      follower->HearConfirmed(*heard.confirmed, heard.store_answers);
+      follower->HearConfirmed(*heard.confirmed);
     }
     this->Confirm();
     this->TellMembership(*heard.confirmed);
@@ -281,14 +270,19 @@
       this->log.Warn("A peer's configuration cannot be read.");
       return;
     }
-    if (!(this->targets.IsKnown() && this->targets.Answers()) &&
-        this->catalogue.Restore(*configuration)) {
+    if (!this->KnowsTargets() && this->catalogue.Restore(*configuration)) {
       this->log.Info("Took a peer's configuration. revision={}",
                      (*configuration)->Revision().Value());
       this->NoteChange();
     }
   }
 
+  /** Whether what is known of the targets is as fresh as a peer may tell it. */
+  [[nodiscard]] bool KnowsTargets() const {
+    const auto as_of = this->targets.ConfirmedAt();
+    return as_of && Now() - *as_of < feed::kMostAge;
+  }
+
   void Register() {
     const std::string key = kEntryRows + this->options.self.name.Text();
     this->store->Transact(
@@ -340,7 +334,6 @@
 
   void Publish() {
     if (std::exchange(this->changed, false)) {
-      this->AwaitDrop();
       this->Rebuild();
     }
     bool all = true;
@@ -437,8 +430,12 @@
   /** Tells the peers' duty how well the tables are known. Entries tell each
    * other of their own rows, so the fleet's table may be older. */
   void Confirm() {
-    feed::Confirmation confirmation{.at = std::nullopt,
-                                    .store_answers = this->StoreAnswers()};
+    if (this->catalogue.DropLapsed()) {
+      this->NoteChange();
+    }
+    feed::Confirmation confirmation{
+        .at = std::nullopt,
+        .store_answers = this->orders.Answers() && this->targets.Answers()};
     if (this->ForAll(&internal::TableFollower::IsKnown)) {
       confirmation.at = std::min(this->orders.ConfirmedAt().value_or(Now()),
                                  this->targets.ConfirmedAt().value_or(Now()));
@@ -470,12 +467,10 @@
     this->metrics.kept.Increment(static_cast<double>(kept.size()));
     for (std::size_t at = 0; at < std::min(kept.size(), kMostKeptNamed); ++at) {
       this->log.Info(
-          "Row of a target is gone, keeps the target. row={} left_ms={} "
-          "store_answers={}",
+          "Row of a target is gone, keeps the target. row={} left_ms={}",
           kept[at].key,
           std::chrono::duration_cast<std::chrono::milliseconds>(kept[at].left)
-              .count(),
-          this->StoreAnswers());
+              .count());
     }
   }
 
@@ -500,19 +495,6 @@
     }
   }
 
-  void AwaitDrop() {
-    const auto next = this->catalogue.NextDrop();
-    if (!next) {
-      return;
-    }
-    this->drop_timer.expires_at(*next);
-    this->drop_timer.async_wait([this](const boost::system::error_code error) {
-      if (!error && this->catalogue.DropLapsed(Now())) {
-        this->NoteChange();
-      }
-    });
-  }
-
   Options options;
   Outlets outlets;
   std::unique_ptr<platform::WatchedStore> store;
@@ -525,7 +507,6 @@
   internal::PeerSource source;
   internal::ReleaseWriter releases;
   boost::asio::steady_timer registration_timer;
-  boost::asio::steady_timer drop_timer;
   boost::asio::steady_timer behind_timer;
   boost::asio::steady_timer publish_timer;
   platform::Backoff registration_backoff{kBackoff, std::random_device{}()};
--- a/packages/registry/src/internal/peer_source.h
+++ b/packages/registry/src/internal/peer_source.h
@@ -23,9 +23,6 @@
   [[nodiscard]] virtual std::vector<platform::RowVersion> KnownVersions()
       const = 0;
 
-  /** @return Whether this entry believes that the store answers. */
-  [[nodiscard]] virtual bool StoreAnswers() const = 0;
-
   /**
    * @brief Takes what a peer has told.
    * @param heard What the peer knows.
--- a/packages/registry/src/internal/table_follower.h
+++ b/packages/registry/src/internal/table_follower.h
@@ -35,7 +35,8 @@
   /** @return Metrics of the store's calls. */
   [[nodiscard]] virtual Metrics& GetMetrics() noexcept = 0;
 
-  /** @brief Takes note that the store answers for a table again, or no more. */
+  /** @brief Takes note that the store answers this entry for a table again, or
+   * no more. */
   virtual void NoteAnswers() = 0;
 
   /** @brief Takes note that a whole table was read. */
@@ -88,16 +89,16 @@
   /**
    * @brief Takes what a peer knows of the table.
    * @param news Changes or the whole table.
-   * @param as_of Time as of which the peer knows the table.
+   * @param as_of Time as of which the peer knows the table; nothing if it does
+   * not know it whole.
    */
-  void Hear(const feed::TableNews& news, core::TimePoint as_of);
+  void Hear(const feed::TableNews& news, std::optional<core::TimePoint> as_of);
 
   /**
-   * @brief Takes note of how a peer stands to the store.
-   * @param as_of Time as of which the peer knows the table.
-   * @param answering Whether the store answers the peer.
+   * @brief Takes note of the time as of which a peer knows the table.
+   * @param as_of That time.
    */
-  void HearConfirmed(core::TimePoint as_of, bool answering);
+  void HearConfirmed(core::TimePoint as_of);
 
   /**
    * @brief Sets the pace of watches; one under way that would wait longer gives
@@ -117,7 +118,7 @@
     return this->told_by;
   }
 
-  /** @return Whether the store answers for the table. */
+  /** @return Whether the store answers this entry for the table. */
   [[nodiscard]] bool Answers() const noexcept { return this->answers; }
 
   /** @return Whether the table was read whole at least once. */
@@ -136,7 +137,8 @@
   /** Takes note of the time as of which the table is known. */
   void NoteConfirmed(core::TimePoint as_of, configuration::ToldBy by);
   /** Tells that rows have changed, and how old that word is. */
-  void LogChanges(std::size_t changes, core::TimePoint as_of) const;
+  void LogChanges(std::size_t changes, configuration::ToldBy by,
+                  core::TimePoint as_of) const;
   void After(std::chrono::milliseconds wait, void (TableFollower::*step)());
 
   FollowerOwner& owner;
--- a/packages/registry/src/peer_source.cc
+++ b/packages/registry/src/peer_source.cc
@@ -85,7 +85,6 @@
                                     .peer = to.address,
                                     .after = this->owner.KnownVersions(),
                                     .wait = wait,
-                                    .store_answers = this->owner.StoreAnswers(),
                                     .confirmed = this->plan.Confirmed()});
   if (!this->waits_for_answer) {
     this->OnFailed("ring-full");
@@ -109,6 +108,10 @@
 
 void PeerSource::OnHeard(const feed::Heard& heard) {
   this->owner.Hear(heard);
+  if (!heard.store_answers) {
+    this->OnFailed("peer-cut-off");
+    return;
+  }
   if (!this->plan.NoteAnswer(this->peer.address, heard.confirmed, Now())) {
     this->OnFailed("peer-stale");
     return;
--- a/packages/registry/src/table_follower.cc
+++ b/packages/registry/src/table_follower.cc
@@ -56,7 +56,7 @@
   }
   const auto& state = std::get<platform::TableState>(outcome);
   Catalogue& catalogue = this->owner.GetCatalogue();
-  if (!catalogue.Take(this->table, state, Now())) {
+  if (state.version < catalogue.VersionOf(this->table)) {
     this->owner.GetMetrics().stale.Increment();
     this->log.Info("Read is stale. table={} version={} known={}", this->name,
                    state.version.Value(),
@@ -67,7 +67,8 @@
   this->known = true;
   this->reading = false;
   this->NoteConfirmed(Now(), configuration::ToldBy::kStore);
-  this->LogChanges(state.rows.size(), Now());
+  (void)catalogue.Take(this->table, state, Now());
+  this->LogChanges(state.rows.size(), configuration::ToldBy::kStore, Now());
   this->owner.NoteLearnt(this->table, state);
   this->owner.NoteRead();
   this->owner.NoteChange();
@@ -112,27 +113,29 @@
 }
 
 void TableFollower::Hear(const feed::TableNews& news,
-                         const core::TimePoint as_of) {
+                         const std::optional<core::TimePoint> as_of) {
   Catalogue& catalogue = this->owner.GetCatalogue();
-  this->told_by = configuration::ToldBy::kPeer;
+  if (as_of) {
+    this->HearConfirmed(*as_of);
+  }
+  std::size_t rows = 0;
   if (const auto* state = std::get_if<platform::TableState>(&news)) {
     if (!catalogue.Take(this->table, *state, Now())) {
       return;
     }
-    this->LogChanges(state->rows.size(), as_of);
+    rows = state->rows.size();
   } else {
     const auto& changes = std::get<platform::TableChanges>(news);
     catalogue.Take(this->table, changes, Now());
-    this->LogChanges(changes.changes.size(), as_of);
+    rows = changes.changes.size();
   }
+  this->LogChanges(rows, configuration::ToldBy::kPeer, as_of.value_or(Now()));
   this->owner.NoteLearnt(this->table, news);
   this->owner.NoteChange();
 }
 
-void TableFollower::HearConfirmed(const core::TimePoint as_of,
-                                  const bool answering) {
+void TableFollower::HearConfirmed(const core::TimePoint as_of) {
   this->NoteConfirmed(as_of, configuration::ToldBy::kPeer);
-  this->NoteAnswer(answering, "a peer says so");
 }
 
 void TableFollower::NoteConfirmed(const core::TimePoint as_of,
@@ -143,12 +146,14 @@
   }
   this->told_by = by;
   this->confirmed_at = as_of;
+  this->owner.GetCatalogue().NoteConfirmed(this->table, as_of);
   this->owner.GetMetrics().CountGap(this->name, as_of - before);
 }
 
 void TableFollower::LogChanges(const std::size_t changes,
+                               const configuration::ToldBy by,
                                const core::TimePoint as_of) const {
-  const bool own = this->told_by == configuration::ToldBy::kStore;
+  const bool own = by == configuration::ToldBy::kStore;
   this->log.Info(
       "Table has changed. table={} version={} rows={} told_by={} age_ms={}",
       this->name, this->owner.GetCatalogue().VersionOf(this->table).Value(),
@@ -194,15 +199,16 @@
     return;
   }
   const auto& changes = std::get<platform::TableChanges>(outcome);
-  this->owner.GetCatalogue().Take(this->table, changes, Now());
   this->NoteConfirmed(Now(), configuration::ToldBy::kStore);
+  this->owner.GetCatalogue().Take(this->table, changes, Now());
   this->owner.NoteLearnt(this->table, changes);
   this->owner.NoteWatched(sent);
   if (changes.changes.empty()) {
     this->Watch();
     return;
   }
-  this->LogChanges(changes.changes.size(), Now());
+  this->LogChanges(changes.changes.size(), configuration::ToldBy::kStore,
+                   Now());
   this->owner.NoteChange();
   this->After(this->pace.pause, &TableFollower::Watch);
 }
--- a/packages/registry/test/catalogue_test.cc
+++ b/packages/registry/test/catalogue_test.cc
@@ -77,10 +77,25 @@
 struct Fixture {
   Fixture() {
     this->Write(Table::kOrders, "config", "config 1");
+    this->catalogue.NoteConfirmed(Table::kTargets, this->now);
     this->Write(Table::kTargets, "a", "v1");
     this->Write(Table::kTargets, "b", "v1");
   }
 
+  /** The targets' table is known again after a time without a word of it. */
+  void ConfirmAfter(const core::Duration silence) {
+    this->now += silence;
+    this->catalogue.NoteConfirmed(Table::kTargets, this->now);
+  }
+
+  /** The targets' table is confirmed as often as usual for a while. */
+  void ConfirmFor(const core::Duration time) {
+    const core::TimePoint end = this->now + time;
+    while (this->now < end) {
+      this->ConfirmAfter(std::min<core::Duration>(700ms, end - this->now));
+    }
+  }
+
   RowVersion Write(const Table table, const std::string& key,
                    const std::string& value) {
     this->version = this->version.Next();
@@ -241,58 +256,111 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** Calls to targets that had left: their rows were read to be gone, and taken
+ * for lapsed since the store counted as away (incident DRAIN). */
+BOOST_AUTO_TEST_SUITE(whose_targets_table_is_confirmed_all_the_while)
+
+BOOST_AUTO_TEST_CASE(drops_a_target_at_once_after_the_longest_usual_silence) {
+  ConfirmAfter(2s);
+  Delete(Table::kTargets, "a");
+  BOOST_TEST((Live() == Names{"b"}));
+}
+
+BOOST_AUTO_TEST_CASE(drops_a_target_though_another_table_was_silent_for_long) {
+  catalogue.NoteConfirmed(Table::kFleet, now);
+  ConfirmFor(20s);
+  catalogue.NoteConfirmed(Table::kFleet, now);
+  Delete(Table::kTargets, "a");
+  BOOST_TEST((Live() == Names{"b"}));
+}
+
+BOOST_AUTO_TEST_CASE(passes_over_an_older_word_than_the_one_it_has) {
+  catalogue.NoteConfirmed(Table::kTargets, now - 20s);
+  ConfirmAfter(700ms);
+  Delete(Table::kTargets, "a");
+  BOOST_TEST((Live() == Names{"b"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(after_an_outage)
 
 BOOST_AUTO_TEST_CASE(waits_for_targets_whose_entries_lapsed_to_return) {
-  catalogue.NoteStore(false, now);
-  now += 8s;
-  catalogue.NoteStore(true, now);
+  ConfirmAfter(8s);
   Delete(Table::kTargets, "a");
   BOOST_TEST((Live() == Names{"a", "b"}));
-  now += 1s;
+  ConfirmFor(1s);
   Write(Table::kTargets, "a", "v1");
-  now += 5s;
-  BOOST_TEST(!catalogue.DropLapsed(now));
+  ConfirmFor(5s);
+  BOOST_TEST(!catalogue.DropLapsed());
   BOOST_TEST((Live() == Names{"a", "b"}));
 }
 
 BOOST_AUTO_TEST_CASE(takes_those_for_gone_that_have_not_returned_in_time) {
-  catalogue.NoteStore(false, now);
-  now += 8s;
-  catalogue.NoteStore(true, now);
+  ConfirmAfter(8s);
+  const core::TimePoint returned = now;
   Delete(Table::kTargets, "a");
-  BOOST_REQUIRE(catalogue.NextDrop());
-  BOOST_TEST((*catalogue.NextDrop() <= now + kReturnTime));
-  now += kReturnTime;
-  BOOST_TEST(catalogue.DropLapsed(now));
+  ConfirmAfter(1s);
+  BOOST_TEST(!catalogue.DropLapsed());
+  catalogue.NoteConfirmed(Table::kTargets, returned + kReturnTime);
+  BOOST_TEST(catalogue.DropLapsed());
   BOOST_TEST((Live() == Names{"b"}));
 }
 
-BOOST_AUTO_TEST_CASE(tells_once_which_targets_it_keeps) {
-  catalogue.NoteStore(false, now);
-  now += 8s;
-  catalogue.NoteStore(true, now);
+BOOST_AUTO_TEST_CASE(counts_the_time_of_return_from_the_return_alone) {
+  ConfirmAfter(8s);
+  const core::TimePoint returned = now;
+  ConfirmAfter(1s);
+  ConfirmAfter(900ms);
   Delete(Table::kTargets, "a");
-  const std::vector<KeptTarget> kept = catalogue.TakeKept();
-  BOOST_REQUIRE(kept.size() == 1U);
-  BOOST_TEST(kept.front().key == "a");
-  BOOST_TEST((kept.front().left == kReturnTime));
-  BOOST_TEST(catalogue.TakeKept().empty());
+  BOOST_TEST((Live() == Names{"a", "b"}));
+  catalogue.NoteConfirmed(Table::kTargets, returned + kReturnTime);
+  BOOST_TEST(catalogue.DropLapsed());
+}
+
+BOOST_AUTO_TEST_CASE(drops_one_that_leaves_after_that_time_at_once) {
+  ConfirmAfter(8s);
+  ConfirmFor(kReturnTime);
+  Delete(Table::kTargets, "a");
+  BOOST_TEST((Live() == Names{"b"}));
 }
 
 BOOST_AUTO_TEST_CASE(drops_one_that_was_draining_at_once) {
   Write(Table::kTargets, "a", "v1 draining");
-  catalogue.NoteStore(false, now);
-  catalogue.NoteStore(true, now);
+  ConfirmAfter(8s);
   Delete(Table::kTargets, "a");
-  BOOST_TEST(!catalogue.NextDrop().has_value());
+  BOOST_TEST((Live() == Names{"b"}));
+  BOOST_TEST(catalogue.TakeKept().empty());
 }
 
-BOOST_AUTO_TEST_CASE(drops_nothing_while_the_store_is_away) {
-  catalogue.NoteStore(false, now);
+BOOST_AUTO_TEST_CASE(drops_nothing_while_the_store_is_away_again) {
+  ConfirmAfter(8s);
   Delete(Table::kTargets, "a");
   now += 60s;
-  BOOST_TEST(!catalogue.DropLapsed(now));
+  BOOST_TEST(!catalogue.DropLapsed());
+  ConfirmAfter(0s);
+  BOOST_TEST(!catalogue.DropLapsed());
+  BOOST_TEST((Live() == Names{"a", "b"}));
+}
+
+BOOST_AUTO_TEST_CASE(begins_to_wait_anew_if_it_is_soon_away_again) {
+  ConfirmAfter(8s);
+  Delete(Table::kTargets, "a");
+  ConfirmAfter(kRelapse);
+  ConfirmAfter(1s);
+  BOOST_TEST(!catalogue.DropLapsed());
+  ConfirmAfter(1s);
+  BOOST_TEST(catalogue.DropLapsed());
+}
+
+BOOST_AUTO_TEST_CASE(tells_once_which_targets_it_keeps) {
+  ConfirmAfter(8s);
+  Delete(Table::kTargets, "a");
+  const std::vector<KeptTarget> kept = catalogue.TakeKept();
+  BOOST_REQUIRE(kept.size() == 1U);
+  BOOST_TEST(kept.front().key == "a");
+  BOOST_TEST((kept.front().left == kReturnTime));
+  BOOST_TEST(catalogue.TakeKept().empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/registry/test/peer_source_test.cc
+++ b/packages/registry/test/peer_source_test.cc
@@ -20,7 +20,6 @@
       const override {
     return {platform::RowVersion{4}};
   }
-  [[nodiscard]] bool StoreAnswers() const override { return true; }
   void Hear(const feed::Heard&) override { ++this->heard; }
   void ReadStore() override { this->reads = true; }
   void LeaveStoreToPeer() override { this->reads = false; }
@@ -71,14 +70,15 @@
     });
   }
 
-  void AnswerLast(const std::chrono::milliseconds age) {
+  void AnswerLast(const std::chrono::milliseconds age,
+                  const bool store_answers = true) {
     const feed::Ask ask = asks.back();
     source.Take({.id = ask.id,
                  .peer = ask.peer,
                  .result = feed::Heard{
                      .tables = {},
                      .confirmed = std::chrono::steady_clock::now() - age,
-                     .store_answers = true}});
+                     .store_answers = store_answers}});
     Run(10ms);
   }
 
@@ -128,6 +128,14 @@
   BOOST_TEST(owner.heard == 1);
 }
 
+BOOST_AUTO_TEST_CASE(when_the_store_turns_the_first_away) {
+  AnswerLast(200ms);
+  const http::Address first = asks.back().peer;
+  AnswerLast(300ms, false);
+  BOOST_TEST((owner.reads == true));
+  BOOST_TEST((asks.back().peer != first));
+}
+
 BOOST_AUTO_TEST_CASE(when_the_first_falls_silent_before_its_word_is_too_old) {
   AnswerLast(200ms);
   Run(feed::kMostAge - 400ms);
