--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -38,13 +38,14 @@
 /** Time for which a peer may know more, beyond the pause between two watches,
  * before what the store has not confirmed since is read anew. */
 constexpr std::chrono::milliseconds kBehind{600};
-/** Longest time after which an entry that reads for others confirms that
- * nothing has changed; feed::kMostAge covers it. */
-constexpr std::chrono::milliseconds kReaderWatch{700};
-/** Longest time between a failure and the next watch of such an entry. */
+/** Longest time after which an entry that reads the store confirms that nothing
+ * has changed; feed::kMostAge covers it. */
+constexpr std::chrono::milliseconds kMostWatch{700};
+/** Longest time between a failure and the next watch of an entry that reads for
+ * others. */
 constexpr std::chrono::milliseconds kReaderBackoff{300};
-/** The same for the fleet's table, whose rows entries tell each other too. */
-constexpr std::chrono::milliseconds kFleetWatch{2'000};
+/** kMostWatch of the fleet's table, whose rows entries tell each other too. */
+constexpr std::chrono::milliseconds kMostFleetWatch{2'000};
 constexpr platform::BackoffLimits kBackoff{
     .first = std::chrono::milliseconds{200},
     .most = std::chrono::milliseconds{1'000}};
@@ -388,20 +389,20 @@
     return {&this->orders, &this->targets, &this->fleet};
   }
 
-  /** Whoever reads for others confirms what it knows often; all that read for
-   * themselves alone take turns. */
+  /** Every entry that reads confirms what it knows often, so that it notices a
+   * watch that went silent; all that read for themselves alone take turns. */
   void SetPace() {
     const std::size_t entries = this->catalogue.EntryCount();
     const bool for_peers = this->source.ReadsForPeers();
     this->pause = WatchPause(for_peers ? feed::ReaderCount(entries) : entries);
-    WatchPace pace{.wait = this->options.watch, .pause = this->pause};
+    WatchPace pace{.wait = std::min(kMostWatch, this->options.watch),
+                   .pause = this->pause};
     if (for_peers) {
-      pace.wait = kReaderWatch;
       pace.most_backoff = kReaderBackoff;
     }
     this->orders.SetPace(pace);
     this->targets.SetPace(pace);
-    pace.wait = for_peers ? kFleetWatch : this->options.watch;
+    pace.wait = std::min(kMostFleetWatch, this->options.watch);
     this->fleet.SetPace(pace);
   }
 
