--- /dev/null
+++ b/tests/users_platform/faulty_target_test.cc
@@ -0,0 +1,126 @@
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "platform.h"
+#include "raw_target.h"
+#include "trefoilbend/wire/headers.h"
+
+namespace trefoilbend::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Time in which a call to a target that only floods has its answer; the call
+ * itself has 2 s. */
+constexpr std::chrono::milliseconds kSoon{1'000};
+const std::string kHealthy =
+    "HTTP/1.1 200 OK\r\nTrefoilbend-Instance-Id: raw\r\n"
+    "Trefoilbend-Server-Load: 0,0,6,100\r\nContent-Length: 0\r\n\r\n";
+const std::string kNotRun =
+    "HTTP/1.1 503 Busy\r\nTrefoilbend-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+/** The request's identity, from its head. */
+std::string IdOf(const std::string& head) {
+  const std::string name = std::string{wire::kRequestIdHeader} + ": ";
+  const std::size_t begin = head.find(name);
+  if (begin == std::string::npos) {
+    return "";
+  }
+  const std::size_t value = begin + name.size();
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
+/** An entry whose only target does what a story says with each request, and is
+ * healthy unless the story takes the health checks as well. */
+struct Flooded : Platform {
+  void Use(RawTarget::Story story, const std::string& kind = "non_idempotent") {
+    this->WriteDesiredState(1, "/look/", kind);
+    this->target = std::make_unique<RawTarget>(
+        this->RawTargetAddress(),
+        [this, story = std::move(story)](RawConnection& connection,
+                                         const std::string& head) {
+          const bool is_check = head.starts_with("GET /health");
+          if (is_check && !this->takes_checks) {
+            connection.Write(kHealthy);
+            return;
+          }
+          this->requests += is_check ? 0 : 1;
+          story(connection, head);
+        });
+    this->OnStore([this](stand_ins::Store& one) {
+      for (const char* id : {"a", "b", "c"}) {
+        one.Write("servers/" + std::string{id}, std::nullopt);
+      }
+      one.Write("servers/raw", EntryOf("raw", this->RawTargetAddress()));
+    });
+    this->StartEntry();
+    BOOST_REQUIRE(Await([this] { return this->Readiness() == 200; }));
+  }
+
+  /** Whether a call has some answer soon, and the entry lives on. */
+  [[nodiscard]] int StatusSoon() {
+    const auto begin = std::chrono::steady_clock::now();
+    const int status = this->Call("/look/1", "POST").status;
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < kSoon));
+    BOOST_TEST(this->Readiness() == 200);
+    return status;
+  }
+
+  std::atomic<int> requests{};
+  bool takes_checks = false;
+  std::unique_ptr<RawTarget> target;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_target_that_writes_an_old_refusal_again, Flooded)
+
+/** REFUSED: clients were told that requests had not run which had. */
+BOOST_AUTO_TEST_CASE(of_a_health_check_is_not_believed) {
+  takes_checks = true;
+  Use([](RawConnection& connection, const std::string& head) {
+    if (head.starts_with("GET /health")) {
+      connection.Write(kNotRun);
+      return;
+    }
+    connection.Write(kNotRun);
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nTrefoilbend-Request-Id: " + IdOf(head) +
+        "\r\nTrefoilbend-Server-Signature: s\r\n"
+        "Content-Length: 0\r\n\r\n");
+  });
+  BOOST_TEST(StatusSoon() == 502);
+  BOOST_TEST(requests == 1);
+}
+
+/** TWICE: what an old refusal seemed to spare ran at a second target. */
+BOOST_AUTO_TEST_CASE(of_an_earlier_request_is_passed_over) {
+  std::string refused;
+  Use([&refused](RawConnection& connection, const std::string& head) {
+    const std::string id = IdOf(head);
+    if (refused.empty()) {
+      refused =
+          "HTTP/1.1 503 Busy\r\nTrefoilbend-Not-Executed: 1\r\n"
+          "Trefoilbend-Request-Id: " +
+          id + "\r\nContent-Length: 0\r\n\r\n";
+      connection.Write(refused);
+      return;
+    }
+    connection.Write(refused);
+    connection.Write("HTTP/1.1 200 OK\r\nTrefoilbend-Request-Id: " + id +
+                     "\r\nTrefoilbend-Server-Signature: s\r\n"
+                     "Content-Length: 0\r\n\r\n");
+  });
+  BOOST_TEST(StatusSoon() == 503);
+  BOOST_TEST(StatusSoon() == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::tests
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -23,6 +23,7 @@
 constexpr std::uint16_t kStorePorts = 9'000;
 constexpr int kStoreHost = 2;
 constexpr int kFirstTargetHost = 10;
+constexpr int kRawTargetHost = 20;
 /** Hosts of the entries follow this one by their numbers. */
 constexpr int kEntries = 100;
 constexpr const char* kHost = "a.example";
@@ -97,11 +98,16 @@
 
 std::string Endpoint::Entry(const std::string& state,
                             const std::string& version) const {
-  return json{{"Address", http::ToString(this->address)},
+  return EntryOf(this->id, this->address, state, version);
+}
+
+std::string EntryOf(const std::string& id, const http::Address& address,
+                    const std::string& state, const std::string& version) {
+  return json{{"Address", http::ToString(address)},
               {"Info",
                {{"Service", "stock"},
                 {"Version", version},
-                {"Zone", this->id == "c" ? "far" : "near"},
+                {"Zone", id == "c" ? "far" : "near"},
                 {"Slots", 6}}},
               {"Status", {{"State", state}, {"Seq", 1}, {"WarmupLeft", "0ms"}}}}
       .dump();
@@ -210,6 +216,10 @@
   });
 }
 
+http::Address Platform::RawTargetAddress() const {
+  return this->At(kRawTargetHost, kTarget);
+}
+
 int Platform::Runs() const {
   int all = 0;
   for (const auto& [id, target] : this->targets) {
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -40,6 +40,19 @@
   kIsAnother,
 };
 
+/**
+ * @brief Makes what a target writes to the store of itself.
+ * @param id Identity of the target.
+ * @param address Address on which it listens.
+ * @param state ready or draining.
+ * @param version Version of its software.
+ * @return The row's value.
+ */
+[[nodiscard]] std::string EntryOf(const std::string& id,
+                                  const http::Address& address,
+                                  const std::string& state = "ready",
+                                  const std::string& version = "v1");
+
 /** @brief Target that speaks as the users' targets do. */
 class Endpoint {
  public:
@@ -136,6 +149,9 @@
     return *this->targets.at(id);
   }
 
+  /** @return Address that no target has yet. */
+  [[nodiscard]] http::Address RawTargetAddress() const;
+
   /** @return Requests that all targets have run. */
   [[nodiscard]] int Runs() const;
 
--- /dev/null
+++ b/tests/users_platform/raw_target.cc
@@ -0,0 +1,99 @@
+#include "raw_target.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace trefoilbend::tests {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kPoll{2};
+
+}  // namespace
+
+std::string RawConnection::ReadHead() {
+  std::string head;
+  this->socket.non_blocking(true);
+  while (!head.ends_with("\r\n\r\n") && !this->stopping) {
+    char byte{};
+    boost::system::error_code error;
+    this->socket.read_some(boost::asio::buffer(&byte, 1), error);
+    if (error == boost::asio::error::would_block) {
+      std::this_thread::sleep_for(kPoll);
+    } else if (error) {
+      return {};
+    } else {
+      head += byte;
+    }
+  }
+  return this->stopping ? std::string{} : head;
+}
+
+bool RawConnection::Write(const std::string& bytes) {
+  std::string_view left = bytes;
+  while (!left.empty() && !this->stopping) {
+    boost::system::error_code error;
+    const std::size_t written = this->socket.write_some(
+        boost::asio::buffer(left.data(), left.size()), error);
+    left.remove_prefix(written);
+    if (error == boost::asio::error::would_block) {
+      std::this_thread::sleep_for(kPoll);
+    } else if (error) {
+      return false;
+    }
+  }
+  return !this->stopping;
+}
+
+void RawConnection::WriteWithoutEnd(const std::string& bytes) {
+  while (this->Write(bytes)) {
+  }
+}
+
+RawTarget::RawTarget(const http::Address& address, Story story)
+    : acceptor(this->context,
+               tcp::endpoint{boost::asio::ip::make_address(address.host),
+                             address.port}),
+      story(std::move(story)) {
+  this->acceptor.non_blocking(true);
+  this->accepting = std::thread([this] { this->Accept(); });
+}
+
+RawTarget::~RawTarget() {
+  this->stopping = true;
+  this->accepting.join();
+  for (std::thread& connection : this->connections) {
+    connection.join();
+  }
+}
+
+void RawTarget::Accept() {
+  while (!this->stopping) {
+    tcp::socket socket{this->context};
+    boost::system::error_code error;
+    this->acceptor.accept(socket, error);
+    if (error) {
+      std::this_thread::sleep_for(kPoll);
+      continue;
+    }
+    this->connections.emplace_back(
+        [this, accepted = std::move(socket)]() mutable {
+          this->Serve(std::move(accepted));
+        });
+  }
+}
+
+void RawTarget::Serve(tcp::socket socket) {
+  RawConnection connection{std::move(socket), this->stopping};
+  for (std::string head = connection.ReadHead(); !head.empty();
+       head = connection.ReadHead()) {
+    this->story(connection, head);
+  }
+}
+
+}  // namespace trefoilbend::tests
--- /dev/null
+++ b/tests/users_platform/raw_target.h
@@ -0,0 +1,83 @@
+#ifndef TREFOILBEND_TESTS_USERS_PLATFORM_RAW_TARGET_H_
+#define TREFOILBEND_TESTS_USERS_PLATFORM_RAW_TARGET_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <list>
+#include <string>
+#include <thread>
+
+#include "trefoilbend/http/address.h"
+
+namespace trefoilbend::tests {
+
+/** @brief One connection of a target that writes bytes as a story says. */
+class RawConnection {
+ public:
+  /**
+   * @brief Takes a connection.
+   * @param socket The connection.
+   * @param stopping Whether the target ends.
+   */
+  RawConnection(boost::asio::ip::tcp::socket socket,
+                const std::atomic<bool>& stopping)
+      : socket(std::move(socket)), stopping(stopping) {}
+
+  /**
+   * @brief Waits for the head of a request without a body.
+   * @return The head; empty once the caller has closed.
+   */
+  [[nodiscard]] std::string ReadHead();
+
+  /**
+   * @brief Writes bytes.
+   * @param bytes What is written.
+   * @return False once the caller has closed.
+   */
+  bool Write(const std::string& bytes);
+
+  /**
+   * @brief Writes bytes again and again until the caller closes.
+   * @param bytes What is written.
+   */
+  void WriteWithoutEnd(const std::string& bytes);
+
+ private:
+  boost::asio::ip::tcp::socket socket;
+  const std::atomic<bool>& stopping;
+};
+
+/** @brief Target whose answers are written byte for byte by a story. */
+class RawTarget {
+ public:
+  /** @brief Answers one request, given its head. */
+  using Story = std::function<void(RawConnection&, const std::string&)>;
+
+  /**
+   * @brief Starts to listen.
+   * @param address Address to listen on.
+   * @param story What it does with each request.
+   */
+  RawTarget(const http::Address& address, Story story);
+  ~RawTarget();
+
+  RawTarget(const RawTarget&) = delete;
+  RawTarget& operator=(const RawTarget&) = delete;
+
+ private:
+  void Accept();
+  void Serve(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::io_context context{1};
+  boost::asio::ip::tcp::acceptor acceptor;
+  Story story;
+  std::atomic<bool> stopping{};
+  std::list<std::thread> connections;
+  std::thread accepting;
+};
+
+}  // namespace trefoilbend::tests
+
+#endif  // TREFOILBEND_TESTS_USERS_PLATFORM_RAW_TARGET_H_
