Bound what is read of answers that never end

Reported by the users: bytes that are no answer may come without end, in a head or a body, until the caller closes.

It can happen here. A head without end was given up at 32 KiB. The line of a chunk without end was buffered as long as bytes came, until the deadline; the body of a refusal, or answers to other requests, without end were read until the deadline, so that a call that had not run was told so only then, or not at all (504, or a closed connection, in place of 503).

Now 128 KiB wait to be parsed at most (64 KiB for a probe, 1 MiB for whole messages of the store and of operators), and of what nobody gets 64 KiB are read, answers to other requests included. The rest of an answer that is not passed on is awaited for 100 ms; its verdict stands when it breaks off, and the connection is closed.

--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -18,6 +18,12 @@
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kHeadLimit = 32U << 10U;
 constexpr std::uint64_t kNoLimit = UINT64_MAX;
+/** Bytes that are read to keep a connection though nobody gets them. */
+constexpr std::size_t kMostDiscarded = 64U << 10U;
+/** What the head of an answer to another request counts among them. */
+constexpr std::size_t kDiscardedHead = 1U << 10U;
+/** Time for which the rest of an answer that is not passed on is awaited. */
+constexpr std::chrono::milliseconds kDiscardTime{100};
 constexpr std::uint16_t kFirstServerError = 500;
 
 std::string_view View(const beast::string_view text) {
@@ -187,6 +193,11 @@
     this->Deliver("", true);
     return;
   }
+  if (this->withheld) {
+    this->connection->expires_at(
+        std::min(ExpiryOf(*this->order.request),
+                 std::chrono::steady_clock::now() + kDiscardTime));
+  }
   this->ReadPart();
 }
 
@@ -303,6 +314,12 @@
 }
 
 void Exchange::Deliver(std::string body, const bool complete) {
+  if (this->foreign || this->withheld) {
+    if (!this->MayDiscard(body.size())) {
+      this->Fail(beast::http::error::body_limit);
+      return;
+    }
+  }
   if (this->foreign) {
     complete ? this->SkipAnswer() : this->ReadPart();
     return;
@@ -329,8 +346,13 @@
   }
 }
 
+bool Exchange::MayDiscard(const std::size_t bytes) {
+  this->discarded += bytes;
+  return this->discarded <= kMostDiscarded;
+}
+
 void Exchange::SkipAnswer() {
-  if (!this->parser->keep_alive()) {
+  if (!this->parser->keep_alive() || !this->MayDiscard(kDiscardedHead)) {
     this->Fail(beast::http::error::end_of_stream);
     return;
   }
@@ -360,6 +382,10 @@
   if (this->ended) {
     return;
   }
+  if (this->withheld) {
+    this->Finish(*this->withheld);
+    return;
+  }
   if (this->head_passed) {
     if (!this->abandoned && !this->resume) {
       this->owner.Answer(AnswerBroken{this->order.call});
@@ -404,7 +430,8 @@
   if (!this->connection) {
     return;
   }
-  if (answered && this->parser->keep_alive() && this->buffer.size() == 0) {
+  if (answered && this->parser->is_done() && this->parser->keep_alive() &&
+      this->buffer.size() == 0) {
     pool.Keep(
         this->order.address, std::move(this->connection),
         KeepAliveOf(View(this->parser->get()[beast::http::field::keep_alive])));
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -86,6 +86,8 @@
 
  private:
   static constexpr std::size_t kPartSize = 16U << 10U;
+  /** Bytes that wait to be parsed: a head, or the line of a chunk. */
+  static constexpr std::size_t kMostBuffered = 128U << 10U;
 
   void TakeConnection(Grant grant, Connection granted);
   void Connect();
@@ -95,6 +97,8 @@
   void TakeHead(AnswerKind kind, const core::AnswerHead& head);
   void Hold(std::string body, bool complete);
   void SkipAnswer();
+  /** Counts bytes that nobody gets; returns false if they are too many. */
+  [[nodiscard]] bool MayDiscard(std::size_t bytes);
   void ReadPart();
   void OnPart(boost::system::error_code error);
   void Deliver(std::string body, bool complete);
@@ -113,7 +117,7 @@
   core::TimePoint started;
   core::Duration latency{};
   Connection connection;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMostBuffered};
   boost::beast::http::request<boost::beast::http::string_body> out;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::buffer_body>>
@@ -130,6 +134,7 @@
   std::string held;
   bool holding{};
   bool foreign{};
+  std::size_t discarded{};
   bool reading{};
   bool awaits_head{};
   bool ended{};
--- a/packages/forwarding/src/internal/probe.h
+++ b/packages/forwarding/src/internal/probe.h
@@ -25,6 +25,9 @@
   void Start();
 
  private:
+  /** Bytes that wait to be parsed: a head, or the line of a chunk. */
+  static constexpr std::size_t kMostBuffered = 64U << 10U;
+
   void TakeConnection(Grant grant, Connection granted);
   void Connect();
   void Write();
@@ -35,7 +38,7 @@
   ExchangeOwner& owner;
   StartProbe order;
   Connection connection;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMostBuffered};
   boost::beast::http::request<boost::beast::http::empty_body> out;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -16,6 +16,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::uint64_t kResponseLimit = 64U << 20U;
+/** Bytes that wait to be parsed: a head, or the line of a chunk. */
+constexpr std::size_t kMostBuffered = 1U << 20U;
 
 beast::http::request<beast::http::string_body> Encode(const Address& server,
                                                       Request request) {
@@ -143,7 +145,7 @@
   std::weak_ptr<Client> client;
   Address server;
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMostBuffered};
   beast::http::request<beast::http::string_body> out;
   std::optional<beast::http::response_parser<beast::http::string_body>> parser;
   OnResponse done;
--- a/tests/users_platform/faulty_target_test.cc
+++ b/tests/users_platform/faulty_target_test.cc
@@ -24,6 +24,7 @@
 const std::string kNotRun =
     "HTTP/1.1 503 Busy\r\nTrefoilbend-Not-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n";
+const std::string kPiece(4'096, 'x');
 
 /** The request's identity, from its head. */
 std::string IdOf(const std::string& head) {
@@ -79,6 +80,68 @@
 
 }  // namespace
 
+BOOST_FIXTURE_TEST_SUITE(a_target_whose_bytes_never_end, Flooded)
+
+/** Memory without bound, and calls held to their deadline, by bytes that are no
+ * answer (reports of other operators). */
+BOOST_AUTO_TEST_CASE(in_a_head_fails_the_call_soon) {
+  Use([](RawConnection& connection, const std::string&) {
+    connection.Write("HTTP/1.1 200 OK\r\nX-Filler: ");
+    connection.WriteWithoutEnd(kPiece);
+  });
+  BOOST_TEST(StatusSoon() == 502);
+}
+
+/** The same in the line that begins a chunk. */
+BOOST_AUTO_TEST_CASE(in_the_line_of_a_chunk_fails_the_call_soon) {
+  Use([](RawConnection& connection, const std::string& head) {
+    connection.Write("HTTP/1.1 500 Failed\r\nTrefoilbend-Request-Id: " +
+                     IdOf(head) + "\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+    connection.WriteWithoutEnd(kPiece);
+  });
+  const int status = StatusSoon();
+  BOOST_TEST((status == 500 || status == 502 || status == 0), status);
+}
+
+/** Calls that were not run and were told so only at their deadline. */
+BOOST_AUTO_TEST_CASE(in_the_body_of_a_refusal_does_not_hold_the_refusal_up) {
+  Use([](RawConnection& connection, const std::string& head) {
+    connection.Write(
+        "HTTP/1.1 503 Busy\r\nTrefoilbend-Not-Executed: 1\r\n"
+        "Trefoilbend-Request-Id: " +
+        IdOf(head) + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    connection.WriteWithoutEnd("1000\r\n" + kPiece + "\r\n");
+  });
+  BOOST_TEST(StatusSoon() == 503);
+}
+
+/** The same, when the bytes come too slowly to be counted. */
+BOOST_AUTO_TEST_CASE(in_a_refusal_that_trickles_does_not_hold_it_up_either) {
+  Use([](RawConnection& connection, const std::string& head) {
+    connection.Write(
+        "HTTP/1.1 503 Busy\r\nTrefoilbend-Not-Executed: 1\r\n"
+        "Trefoilbend-Request-Id: " +
+        IdOf(head) + "\r\nContent-Length: 1000000\r\n\r\n");
+    while (connection.Write("x")) {
+      std::this_thread::sleep_for(10ms);
+    }
+  });
+  BOOST_TEST(StatusSoon() == 503);
+}
+
+/** Calls held to their deadline by answers to other requests. */
+BOOST_AUTO_TEST_CASE(in_answers_to_other_requests_fails_the_call_soon) {
+  Use([](RawConnection& connection, const std::string&) {
+    connection.WriteWithoutEnd(
+        "HTTP/1.1 200 OK\r\nTrefoilbend-Request-Id: other\r\n"
+        "Trefoilbend-Server-Signature: s\r\nContent-Length: 4096\r\n\r\n" +
+        kPiece);
+  });
+  BOOST_TEST(StatusSoon() == 502);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_target_that_writes_an_old_refusal_again, Flooded)
 
 /** REFUSED: clients were told that requests had not run which had. */
