Pass keys with zero bytes on to peers whole

Found with the odd entries: a key may hold any byte. A listener got the part before a zero byte, kept the row under that key, and would not have dropped it with its reader's. hears_keys_whole_whatever_bytes_they_have failed before (servers/a in place of servers/a<0>b).

--- a/packages/feed/src/feed_codec.cc
+++ b/packages/feed/src/feed_codec.cc
@@ -16,7 +16,7 @@
 
 void Encode(const platform::Row& row, const bool deleted,
             wire::Row::Builder out) {
-  out.setKey(row.key.c_str());
+  out.setKey(kj::StringPtr(row.key.c_str(), row.key.size()));
   out.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(row.value.data()),
                             row.value.size()));
   out.setVersion(row.version.Value());
@@ -25,7 +25,8 @@
 
 platform::RowChange Decode(const wire::Row::Reader row) {
   const auto value = row.getValue();
-  return {.row = {.key = row.getKey().cStr(),
+  const auto key = row.getKey();
+  return {.row = {.key = std::string{key.begin(), key.size()},
                   .value = std::string{value.asChars().begin(), value.size()},
                   .version = RowVersion{row.getVersion()}},
           .deleted = row.getDeleted()};
--- a/packages/feed/test/feed_test.cc
+++ b/packages/feed/test/feed_test.cc
@@ -115,6 +115,25 @@
   BOOST_TEST((std::chrono::steady_clock::now() - *heard.confirmed >= 100ms));
 }
 
+/** A listener kept a row under another key than its reader. */
+BOOST_AUTO_TEST_CASE(hears_keys_whole_whatever_bytes_they_have) {
+  const std::string key("servers/a\0b", 11);
+  reader.Send(Learnt{.table = kTargets,
+                     .news = platform::TableChanges{
+                         .changes = {{.row = {.key = key,
+                                              .value = "v",
+                                              .version = RowVersion{6}},
+                                      .deleted = false}},
+                         .version = RowVersion{6}}});
+  auto heard = HeardOf(listener.Begin(kReader, 0ms, 5));
+  while (heard.tables.empty()) {
+    heard = HeardOf(listener.Begin(kReader, 0ms, 5));
+  }
+  const auto& changes =
+      std::get<platform::TableChanges>(heard.tables[0].news).changes;
+  BOOST_TEST(changes.front().row.key == key);
+}
+
 BOOST_AUTO_TEST_SUITE(and_lacks_nothing)
 
 BOOST_AUTO_TEST_CASE(is_told_of_a_change_as_soon_as_there_is_one) {
