Take back unsent calls whose targets leave

A call is decided by what is known when its target is chosen, and may then wait for a connection, up to its deadline, or in a ring behind other work. Nobody looked again at the sending.

Now each configuration that takes targets out tells forwarding so, by a ring of its own; what is not sent yet comes back as not sent, free of charge, and is decided anew. Orders that were given before are taken first, so none is missed. Balancing takes a configuration that waits in its ring before the next call or report.

--- a/bench/balancing/simulation.cc
+++ b/bench/balancing/simulation.cc
@@ -269,6 +269,7 @@
               }
             },
             [](const forwarding::StartProbe&) {},
+            [](const forwarding::WithdrawTargets&) {},
             [](const balancing::CallBroken&) {},
             [&](const balancing::CallRefused& refused) {
               const Call& call = this->calls[refused.call.Value()];
--- a/packages/balancing/include/trefoilbend/balancing/duty.h
+++ b/packages/balancing/include/trefoilbend/balancing/duty.h
@@ -22,6 +22,8 @@
   core::Ring<ToCallers>* callers{};
   /** @brief Orders for the duty that carries exchanges. */
   core::Ring<forwarding::FromBalancing>* forwarding{};
+  /** @brief Targets that take no more calls, for the same duty. */
+  core::Ring<forwarding::WithdrawTargets>* withdrawals{};
   /** @brief Counts for the duty that decides about releases; may be null. */
   core::Ring<rollout::EvidenceReport>* rollout{};
 };
--- a/packages/balancing/include/trefoilbend/balancing/messages.h
+++ b/packages/balancing/include/trefoilbend/balancing/messages.h
@@ -49,7 +49,8 @@
 /** @brief What the dispatcher wants done. */
 using Decision =
     std::variant<forwarding::StartExchange, forwarding::CancelExchange,
-                 forwarding::StartProbe, CallRefused, CallBroken>;
+                 forwarding::StartProbe, CallRefused, CallBroken,
+                 forwarding::WithdrawTargets>;
 
 /** @brief Decisions in the order in which they take effect. */
 using Decisions = std::vector<Decision>;
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -140,8 +140,10 @@
    *
    * @param members Targets of the service.
    * @param now Current time.
+   * @return Targets that could be used before and cannot any more.
    */
-  void SetMembers(std::vector<Member> members, core::TimePoint now);
+  std::vector<core::InstanceName> SetMembers(std::vector<Member> members,
+                                             core::TimePoint now);
 
   /**
    * @brief Lets only some targets of a version take calls, so that a small
@@ -298,6 +300,7 @@
   }
 
  private:
+  [[nodiscard]] bool IsUsable(const core::InstanceName& name) const;
   /** Targets among which is chosen; each range holds the one before. */
   enum class Range : std::uint8_t { kPreferred, kNotAvoided, kAll };
 
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "trefoilbend/balancing/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "internal/refusals.h"
 #include "trefoilbend/balancing/subset.h"
@@ -59,6 +60,12 @@
   this->CountEntries(update, availability, now);
   const bool same_entries = this->TakeEntries(configuration, availability);
   Decisions decisions;
+  forwarding::WithdrawTargets left;
+  const auto replace = [&](ServiceState& service,
+                           std::vector<TargetTable::Member> members) {
+    const auto gone = service.targets.SetMembers(std::move(members), now);
+    left.targets.insert(left.targets.end(), gone.begin(), gone.end());
+  };
   for (const auto& [name, view] : configuration.Services()) {
     ServiceState& service = this->StateOf(name);
     const bool same = same_entries &&
@@ -70,7 +77,7 @@
     if (!same) {
       service.cold_allowance = view.service->cold_allowance;
       service.cold_rate = view.service->cold_rate;
-      service.targets.SetMembers(this->MembersOf(view, availability), now);
+      replace(service, this->MembersOf(view, availability));
     }
     const auto* release = configuration.Find<inventory::Release>(name.Text());
     const bool under_way = release != nullptr && rollout::IsUnderWay(*release);
@@ -85,9 +92,12 @@
   }
   for (auto& [name, state] : this->services) {
     if (!configuration.Services().contains(name)) {
-      state.targets.SetMembers({}, now);
+      replace(state, {});
     }
   }
+  if (!left.targets.empty()) {
+    decisions.emplace_back(std::move(left));
+  }
   return decisions;
 }
 
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -38,6 +38,7 @@
         metrics(registry),
         timer(this->duty.Context()) {
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
+      this->TakeConfigurations();
       std::visit(
           core::Visitor{[](std::monostate) {},
                         [this](const SubmitCall& call) {
@@ -50,6 +51,7 @@
     });
     this->duty.Read(
         this->from_forwarding, [this](forwarding::ToBalancing&& message) {
+          this->TakeConfigurations();
           if (const auto* ended =
                   std::get_if<forwarding::ExchangeEnded>(&message)) {
             this->Carry(this->dispatcher.Ended(*ended, Now()));
@@ -62,11 +64,10 @@
             this->Carry(this->dispatcher.Probed(*probed, Now()));
           }
         });
-    this->duty.Read(
-        this->from_configuration, [this](const configuration::Update& update) {
-          this->metrics.SetRevision(update.configuration->Revision());
-          this->Carry(this->dispatcher.Configure(update, Now()));
-        });
+    this->duty.Read(this->from_configuration,
+                    [this](const configuration::Update& update) {
+                      this->Configure(update);
+                    });
     this->duty.Read(this->from_registry,
                     [this](const configuration::TargetKnowledge& knowledge) {
                       this->dispatcher.Note(knowledge);
@@ -95,6 +96,19 @@
     return std::chrono::steady_clock::now();
   }
 
+  void Configure(const configuration::Update& update) {
+    this->metrics.SetRevision(update.configuration->Revision());
+    this->Carry(this->dispatcher.Configure(update, Now()));
+  }
+
+  /** A call that has waited in its ring is decided by the newest configuration,
+   * not by the one of its arrival. */
+  void TakeConfigurations() {
+    this->from_configuration.Drain([this](const configuration::Update& update) {
+      this->Configure(update);
+    });
+  }
+
   /** Sets the timer if something is due earlier than it is set for. */
   void Wait() {
     const core::TimePoint now = Now();
@@ -136,6 +150,12 @@
               [this](CallBroken& broken) {
                 return this->outlets.callers->TryPush(ToCallers{broken});
               },
+              [this](forwarding::WithdrawTargets& left) {
+                this->withdrawn.insert(this->withdrawn.end(),
+                                       left.targets.begin(),
+                                       left.targets.end());
+                return true;
+              },
               [this](auto& order) {
                 return this->outlets.forwarding->TryPush(std::move(order));
               }},
@@ -143,10 +163,19 @@
       core::CheckInvariant(
           pushed, "the rings behind balancing have room for every call");
     }
+    this->TellWithdrawn();
     this->WriteTraces();
     this->Wait();
   }
 
+  /** What finds the ring full is told with the next decisions. */
+  void TellWithdrawn() {
+    if (!this->withdrawn.empty() &&
+        this->outlets.withdrawals->TryPush({this->withdrawn})) {
+      this->withdrawn.clear();
+    }
+  }
+
   void WriteTraces() {
     const core::TimePoint now = Now();
     for (const CallTrace& trace : this->dispatcher.TakeTraces()) {
@@ -181,6 +210,7 @@
   internal::CallMetrics metrics;
   Outlets outlets;
   core::Log log{"balancing"};
+  std::vector<core::InstanceName> withdrawn;
   core::TimePoint reported{};
   core::TimePoint due = core::TimePoint::max();
   boost::asio::steady_timer timer;
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -63,8 +63,14 @@
 
 }  // namespace
 
-void TargetTable::SetMembers(std::vector<Member> members,
-                             const core::TimePoint now) {
+std::vector<core::InstanceName> TargetTable::SetMembers(
+    std::vector<Member> members, const core::TimePoint now) {
+  std::vector<core::InstanceName> withdrawn;
+  for (const TargetState& target : this->targets) {
+    if (target.usable) {
+      withdrawn.push_back(target.instance.name);
+    }
+  }
   std::vector<TargetState> next;
   next.reserve(members.size());
   for (Member& member : members) {
@@ -99,6 +105,16 @@
   for (std::size_t at = 0; at < this->targets.size(); ++at) {
     this->positions.emplace(this->targets[at].instance.name, at);
   }
+  std::erase_if(withdrawn, [this](const core::InstanceName& name) {
+    return this->IsUsable(name);
+  });
+  return withdrawn;
+}
+
+bool TargetTable::IsUsable(const core::InstanceName& name) const {
+  const auto position = this->positions.find(name);
+  return position != this->positions.end() &&
+         this->targets[position->second].usable;
 }
 
 void TargetTable::HoldBack(const core::VersionName& version,
--- a/packages/balancing/test/configure_test.cc
+++ b/packages/balancing/test/configure_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <memory>
+#include <vector>
 
 #include "trefoilbend/balancing/dispatcher.h"
 
@@ -22,7 +23,7 @@
     Configure();
   }
 
-  void Configure() {
+  Decisions Configure() {
     inventory::Configuration::Builder builder;
     builder.Put(inventory::Service{.name = target.service, .cold_allowance = 1})
         .Put(target);
@@ -31,7 +32,7 @@
     }
     auto listed = std::make_shared<std::vector<platform::ListedInstance>>();
     listed->push_back({target.name, state});
-    (void)dispatcher.Configure({builder.Build(), listed}, now);
+    return dispatcher.Configure({builder.Build(), listed}, now);
   }
 
   [[nodiscard]] Decision Submit() {
@@ -69,6 +70,25 @@
   BOOST_TEST(IsRefused());
 }
 
+/** DRAIN: calls that had waited for a connection went to targets that had left
+ * meanwhile. */
+BOOST_AUTO_TEST_CASE(takes_back_what_waits_for_a_target_that_leaves) {
+  BOOST_TEST(Configure().empty());
+  state = platform::InstanceState::kLeaving;
+  const Decisions decisions = Configure();
+  BOOST_REQUIRE(decisions.size() == 1);
+  BOOST_TEST((std::get<forwarding::WithdrawTargets>(decisions[0]).targets ==
+              std::vector<core::InstanceName>{target.name}));
+  BOOST_TEST(Configure().empty());
+}
+
+BOOST_AUTO_TEST_CASE(takes_back_what_waits_for_a_data_centre_that_is_out) {
+  out = true;
+  const Decisions decisions = Configure();
+  BOOST_REQUIRE(decisions.size() == 1);
+  BOOST_TEST(std::holds_alternative<forwarding::WithdrawTargets>(decisions[0]));
+}
+
 BOOST_AUTO_TEST_CASE(gives_no_call_to_a_data_centre_while_it_is_out) {
   out = true;
   Configure();
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -125,6 +125,7 @@
                         .balancing = &all.balancing.ForwardingInlet()});
   all.balancing.Start({.callers = &all.callers.BalancingInlet(),
                        .forwarding = &all.forwarding.BalancingInlet(),
+                       .withdrawals = &all.forwarding.WithdrawalsInlet(),
                        .rollout = &all.rollout.BalancingInlet()});
   if (all.relay) {
     all.relay->Start(all.callers.RelayInlet());
--- a/packages/forwarding/include/trefoilbend/forwarding/duty.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/duty.h
@@ -64,6 +64,9 @@
   /** @return Ring for orders of the duty that chooses targets. */
   [[nodiscard]] core::Ring<FromBalancing>& BalancingInlet() noexcept;
 
+  /** @return Ring for targets that take no more calls. */
+  [[nodiscard]] core::Ring<WithdrawTargets>& WithdrawalsInlet() noexcept;
+
   /** @return Ring for messages of the duty that talks to callers. */
   [[nodiscard]] core::Ring<FromCallers>& CallersInlet() noexcept;
 
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "trefoilbend/core/call.h"
 #include "trefoilbend/core/clock.h"
@@ -145,6 +146,13 @@
   std::optional<double> slowdown{};
 };
 
+/** @brief Targets that take no more calls; what is not sent yet goes elsewhere.
+ */
+struct WithdrawTargets {
+  /** @brief Names of the targets. */
+  std::vector<core::InstanceName> targets;
+};
+
 /** @brief How an exchange ended. */
 enum class ExchangeResult : std::uint8_t {
   /** @brief The answer came whole. */
--- a/packages/forwarding/src/duty.cc
+++ b/packages/forwarding/src/duty.cc
@@ -1,5 +1,6 @@
 #include "trefoilbend/forwarding/duty.h"
 
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr std::size_t kOrdersPerCall = 6;
+constexpr std::size_t kWithdrawals = 16;
 
 }  // namespace
 
@@ -22,6 +24,7 @@
  public:
   Loop(const Options& options, prometheus::Registry& registry)
       : from_balancing(options.max_calls * kOrdersPerCall),
+        withdrawals(kWithdrawals),
         from_callers(options.max_calls * kOrdersPerCall),
         options(options),
         connection_metrics(registry),
@@ -29,16 +32,10 @@
              {.usual = options.idle_timeout, .only = options.only_idle_timeout},
              this->connection_metrics) {
     this->duty.Read(this->from_balancing, [this](FromBalancing&& message) {
-      std::visit(
-          core::Visitor{
-              [](std::monostate) {},
-              [this](StartExchange& order) { this->Start(std::move(order)); },
-              [this](const CancelExchange& order) { this->Cancel(order); },
-              [this](StartProbe& order) {
-                std::make_shared<internal::Probe>(*this, std::move(order))
-                    ->Start();
-              }},
-          message);
+      this->Take(std::move(message));
+    });
+    this->duty.Read(this->withdrawals, [this](const WithdrawTargets& message) {
+      this->Withdraw(message);
     });
     this->duty.Read(this->from_callers, [this](FromCallers&& message) {
       std::visit(core::Visitor{
@@ -93,11 +90,42 @@
   void EndProbe(ProbeEnded ended) override { this->Report(std::move(ended)); }
 
   core::Ring<FromBalancing> from_balancing;
+  core::Ring<WithdrawTargets> withdrawals;
   core::Ring<FromCallers> from_callers;
   Outlets outlets;
   core::Duty duty{"forwarding"};
 
  private:
+  void Take(FromBalancing&& message) {
+    std::visit(
+        core::Visitor{
+            [](std::monostate) {},
+            [this](StartExchange& order) { this->Start(std::move(order)); },
+            [this](const CancelExchange& order) { this->Cancel(order); },
+            [this](StartProbe& order) {
+              std::make_shared<internal::Probe>(*this, std::move(order))
+                  ->Start();
+            }},
+        message);
+  }
+
+  /** Orders that were given before come first, so that none is missed. */
+  void Withdraw(const WithdrawTargets& message) {
+    this->from_balancing.Drain(
+        [this](FromBalancing&& order) { this->Take(std::move(order)); });
+    const std::set<core::InstanceName> left{message.targets.begin(),
+                                            message.targets.end()};
+    std::vector<std::shared_ptr<internal::Exchange>> affected;
+    for (const auto& [id, exchange] : this->exchanges) {
+      if (left.contains(exchange->Target())) {
+        affected.push_back(exchange);
+      }
+    }
+    for (const auto& exchange : affected) {
+      exchange->Withdraw();
+    }
+  }
+
   void Start(StartExchange order) {
     const core::ExchangeId id = order.exchange;
     if (order.beside && !this->IsAwaited(*order.beside)) {
@@ -173,6 +201,10 @@
   return this->loop->from_balancing;
 }
 
+core::Ring<WithdrawTargets>& ForwardingDuty::WithdrawalsInlet() noexcept {
+  return this->loop->withdrawals;
+}
+
 core::Ring<FromCallers>& ForwardingDuty::CallersInlet() noexcept {
   return this->loop->from_callers;
 }
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -376,6 +376,12 @@
   }
 }
 
+void Exchange::Withdraw() {
+  if (!this->waited) {
+    this->Finish(ExchangeResult::kNotSent);
+  }
+}
+
 void Exchange::Cancel() { this->Finish(ExchangeResult::kCancelled); }
 
 void Exchange::Fail(const boost::system::error_code error) {
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -78,6 +78,14 @@
   /** @brief Gives the exchange up and closes its connection. */
   void Cancel();
 
+  /** @brief Gives the exchange up unless its request is sent. */
+  void Withdraw();
+
+  /** @return Target that gets the request. */
+  [[nodiscard]] const core::InstanceName& Target() const noexcept {
+    return this->order.target;
+  }
+
   /** @return Call that is sent. */
   [[nodiscard]] core::CallId Call() const noexcept { return this->order.call; }
 
--- a/packages/forwarding/test/connection_test.cc
+++ b/packages/forwarding/test/connection_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -28,8 +29,8 @@
   Fixture(const Fixture&) = delete;
   Fixture& operator=(const Fixture&) = delete;
 
-  /** Sends a call that may use one connection, and a new one each 300 ms. */
-  void Send(const std::uint64_t number) {
+  /** Sends a call that may use one connection, and a new one after a while. */
+  void Send(const std::uint64_t number, const core::Duration interval = 300ms) {
     auto request = std::make_shared<core::CallRequest>();
     request->method = "GET";
     request->path = "/";
@@ -41,19 +42,27 @@
                       .address = {.host = "127.0.0.1", .port = 1},
                       .request = std::move(request),
                       .connections = 1,
-                      .connection_interval = 300ms}));
+                      .connection_interval = interval}));
+  }
+
+  void Withdraw(const std::string& target) {
+    BOOST_REQUIRE(
+        this->duty.WithdrawalsInlet().TryPush({{core::InstanceName{target}}}));
   }
 
   [[nodiscard]] bool AwaitEnds(const std::size_t count) {
     const auto limit = std::chrono::steady_clock::now() + 20s;
     std::size_t ended = 0;
     while (ended < count && std::chrono::steady_clock::now() < limit) {
-      ended += this->to_balancing.Drain([](ToBalancing&&) {});
+      ended += this->to_balancing.Drain([this](ToBalancing&& message) {
+        this->last = std::get<ExchangeEnded>(message);
+      });
       std::this_thread::sleep_for(1ms);
     }
     return ended == count;
   }
 
+  ExchangeEnded last;
   core::Ring<ToCallers> to_callers{16};
   core::Ring<ToBalancing> to_balancing{16};
   prometheus::Registry registry;
@@ -70,6 +79,18 @@
   BOOST_TEST(AwaitEnds(2));
 }
 
+/** DRAIN: it went to a target that had left while it waited. */
+BOOST_AUTO_TEST_CASE(is_given_back_unsent_when_its_target_leaves) {
+  Send(1, 1h);
+  BOOST_REQUIRE(AwaitEnds(1));
+  Send(2, 1h);
+  Withdraw("stock-2");
+  Withdraw("stock-1");
+  BOOST_REQUIRE(AwaitEnds(1));
+  BOOST_TEST((last.call == core::CallId{2}));
+  BOOST_TEST((last.result == ExchangeResult::kNotSent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace trefoilbend::forwarding
