Take no peer's configuration that is older in some table

While the store is silent an entry takes a peer's whole configuration if any of its tables is newer. It replaced all tables, so that one which was newer here went back: a target that had left came back and got calls (DRAIN), or a route (CONFIG).

Now it is taken only if it is older in no table. Weighed: joining the two by table; a configuration does not tell its rows' versions, so that needs another message, for a case that ends with the outage.

--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -98,7 +98,8 @@
   void NoteConfirmed(Table table, core::TimePoint as_of) noexcept;
 
   /**
-   * @brief Takes a peer's configuration if it is newer than what is known.
+   * @brief Takes a peer's configuration if it is newer than what is known, and
+   * older in no table.
    * @param configuration Configuration of a peer.
    * @return Whether it was taken.
    */
@@ -212,6 +213,9 @@
   /** Whether the tables hold all that a peer's configuration was made from. */
   [[nodiscard]] bool Includes(
       const inventory::Configuration& other) const noexcept;
+  /** Whether some table holds newer rows than a peer's configuration. */
+  [[nodiscard]] bool IsAheadOf(
+      const inventory::Configuration& other) const noexcept;
   [[nodiscard]] std::optional<inventory::Release> ReleaseOf(
       const core::ServiceName& service, std::chrono::sys_seconds wall);
   [[nodiscard]] core::VersionName StableVersion(
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -122,8 +122,20 @@
   return true;
 }
 
+bool Catalogue::IsAheadOf(
+    const inventory::Configuration& other) const noexcept {
+  const std::vector<std::uint64_t>& sources = other.Sources();
+  for (std::size_t at = 0; at < std::min(kTables, sources.size()); ++at) {
+    if (sources[at] < this->newest_rows[at].Value()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Catalogue::Restore(inventory::ConfigurationPtr configuration) {
-  const bool is_known = this->Includes(*configuration);
+  const bool is_known =
+      this->Includes(*configuration) || this->IsAheadOf(*configuration);
   const bool is_older = this->restored != nullptr &&
                         configuration->Revision() <= this->restored->Revision();
   if (is_known || is_older) {
--- a/packages/registry/test/catalogue_test.cc
+++ b/packages/registry/test/catalogue_test.cc
@@ -404,6 +404,17 @@
   BOOST_TEST(cut.Now().configuration->IsOut(core::DataCentreName{"xela"}));
 }
 
+/** DRAIN: a target that had left came back with a peer's configuration that was
+ * newer in the operators' table and older in the targets'. */
+BOOST_AUTO_TEST_CASE(does_not_take_what_is_older_in_one_table) {
+  Fixture peer;
+  Delete(Table::kTargets, "a");
+  peer.version = version;
+  peer.Write(Table::kOrders, "config", "config 9");
+  BOOST_TEST(!catalogue.Restore(peer.Now().configuration));
+  BOOST_TEST((Live() == Names{"b"}));
+}
+
 BOOST_AUTO_TEST_CASE(does_not_take_what_its_tables_hold_already) {
   BOOST_TEST(!catalogue.Restore(Now().configuration));
 }
