Let no earlier report take back a target's word that it drains

A load report without the word replaced it, also one that the target had written before and that came late on another connection; and the word was forgotten when operators had taken the target's data centre out and in again.

--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -54,6 +54,11 @@
   forwarding::LoadReport report;
   /** @brief Time of the last report; the epoch before the first one. */
   core::TimePoint reported_at{};
+  /** @brief Whether the platform lists the target as live. */
+  bool live{};
+  /** @brief Time at which the target last said that it drains; nothing if it
+   * has not, or has taken it back. */
+  std::optional<core::TimePoint> drains_since{};
   /** @brief Calls that this entry has sent there since the last report. */
   std::uint32_t sent_since_report{};
   /** @brief Trust in the reports, from 0 to 1. */
@@ -131,6 +136,8 @@
     bool far{};
     /** @brief Whether the entry uses it before others. */
     bool preferred = true;
+    /** @brief Whether the platform lists it as live. */
+    bool live = true;
   };
 
   /**
@@ -313,8 +320,10 @@
                    Range last);
   [[nodiscard]] static bool IsIn(const TargetState& target, Range range,
                                  core::TimePoint now) noexcept;
+  /** Takes a report; one that was asked for before the target said that it
+   * drains does not take that back. */
   void TakeReport(TargetState& target, const forwarding::LoadReport& report,
-                  core::TimePoint now);
+                  core::TimePoint asked, core::TimePoint now);
   void CompareReport(const TargetState& target,
                      const forwarding::LoadReport& report,
                      core::Duration latency);
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -137,7 +137,8 @@
          .cold_time = view.service->warm_up,
          .cold_until = availability.ColdUntil(target->name),
          .far = !this->options.data_centre.Empty() &&
-                target->data_centre != this->options.data_centre});
+                target->data_centre != this->options.data_centre,
+         .live = availability.IsLive(target->name)});
   }
   PreferSubset(members, this->options.self);
   return members;
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -47,7 +47,7 @@
 bool MayTakeCalls(const TargetState& target,
                   const core::TimePoint now) noexcept {
   const bool draining =
-      target.report.draining && now - target.reported_at < kDrainMark;
+      target.drains_since && now - *target.drains_since < kDrainMark;
   return target.usable && !draining && !target.held_back;
 }
 
@@ -91,6 +91,10 @@
       state.report = {};
       state.reported_at = {};
     }
+    if (member.live && !state.live) {
+      state.drains_since.reset();
+    }
+    state.live = member.live;
     state.usable = member.usable;
     state.cold_share = member.cold_share;
     state.limit = member.limit;
@@ -307,6 +311,7 @@
   const auto& report = ended.report;
   const bool is_other =
       report && !report->name.Empty() && report->name != target.instance.name;
+  const core::TimePoint asked = target.probed_since.value_or(now);
   target.probed_since.reset();
   target.silent_probes = report ? 0 : target.silent_probes + 1;
   if (!report || !report->healthy || is_other) {
@@ -318,7 +323,7 @@
     return;
   }
   if (report->load) {
-    this->TakeReport(target, *report->load, now);
+    this->TakeReport(target, *report->load, asked, now);
     if (report->healthy && !report->load->cold) {
       target.warm_up.AddGoodCheck();
     }
@@ -373,7 +378,7 @@
   this->Began(ended.exchange, ended.target);
   const bool answered = ended.result == forwarding::ExchangeResult::kAnswered;
   if (ended.load) {
-    this->TakeReport(target, *ended.load, now);
+    this->TakeReport(target, *ended.load, now - ended.latency, now);
   }
   if (ended.load && answered) {
     this->CompareReport(target, *ended.load, ended.latency);
@@ -408,7 +413,13 @@
 
 void TargetTable::TakeReport(TargetState& target,
                              const forwarding::LoadReport& report,
+                             const core::TimePoint asked,
                              const core::TimePoint now) {
+  if (report.draining) {
+    target.drains_since = now;
+  } else if (target.drains_since && asked > *target.drains_since) {
+    target.drains_since.reset();
+  }
   const std::uint32_t requests = report.in_flight + report.queued;
   const core::TimePoint arrived = now - this->median.Value() / 2;
   const auto owed =
