--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -5,22 +5,21 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 
 #include "internal/feed_outbox.h"
 #include "internal/metrics.h"
 #include "internal/peer_source.h"
+#include "internal/publisher.h"
+#include "internal/registration.h"
 #include "internal/release_writer.h"
 #include "internal/table_follower.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/feed/readers.h"
-#include "trefoilbend/inventory/codec.h"
 #include "trefoilbend/inventory/snapshot.h"
-#include "trefoilbend/platform/backoff.h"
 #include "trefoilbend/registry/catalogue.h"
 #include "trefoilbend/registry/change_lines.h"
 #include "trefoilbend/registry/watch_pause.h"
@@ -34,7 +33,6 @@
 constexpr std::size_t kOrders = 2;
 constexpr const char* kFleetTable = "fleet";
 constexpr std::size_t kViews = 64;
-constexpr std::chrono::milliseconds kPublishRetry{50};
 /** Time for which a peer may know more, beyond the pause between two watches,
  * before what the store has not confirmed since is read anew. */
 constexpr std::chrono::milliseconds kBehind{600};
@@ -46,9 +44,6 @@
 constexpr std::chrono::milliseconds kReaderBackoff{300};
 /** kMostWatch of the fleet's table, whose rows entries tell each other too. */
 constexpr std::chrono::milliseconds kMostFleetWatch{2'000};
-constexpr platform::BackoffLimits kBackoff{
-    .first = std::chrono::milliseconds{200},
-    .most = std::chrono::milliseconds{1'000}};
 constexpr std::size_t kMostUnreadableNamed = 8;
 constexpr std::size_t kMostKeptNamed = 8;
 constexpr std::size_t kMostChangeLines = 24;
@@ -81,9 +76,10 @@
         outbox(this->duty.Context()),
         source(*this, this->duty.Context(), this->options.self),
         releases(*this->store, this->catalogue, this->metrics),
-        registration_timer(this->duty.Context()),
-        behind_timer(this->duty.Context()),
-        publish_timer(this->duty.Context()) {
+        registration(*this->store, this->duty.Context(), this->options.self,
+                     this->metrics),
+        publisher(this->duty.Context()),
+        behind_timer(this->duty.Context()) {
     this->duty.Read(this->from_automation,
                     [this](const configuration::ChangeRequest& request) {
                       this->releases.Commit(request);
@@ -98,12 +94,13 @@
     this->duty.Read(this->views, [this](const membership::View& view) {
       this->NotePeers(view);
     });
-    this->duty.Read(this->leave, [this](const Leave&) { this->Unregister(); });
+    this->duty.Read(this->leave,
+                    [this](const Leave&) { this->registration.Remove(); });
   }
 
   void Start(Outlets writes) {
     this->outlets = std::move(writes);
-    this->delivered.assign(this->outlets.followers.size(), true);
+    this->publisher.Start(this->outlets.followers);
     if (this->outlets.automation != nullptr) {
       this->releases.Start(*this->outlets.automation);
     }
@@ -113,7 +110,7 @@
       this->source.Start(*this->outlets.feed);
       this->orders.Read();
       this->targets.Read();
-      this->Register();
+      this->registration.Write([this] { this->ReadOwnRow(); });
     });
     this->duty.Start();
   }
@@ -161,7 +158,10 @@
     if (std::exchange(this->changed, true)) {
       return;
     }
-    boost::asio::post(this->duty.Context(), [this] { this->Publish(); });
+    boost::asio::post(this->duty.Context(), [this] {
+      this->changed = false;
+      this->Rebuild();
+    });
   }
 
   [[nodiscard]] std::vector<platform::RowVersion> KnownVersions()
@@ -284,33 +284,6 @@
     return as_of && Now() - *as_of < feed::kMostAge;
   }
 
-  void Register() {
-    const std::string key = kEntryRows + this->options.self.name.Text();
-    this->store->Transact(
-        {.conditions = {},
-         .writes = {{.key = key,
-                     .value = inventory::Encode(
-                         inventory::Object{this->options.self})}}},
-        [this](const platform::TransactOutcome& outcome) {
-          const bool done =
-              std::holds_alternative<platform::Committed>(outcome);
-          this->metrics.CountCall("write", done);
-          this->ReadOwnRow();
-          if (done) {
-            this->log.Info("Registered.");
-            return;
-          }
-          this->registration_timer.expires_after(
-              this->registration_backoff.Fail());
-          this->registration_timer.async_wait(
-              [this](const boost::system::error_code error) {
-                if (!error && !this->leaving) {
-                  this->Register();
-                }
-              });
-        });
-  }
-
   /** The fleet's table is read once the own row should be in it. */
   void ReadOwnRow() {
     if (!this->fleet.IsKnown() && !this->fleet.IsReading()) {
@@ -318,44 +291,6 @@
     }
   }
 
-  void Unregister() {
-    this->leaving = true;
-    this->store->Transact(
-        {.conditions = {},
-         .writes = {{.key = kEntryRows + this->options.self.name.Text(),
-                     .value = std::nullopt}}},
-        [this](const platform::TransactOutcome& outcome) {
-          if (!std::holds_alternative<platform::Committed>(outcome)) {
-            this->log.Warn(
-                "The registration was not taken back; peers will "
-                "see the heartbeat stop.");
-          }
-        });
-  }
-
-  void Publish() {
-    if (std::exchange(this->changed, false)) {
-      this->Rebuild();
-    }
-    bool all = true;
-    for (std::size_t at = 0; at < this->delivered.size(); ++at) {
-      if (!this->delivered[at]) {
-        this->delivered[at] = this->outlets.followers[at]->TryPush(
-            configuration::Update{this->update});
-      }
-      all = all && this->delivered[at];
-    }
-    if (!all) {
-      this->publish_timer.expires_after(kPublishRetry);
-      this->publish_timer.async_wait(
-          [this](const boost::system::error_code error) {
-            if (!error) {
-              this->Publish();
-            }
-          });
-    }
-  }
-
   /** The first update waits until operators' and targets' tables are known,
    * so that nothing is refused for want of what is only unread. */
   void Rebuild() {
@@ -380,7 +315,7 @@
     }
     this->update = std::move(*built);
     this->SetPace();
-    this->delivered.assign(this->outlets.followers.size(), false);
+    this->publisher.Publish(this->update);
     this->TellMembership(std::nullopt);
   }
 
@@ -507,11 +442,9 @@
   internal::FeedOutbox outbox;
   internal::PeerSource source;
   internal::ReleaseWriter releases;
-  boost::asio::steady_timer registration_timer;
+  internal::Registration registration;
+  internal::Publisher publisher;
   boost::asio::steady_timer behind_timer;
-  boost::asio::steady_timer publish_timer;
-  platform::Backoff registration_backoff{kBackoff, std::random_device{}()};
-  std::vector<bool> delivered;
   configuration::Update update;
   core::WallClock wall;
   /** Time between a change of a table and the next watch. */
@@ -524,7 +457,6 @@
   std::uint64_t desired{};
   bool has_update = false;
   bool changed = false;
-  bool leaving = false;
   core::Log log{"registry"};
 };
 
