Count stale answers of the store as answers

A store that has forgotten its history may tell states that are some seconds old for a while. They are not taken, so nothing confirms what is known, and the time counted as an outage: targets whose rows were gone would have been kept for 2 s more (DRAIN).

Now an answer is an answer, whatever it holds; only what is known as of a time drops a target. drops_a_target_at_once_after_answers_that_were_stale; without the notes of answers it is the story of an outage, where the target is kept (worked out). registry_test and users_platform_test pass (arm64, release).

--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -35,8 +35,8 @@
  * registration lapsed meanwhile register again. */
 inline constexpr std::chrono::milliseconds kReturnTime{2'000};
 
-/** @brief Time without a word on the targets' table from which the store counts
- * as having been away; registrations last longer. */
+/** @brief Time without an answer on the targets' table from which the store
+ * counts as having been away; registrations last longer. */
 inline constexpr std::chrono::milliseconds kOutage{2'500};
 
 /** @brief The same within kReturnTime after an outage, so that a store that
@@ -86,13 +86,21 @@
             core::TimePoint now);
 
   /**
-   * @brief Takes note of the time as of which a table is known; called before
-   * what is news as of that time is taken.
+   * @brief Takes note that the store has answered on a table, though it may
+   * have told an older state of it.
    *
-   * An outage of the store is a time without such a word, whoever told it. What
-   * an entry or a peer can reach by itself does not count.
+   * An outage of the store is a time without an answer, whoever got it. What an
+   * entry or a peer cannot reach by itself does not count.
    *
    * @param table Which table it is.
+   * @param at Time of the answer.
+   */
+  void NoteAnswered(Table table, core::TimePoint at) noexcept;
+
+  /**
+   * @brief Takes note of the time as of which a table is known, which is that
+   * of an answer; called before what is news as of that time is taken.
+   * @param table Which table it is.
    * @param as_of Time as of which the table is known.
    */
   void NoteConfirmed(Table table, core::TimePoint as_of) noexcept;
@@ -208,7 +216,7 @@
   [[nodiscard]] std::vector<std::string> FleetKeys() const;
 
   void Advance(Table table, platform::RowVersion version) noexcept;
-  /** Whether the targets' table was last known soon after an outage. */
+  /** Whether the store last answered soon after an outage. */
   [[nodiscard]] bool IsAfterOutage() const noexcept;
   /** Whether the tables hold all that a peer's configuration was made from. */
   [[nodiscard]] bool Includes(
@@ -243,9 +251,11 @@
   inventory::ConfigurationPtr restored;
   std::vector<std::string> unreadable;
   std::vector<KeptTarget> kept;
-  /** Time as of which the targets' table is known. */
+  /** Time of the last answer on the targets' table. */
+  std::optional<core::TimePoint> answered;
+  /** Time as of which that table is known. */
   std::optional<core::TimePoint> confirmed;
-  /** Time as of which it was known again after the last outage. */
+  /** Time of the first answer after the last outage. */
   std::optional<core::TimePoint> returned_at;
 };
 
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -79,29 +79,37 @@
   known = std::max(known, version);
 }
 
-void Catalogue::NoteConfirmed(const Table table,
-                              const core::TimePoint as_of) noexcept {
-  if (table != Table::kTargets || as_of <= this->confirmed) {
+void Catalogue::NoteAnswered(const Table table,
+                             const core::TimePoint at) noexcept {
+  if (table != Table::kTargets || at <= this->answered) {
     return;
   }
   const bool was_away =
-      this->confirmed &&
-      as_of - *this->confirmed >= (this->IsAfterOutage() ? kRelapse : kOutage);
-  this->confirmed = as_of;
+      this->answered &&
+      at - *this->answered >= (this->IsAfterOutage() ? kRelapse : kOutage);
+  this->answered = at;
   if (!was_away) {
     return;
   }
-  this->returned_at = as_of;
+  this->returned_at = at;
   for (auto& [key, target] : this->targets) {
     if (target.lapses) {
-      target.lapses = as_of + kReturnTime;
+      target.lapses = at + kReturnTime;
     }
   }
 }
 
+void Catalogue::NoteConfirmed(const Table table,
+                              const core::TimePoint as_of) noexcept {
+  this->NoteAnswered(table, as_of);
+  if (table == Table::kTargets) {
+    this->confirmed = std::max(this->confirmed.value_or(as_of), as_of);
+  }
+}
+
 bool Catalogue::IsAfterOutage() const noexcept {
   return this->returned_at &&
-         *this->confirmed - *this->returned_at < kReturnTime;
+         *this->answered - *this->returned_at < kReturnTime;
 }
 
 core::Revision Catalogue::Revision() const noexcept {
@@ -211,7 +219,7 @@
   }
   found->second.lapses = *this->returned_at + kReturnTime;
   this->kept.push_back(
-      {.key = key, .left = *found->second.lapses - *this->confirmed});
+      {.key = key, .left = *found->second.lapses - *this->answered});
 }
 
 std::vector<std::string> Catalogue::TargetKeys() const {
@@ -226,8 +234,7 @@
 
 bool Catalogue::DropLapsed() {
   return std::erase_if(this->targets, [this](const auto& entry) {
-           return entry.second.lapses &&
-                  *entry.second.lapses <= *this->confirmed;
+           return entry.second.lapses && entry.second.lapses <= this->confirmed;
          }) > 0;
 }
 
--- a/packages/registry/src/table_follower.cc
+++ b/packages/registry/src/table_follower.cc
@@ -57,6 +57,7 @@
   const auto& state = std::get<platform::TableState>(outcome);
   Catalogue& catalogue = this->owner.GetCatalogue();
   if (state.version < catalogue.VersionOf(this->table)) {
+    catalogue.NoteAnswered(this->table, Now());
     this->owner.GetMetrics().stale.Increment();
     this->log.Info("Read is stale. table={} version={} known={}", this->name,
                    state.version.Value(),
--- a/packages/registry/test/catalogue_test.cc
+++ b/packages/registry/test/catalogue_test.cc
@@ -274,6 +274,16 @@
   BOOST_TEST((Live() == Names{"b"}));
 }
 
+BOOST_AUTO_TEST_CASE(drops_a_target_at_once_after_answers_that_were_stale) {
+  for (int answer = 0; answer < 8; ++answer) {
+    now += 500ms;
+    catalogue.NoteAnswered(Table::kTargets, now);
+  }
+  ConfirmAfter(500ms);
+  Delete(Table::kTargets, "a");
+  BOOST_TEST((Live() == Names{"b"}));
+}
+
 BOOST_AUTO_TEST_CASE(passes_over_an_older_word_than_the_one_it_has) {
   catalogue.NoteConfirmed(Table::kTargets, now - 20s);
   ConfirmAfter(700ms);
