--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -37,6 +37,8 @@
   inventory::Instance instance;
   /** @brief Whether the target may take new calls. */
   bool usable{};
+  /** @brief Whether the platform lists the target as live. */
+  bool live{};
   /** @brief Calls that this entry has in flight there. */
   std::uint32_t in_flight{};
   /** @brief Calls that this entry may have in flight there. */
@@ -54,8 +56,6 @@
   forwarding::LoadReport report;
   /** @brief Time of the last report; the epoch before the first one. */
   core::TimePoint reported_at{};
-  /** @brief Whether the platform lists the target as live. */
-  bool live{};
   /** @brief Time at which the target last said that it drains; nothing if it
    * has not, or has taken it back. */
   std::optional<core::TimePoint> drains_since{};
--- a/packages/balancing/src/call_trace.cc
+++ b/packages/balancing/src/call_trace.cc
@@ -35,7 +35,7 @@
 
 std::string LineOf(const TraceSent& step, const core::TimePoint now) {
   const bool told = step.known.slowdown.has_value();
-  const std::string line = fmt::format(
+  std::string line = fmt::format(
       "{} target={} candidates={} own_in_flight={} told_requests={} slots={} "
       "told_slowdown={:.2f} told_age_ms={:.0f} far={}",
       TextOf(step.kind), step.target.Text(), step.candidates,
