--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -195,6 +195,7 @@
                 status, answer = 200, self.get(query)
             elif method == "GET" and url.path == "/rows-feed":
                 status, answer = 200, self.feed(query)
+                time.sleep(0.004)
             else:
                 status, answer = 404, {"Error": "unknown"}
             connection.sendall(encode_answer(
@@ -427,20 +428,11 @@
     return fill(template, [fields])
 
 
-def listens(address):
-    host, port = address.rsplit(":", 1)
-    try:
-        with socket.create_connection((host, int(port)), 0.2):
-            return True
-    except OSError:
-        return False
-
-
 class Platform:
     """Starts, watches and ends the daemons; every address is a loopback one."""
 
-    def __init__(self, folder, record):
-        self.folder = tempfile.mkdtemp(prefix="trefoilbend-review-")
+    def __init__(self, record):
+        self.folder = tempfile.mkdtemp(prefix="trefoilbend-review-")  # settings and logs of the daemons
         self.record = record
         self.net = self.free_net()
         self.entries = {}
@@ -651,7 +643,7 @@
         if not os.access(DAEMON, os.X_OK):
             record.say("cannot run: the build of the deploy file is missing")
         else:
-            platform = Platform(folder, record)
+            platform = Platform(record)
             code = run(platform, record, trouble)
     except Exception as error:  # pylint: disable=broad-except
         record.say("cannot run: %r" % error)
