review: an entry of KNOWN-RED, tried and shown, becomes case 1 (DRAIN); the others move behind it

Cause: a reader that has just started keeps no deletions from before its start, and answers peers as if it knew them (feed/table_image.cc).

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,6 @@
-#!/bin/sh
-# Runs the case; TROUBLE=0 leaves the disruption out.
-exec python3 "$(dirname "$0")/case.py"
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out. Writes record.txt beside this file.
+here=$(cd "$(dirname "$0")" && pwd)
+command -v python3 >/dev/null || exit 2
+exec env PYTHONDONTWRITEBYTECODE=1 python3 "$here/case.py" "$here"
