--- a/packages/feed/include/trefoilbend/feed/table_image.h
+++ b/packages/feed/include/trefoilbend/feed/table_image.h
@@ -21,7 +21,9 @@
  * what they lack.
  *
  * Rows carry their versions, so that no history is needed but that of
- * deletions.
+ * deletions. A whole table tells nothing of the rows that were deleted before
+ * it was read, which a reader may still have. So a reader that knows less than
+ * the last whole table gets the whole table, and never a list of changes.
  */
 class TableImage {
  public:
@@ -45,7 +47,7 @@
     return this->version;
   }
 
-  /** @return Version of the newest row or deletion. */
+  /** @return Version of the newest row or deletion, known or possible. */
   [[nodiscard]] platform::RowVersion Newest() const noexcept {
     return this->newest;
   }
@@ -76,9 +78,9 @@
   std::map<std::string, platform::Row> rows;
   std::deque<std::pair<std::string, platform::RowVersion>> deletions;
   platform::RowVersion version;
-  /** Version of the newest row or deletion. */
+  /** Version up to which some row or deletion is known or possible. */
   platform::RowVersion newest;
-  /** Version of the newest deletion that is forgotten. */
+  /** Version up to which deletions may be missing from the list. */
   platform::RowVersion forgotten;
 };
 
--- a/packages/feed/src/table_image.cc
+++ b/packages/feed/src/table_image.cc
@@ -1,7 +1,6 @@
 #include "trefoilbend/feed/table_image.h"
 
 #include <algorithm>
-#include <set>
 
 #include "trefoilbend/core/outcome.h"
 
@@ -21,20 +20,13 @@
   if (state.version < this->version) {
     return;
   }
-  std::set<std::string> present;
+  this->rows.clear();
+  this->deletions.clear();
+  this->newest = std::max(this->newest, state.version);
   for (const platform::Row& row : state.rows) {
-    present.insert(row.key);
     this->Put(row);
   }
-  std::vector<std::string> gone;
-  for (const auto& [key, row] : this->rows) {
-    if (!present.contains(key)) {
-      gone.push_back(key);
-    }
-  }
-  for (const std::string& key : gone) {
-    this->Delete(key, state.version);
-  }
+  this->forgotten = state.version;
   this->version = state.version;
 }
 
--- a/packages/feed/test/feed_test.cc
+++ b/packages/feed/test/feed_test.cc
@@ -134,6 +134,27 @@
   BOOST_TEST(changes.front().row.key == key);
 }
 
+/** DRAIN: a reader that had just started did not tell what had been deleted
+ * before, and the listener kept it. */
+BOOST_AUTO_TEST_CASE(gets_the_whole_table_from_one_that_has_just_read_it) {
+  reader.Send(
+      Learnt{.table = kTargets,
+             .news = platform::TableState{.rows = {{.key = "servers/a",
+                                                    .value = "v",
+                                                    .version = RowVersion{5}}},
+                                          .version = RowVersion{20}}});
+  constexpr std::chrono::seconds kLimit{4};
+  const auto limit = std::chrono::steady_clock::now() + kLimit;
+  Heard heard;
+  while (heard.tables.empty() && std::chrono::steady_clock::now() < limit) {
+    heard = HeardOf(listener.Begin(kReader, 0ms, 12));
+  }
+  BOOST_REQUIRE(heard.tables.size() == 1);
+  const auto& state = std::get<platform::TableState>(heard.tables[0].news);
+  BOOST_TEST(state.rows.size() == 1);
+  BOOST_TEST((state.version == RowVersion{20}));
+}
+
 BOOST_AUTO_TEST_SUITE(and_lacks_nothing)
 
 BOOST_AUTO_TEST_CASE(is_told_of_a_change_as_soon_as_there_is_one) {
