Read times with decimals in the settings

The users' platform writes times such as 2.5s. A setting filled in from one was refused as a mistake, so that the entry did not start; nothing on the sites at hand has such a value. Whole numbers still refuse decimals. section_test: reads_decimals, and refuses_text_and_numbers_out_of_range with 5.0.

--- a/packages/settings/include/trefoilbend/settings/section.h
+++ b/packages/settings/include/trefoilbend/settings/section.h
@@ -124,6 +124,15 @@
       const std::string& key, Range<std::chrono::microseconds> range,
       std::optional<std::chrono::microseconds> fallback = std::nullopt);
 
+  /**
+   * @brief Reads a length of time that may be missing.
+   * @param key Key to read.
+   * @param range Bounds of the time.
+   * @return The time, or nothing.
+   */
+  [[nodiscard]] std::optional<std::chrono::microseconds> OptionalTime(
+      const std::string& key, Range<std::chrono::microseconds> range);
+
   /**
    * @brief Reads a wall-clock time with its zone, which is required.
    * @param key Key to read.
--- a/packages/settings/src/section.cc
+++ b/packages/settings/src/section.cc
@@ -37,20 +37,50 @@
   return kUnits;
 }
 
+/** A number with decimals and its unit. */
 struct Quantity {
-  std::uint64_t number{};
+  std::uint64_t whole{};
+  /** What follows the point, in parts of `parts`. */
+  std::uint64_t fraction{};
+  std::uint64_t parts = 1;
   std::string_view unit;
 };
 
-std::optional<Quantity> ParseQuantity(const std::string_view text) {
-  Quantity quantity;
-  const char* end = text.data() + text.size();
+/** Removes digits from the front of a text; returns their number. */
+std::optional<std::uint64_t> TakeDigits(std::string_view& text) {
+  std::uint64_t number{};
   const auto [rest, problem] =
-      std::from_chars(text.data(), end, quantity.number);
+      std::from_chars(text.data(), text.data() + text.size(), number);
   if (problem != std::errc{}) {
     return std::nullopt;
   }
-  quantity.unit = text.substr(static_cast<std::size_t>(rest - text.data()));
+  text.remove_prefix(static_cast<std::size_t>(rest - text.data()));
+  return number;
+}
+
+std::optional<Quantity> ParseQuantity(std::string_view text) {
+  constexpr std::size_t kMostDecimals = 6;
+  constexpr std::uint64_t kTen = 10;
+  Quantity quantity;
+  const auto whole = TakeDigits(text);
+  if (!whole) {
+    return std::nullopt;
+  }
+  quantity.whole = *whole;
+  if (text.starts_with('.')) {
+    text.remove_prefix(1);
+    const std::size_t before = text.size();
+    const auto fraction = TakeDigits(text);
+    const std::size_t decimals = before - text.size();
+    if (!fraction || decimals > kMostDecimals) {
+      return std::nullopt;
+    }
+    quantity.fraction = *fraction;
+    for (std::size_t decimal = 0; decimal < decimals; ++decimal) {
+      quantity.parts *= kTen;
+    }
+  }
+  quantity.unit = text;
   quantity.unit.remove_prefix(
       std::min(quantity.unit.find_first_not_of(' '), quantity.unit.size()));
   return quantity;
@@ -67,7 +97,10 @@
                    [&](const Unit& one) { return one.name == quantity->unit; });
   std::uint64_t product{};
   if (unit == units.end() ||
-      __builtin_mul_overflow(quantity->number, unit->factor, &product)) {
+      __builtin_mul_overflow(quantity->whole, unit->factor, &product) ||
+      __builtin_add_overflow(
+          product, quantity->fraction * unit->factor / quantity->parts,
+          &product)) {
     return std::nullopt;
   }
   return product;
@@ -156,12 +189,12 @@
     return fallback.value_or(range.least);
   }
   const auto quantity = ParseQuantity(*value);
-  if (!quantity || !quantity->unit.empty() || quantity->number < range.least ||
-      quantity->number > range.most) {
+  if (!quantity || quantity->parts != 1 || !quantity->unit.empty() ||
+      quantity->whole < range.least || quantity->whole > range.most) {
     this->Refuse(key, expected);
     return fallback.value_or(range.least);
   }
-  return quantity->number;
+  return quantity->whole;
 }
 
 double Section::Decimal(const std::string& key, const Range<double> range,
@@ -221,6 +254,14 @@
   return std::chrono::microseconds{*parsed};
 }
 
+std::optional<std::chrono::microseconds> Section::OptionalTime(
+    const std::string& key, const Range<std::chrono::microseconds> range) {
+  if (!this->Find(key)) {
+    return std::nullopt;
+  }
+  return this->Time(key, range);
+}
+
 std::chrono::sys_seconds Section::WallTime(const std::string& key) {
   static constexpr std::string_view kExpected =
       "a time with its zone, such as 2026-12-04T18:00:00Z or "
--- a/packages/settings/test/section_test.cc
+++ b/packages/settings/test/section_test.cc
@@ -34,6 +34,18 @@
   BOOST_TEST(reading.mistakes.empty());
 }
 
+/** The users' platform writes times as 1500ms or 2.5s. */
+BOOST_AUTO_TEST_CASE(reads_decimals) {
+  Reading reading{{{"a", "2.5s"}, {"b", "0.25 ms"}, {"c", "1.s"}}};
+  const Range<std::chrono::microseconds> range{1us, 1h};
+  BOOST_TEST((reading.section.Time("a", range) == 2'500ms));
+  BOOST_TEST((reading.section.Time("b", range) == 250us));
+  BOOST_TEST((reading.section.OptionalTime("none", range) == std::nullopt));
+  BOOST_TEST(reading.mistakes.empty());
+  (void)reading.section.Time("c", range);
+  BOOST_TEST(reading.mistakes.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(refuses_a_missing_unit_and_names_the_place) {
   Reading reading{{{"timeout", "250"}}};
   BOOST_TEST((reading.section.Time("timeout", {1ms, 1min}, 2s) == 2s));
@@ -55,11 +67,12 @@
 BOOST_AUTO_TEST_SUITE(with_a_number)
 
 BOOST_AUTO_TEST_CASE(refuses_text_and_numbers_out_of_range) {
-  Reading reading{{{"a", "many"}, {"b", "11"}, {"c", "5x"}, {"d", "-1"}}};
-  for (const char* key : {"a", "b", "c", "d"}) {
+  Reading reading{
+      {{"a", "many"}, {"b", "11"}, {"c", "5x"}, {"d", "-1"}, {"e", "5.0"}}};
+  for (const char* key : {"a", "b", "c", "d", "e"}) {
     (void)reading.section.Integer(key, {1, 10});
   }
-  BOOST_TEST(reading.mistakes.size() == 4U);
+  BOOST_TEST(reading.mistakes.size() == 5U);
 }
 
 BOOST_AUTO_TEST_CASE(takes_decimals_where_they_make_sense) {
