--- a/packages/callers/include/trefoilbend/callers/duty.h
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -80,6 +80,9 @@
   std::chrono::milliseconds keep{2'000};
   /** @brief Time that peers may need to learn that this entry leaves. */
   std::chrono::milliseconds leave_notice{1'500};
+  /** @brief Time after the beginning of a stop at which the process is killed;
+   * nothing if it never is. */
+  std::optional<std::chrono::milliseconds> grace;
   /** @brief Address that answers which entries to use; if there is none, the
    * callers' address does. */
   std::optional<http::Address> directory;
@@ -159,7 +162,8 @@
 
   /**
    * @brief Begins a graceful stop: serves until peers know of it, answers that
-   * name this entry have expired and every call has ended.
+   * name this entry have expired and every call has ended. Calls that are still
+   * open shortly before the end of the grace get a refusal or are broken off.
    * @param done Called once, from the duty's thread.
    */
   void Drain(std::function<void()> done);
--- a/packages/callers/include/trefoilbend/callers/fwd.h
+++ b/packages/callers/include/trefoilbend/callers/fwd.h
@@ -7,8 +7,10 @@
 struct KeyLimits;
 struct Options;
 struct Outlets;
+struct StopTimes;
 
 class CallersDuty;
+class StopPlan;
 
 }  // namespace trefoilbend::callers
 
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -13,6 +13,7 @@
 #include "internal/question_server.h"
 #include "internal/session.h"
 #include "trefoilbend/callers/router.h"
+#include "trefoilbend/callers/stop_plan.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/invariant.h"
@@ -27,6 +28,8 @@
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kViews = 64;
 constexpr std::chrono::milliseconds kDrainPoll{20};
+/** Time for the last answers to leave before the process ends. */
+constexpr std::chrono::milliseconds kLastWrites{100};
 constexpr std::chrono::milliseconds kExpirePeriod{1'000};
 constexpr std::string_view kKeyField = "Idempotency-Key";
 /** Lines a second about refusals that balancing does not see. */
@@ -62,7 +65,10 @@
               {.bytes = this->options.keys.answer,
                .late = this->options.keys.late_answer}),
         claims(this->duty.Context(), this->options, this->clock),
-        questions(*this, [this] { return this->IsReady() && !this->draining; }),
+        stop({.serve = this->options.leave_notice + this->options.keep,
+              .grace = this->options.grace}),
+        questions(*this,
+                  [this] { return this->IsReady() && !this->IsDraining(); }),
         listener(this->duty.Context(), *this),
         drain_timer(this->duty.Context()),
         expire_timer(this->duty.Context()),
@@ -127,20 +133,18 @@
   }
 
   void Drain(std::function<void()> done) {
-    boost::asio::post(this->duty.Context(), [this,
-                                             done = std::move(done)]() mutable {
-      const auto serve = this->options.leave_notice + this->options.keep;
-      this->log.Info("Stops: serves for {} ms more, then finishes {} calls.",
-                     serve.count(), this->calls.size());
-      this->draining = true;
-      this->directory.Withdraw();
-      this->drain_timer.expires_after(serve);
-      this->drain_timer.async_wait(
-          [this, done = std::move(done)](auto) mutable {
-            this->listener.Close();
-            this->AwaitLastCall(std::move(done));
-          });
-    });
+    boost::asio::post(this->duty.Context(),
+                      [this, done = std::move(done)]() mutable {
+                        this->stop.Begin(std::chrono::steady_clock::now());
+                        this->LogStop();
+                        this->directory.Withdraw();
+                        this->drain_timer.expires_at(this->stop.ServesUntil());
+                        this->drain_timer.async_wait(
+                            [this, done = std::move(done)](auto) mutable {
+                              this->listener.Close();
+                              this->AwaitLastCall(std::move(done));
+                            });
+                      });
   }
 
   [[nodiscard]] const Limits& GetLimits() const noexcept override {
@@ -158,7 +162,7 @@
   }
 
   [[nodiscard]] bool IsDraining() const noexcept override {
-    return this->draining;
+    return this->stop.HasBegun();
   }
 
   [[nodiscard]] discovery::DirectoryAnswer Ask(
@@ -186,16 +190,22 @@
                     .reason = core::RefusalReason::kUnknownService});
     }
     const bool keyed_call = !request.idempotent && key && !key->empty();
+    const core::RunState untouched =
+        keyed_call ? core::RunState::kUnknown : core::RunState::kNotRun;
+    if (!this->stop.MayTake(request.deadline)) {
+      return this->TellRefusal(request,
+                               {.run = untouched,
+                                .reason = core::RefusalReason::kStopping,
+                                .retry_after = kRetryElsewhere});
+    }
     const std::string text{keyed_call ? *key : ""};
     const core::CallId id = this->NextCall();
     const auto shared =
         std::make_shared<const core::CallRequest>(std::move(request));
     if (keyed_call ? !this->HasRoom() : !this->Run(id, shared)) {
-      return this->TellRefusal(*shared,
-                               {.run = keyed_call ? core::RunState::kUnknown
-                                                  : core::RunState::kNotRun,
-                                .reason = core::RefusalReason::kBusy,
-                                .retry_after = kRetryAfter});
+      return this->TellRefusal(*shared, {.run = untouched,
+                                         .reason = core::RefusalReason::kBusy,
+                                         .retry_after = kRetryAfter});
     }
     this->calls.emplace(id, OpenCall{.session = session, .keyed = keyed_call});
     this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
@@ -326,6 +336,8 @@
 
  private:
   static constexpr std::chrono::milliseconds kRetryAfter{1'000};
+  /** Time after which a caller may turn to another entry. */
+  static constexpr std::chrono::milliseconds kRetryElsewhere{10};
 
   struct OpenCall {
     std::weak_ptr<internal::Session> session;
@@ -369,6 +381,13 @@
                                 .retry_after = kRetryAfter});
       return;
     }
+    if (!this->stop.MayTake(call.request->deadline)) {
+      this->Reply(call.received,
+                  core::Refusal{.run = core::RunState::kUnknown,
+                                .reason = core::RefusalReason::kStopping,
+                                .retry_after = kRetryElsewhere});
+      return;
+    }
     const core::CallId waiter = this->NextCall();
     this->received.emplace(waiter, call.received);
     this->keyed.Admit(waiter, call.key, call.request);
@@ -401,6 +420,16 @@
            this->received.empty() && this->listener.OpenSessions() == 0;
   }
 
+  void LogStop() const {
+    const core::TimePoint now = std::chrono::steady_clock::now();
+    const auto serve = std::chrono::ceil<std::chrono::milliseconds>(
+        this->stop.ServesUntil() - now);
+    this->log.Info(
+        "Stops: serves for {} ms more, then finishes {} calls. grace_ms={}",
+        serve.count(), this->calls.size(),
+        this->options.grace.value_or(std::chrono::milliseconds{0}).count());
+  }
+
   void AwaitLastCall(std::function<void()> done) {
     this->listener.CloseIdleSessions(core::Duration::zero());
     if (this->IsIdle()) {
@@ -408,12 +437,37 @@
       done();
       return;
     }
+    if (std::chrono::steady_clock::now() >= this->stop.AnswersUntil()) {
+      this->GiveUpCalls();
+      this->drain_timer.expires_after(kLastWrites);
+      this->drain_timer.async_wait([done = std::move(done)](auto) { done(); });
+      return;
+    }
     this->drain_timer.expires_after(kDrainPoll);
     this->drain_timer.async_wait([this, done = std::move(done)](auto) mutable {
       this->AwaitLastCall(std::move(done));
     });
   }
 
+  /** Answers the calls that would be cut without a word. They were taken before
+   * the stop began: calls that come later are done by now. */
+  void GiveUpCalls() {
+    this->log.Warn("The grace ends, gives up calls. calls={} connections={}",
+                   this->calls.size(), this->listener.OpenSessions());
+    std::vector<std::shared_ptr<internal::Session>> sessions;
+    for (const auto& [id, open] : this->calls) {
+      if (auto session = open.session.lock()) {
+        sessions.push_back(std::move(session));
+      }
+    }
+    for (const auto& session : sessions) {
+      session->GiveUp(
+          this->CountRefusal({.run = core::RunState::kUnknown,
+                              .reason = core::RefusalReason::kStopping,
+                              .retry_after = kRetryElsewhere}));
+    }
+  }
+
   /** Counts a refusal that balancing does not see, and writes a line. */
   core::Refusal TellRefusal(const core::CallRequest& request,
                             const core::Refusal refusal) {
@@ -510,6 +564,7 @@
   internal::KeyedCalls keyed;
   core::WallClock clock;
   internal::Claims claims;
+  StopPlan stop;
   internal::QuestionServer questions;
   internal::Listener listener;
   boost::asio::steady_timer drain_timer;
@@ -521,7 +576,6 @@
   std::size_t passes{};
   core::CallId last_call;
   bool current = true;
-  bool draining = false;
   internal::Metrics metrics;
   core::RateLimit refusal_lines{kRefusalLines};
   core::Log log{"callers"};
--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -121,6 +121,13 @@
   /** @brief Closes the connection so that the answer cannot look whole. */
   void Break();
 
+  /**
+   * @brief Ends the call at once: refuses it if its answer has not begun,
+   * breaks off one that comes in parts, and leaves one that is being written.
+   * @param refusal Refusal of the call.
+   */
+  void GiveUp(const core::Refusal& refusal);
+
   /**
    * @brief Goes on with another identity of the call.
    * @param other Identity under which the rest of the answer comes.
@@ -171,6 +178,8 @@
   std::optional<StreamSerializer> serializer;
   std::string part;
   bool part_is_last{};
+  /** Whether a whole answer is being written. */
+  bool writes_whole{};
   std::optional<core::CallId> call;
   bool keep_alive{};
   bool is_head{};
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -217,11 +217,13 @@
     message.body() = std::move(head.body);
     message.prepare_payload();
   }
+  this->writes_whole = true;
   this->stream.expires_after(this->owner.GetLimits().send);
   beast::http::async_write(
       this->stream, message,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) {
+        self->writes_whole = false;
         if (error) {
           self->AbandonCall();
           return;
@@ -289,6 +291,15 @@
   this->stream.close();
 }
 
+void Session::GiveUp(const core::Refusal& refusal) {
+  if (this->serializer) {
+    this->Break();
+  } else if (!this->writes_whole) {
+    this->AbandonCall();
+    this->Refuse(refusal);
+  }
+}
+
 void Session::CloseIfIdle(const core::Duration least) {
   boost::system::error_code error;
   if (this->idle_since &&
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -139,6 +139,9 @@
         Milliseconds(section.Time("keep", {100ms, 1min}, options.keep));
     options.leave_notice = Milliseconds(
         section.Time("leave-notice", {0ms, 1min}, options.leave_notice));
+    if (const auto grace = section.OptionalTime("grace", {100ms, 1h})) {
+      options.grace = Milliseconds(*grace);
+    }
     limits.calls = section.Integer("max-calls", {1, kMostCalls}, limits.calls);
     limits.connections =
         section.Integer("max-connections", {1, kMostCalls}, limits.connections);
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -40,6 +40,16 @@
   BOOST_TEST(settings.log_levels.at("operations") == "warn");
 }
 
+BOOST_AUTO_TEST_CASE(tell_when_a_stopping_process_is_killed) {
+  BOOST_TEST(!core::ValueOf(Read(kText)).callers.grace.has_value());
+  std::string text{kText};
+  text.replace(text.find("keep = 3s"), 9, "grace = 2.5s");
+  const auto outcome = Read(text);
+  BOOST_REQUIRE(core::Succeeded(outcome));
+  BOOST_TEST((core::ValueOf(outcome).callers.grace ==
+              std::chrono::milliseconds{2'500}));
+}
+
 BOOST_AUTO_TEST_CASE(give_each_process_random_numbers_of_its_own) {
   const auto one = Read(kText);
   const auto other = Read(kText);
--- a/tests/users_platform/faulty_target_test.cc
+++ b/tests/users_platform/faulty_target_test.cc
@@ -7,7 +7,6 @@
 
 #include "platform.h"
 #include "raw_target.h"
-#include "trefoilbend/wire/headers.h"
 
 namespace trefoilbend::tests {
 
@@ -18,25 +17,11 @@
 /** Time in which a call to a target that only floods has its answer; the call
  * itself has 2 s. */
 constexpr std::chrono::milliseconds kSoon{1'000};
-const std::string kHealthy =
-    "HTTP/1.1 200 OK\r\nTrefoilbend-Instance-Id: raw\r\n"
-    "Trefoilbend-Server-Load: 0,0,6,100\r\nContent-Length: 0\r\n\r\n";
 const std::string kNotRun =
     "HTTP/1.1 503 Busy\r\nTrefoilbend-Not-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n";
 const std::string kPiece(4'096, 'x');
 
-/** The request's identity, from its head. */
-std::string IdOf(const std::string& head) {
-  const std::string name = std::string{wire::kRequestIdHeader} + ": ";
-  const std::size_t begin = head.find(name);
-  if (begin == std::string::npos) {
-    return "";
-  }
-  const std::size_t value = begin + name.size();
-  return head.substr(value, head.find("\r\n", value) - value);
-}
-
 /** An entry whose only target does what a story says with each request, and is
  * healthy unless the story takes the health checks as well. */
 struct Flooded : Platform {
@@ -46,7 +31,7 @@
         this->RawTargetAddress(),
         [this, story = std::move(story)](RawConnection& connection,
                                          const std::string& head) {
-          const bool is_check = head.starts_with("GET /health");
+          const bool is_check = IsHealthCheck(head);
           if (is_check && !this->takes_checks) {
             connection.Write(kHealthy);
             return;
@@ -54,12 +39,7 @@
           this->requests += is_check ? 0 : 1;
           story(connection, head);
         });
-    this->OnStore([this](stand_ins::Store& one) {
-      for (const char* id : {"a", "b", "c"}) {
-        one.Write("servers/" + std::string{id}, std::nullopt);
-      }
-      one.Write("servers/raw", EntryOf("raw", this->RawTargetAddress()));
-    });
+    this->ListOnlyTheRawTarget();
     this->StartEntry();
     BOOST_REQUIRE(Await([this] { return this->Readiness() == 200; }));
   }
@@ -148,7 +128,7 @@
 BOOST_AUTO_TEST_CASE(of_a_health_check_is_not_believed) {
   takes_checks = true;
   Use([](RawConnection& connection, const std::string& head) {
-    if (head.starts_with("GET /health")) {
+    if (IsHealthCheck(head)) {
       connection.Write(kNotRun);
       return;
     }
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -129,12 +129,13 @@
 }
 
 Platform::~Platform() {
+  this->daemon.reset();
   this->running.clear();
   this->context.stop();
   this->thread.join();
 }
 
-void Platform::StartEntry(const int number) {
+settings::Document Platform::SettingsOf(const int number) {
   const auto address = [this, number](const std::uint16_t port) {
     return http::ToString(this->At(kEntries + number, port));
   };
@@ -162,7 +163,11 @@
   document.Set("membership", "feed-address", address(kFeed));
   document.Set("operations", "address", address(kOperations));
   document.Set("log", "level", "off");
-  auto read = entry::ReadSettings(document);
+  return std::get<0>(std::move(parsed));
+}
+
+void Platform::StartEntry(const int number) {
+  auto read = entry::ReadSettings(this->SettingsOf(number));
   BOOST_REQUIRE(core::Succeeded(read));
   std::unique_ptr<entry::Entry>& made = this->running[number];
   made = entry::Entry::Builder{}
@@ -171,8 +176,36 @@
   BOOST_REQUIRE(core::Succeeded(made->Start()));
 }
 
+void Platform::StartDaemon(const std::vector<Setting>& settings) {
+  settings::Document document = this->SettingsOf(1);
+  for (const Setting& setting : settings) {
+    document.Set(setting.section, setting.key, setting.value);
+  }
+  this->daemon = std::make_unique<Daemon>(document);
+  BOOST_REQUIRE(Await([this] { return this->Readiness() == 200; }));
+}
+
+http::Address Platform::Front() const { return this->At(kEntries + 1, kFront); }
+
+http::Address Platform::DirectoryAddress() const {
+  return this->At(kEntries + 1, kDirectory);
+}
+
+void Platform::ListOnlyTheRawTarget() {
+  this->OnStore([this](stand_ins::Store& one) {
+    for (const char* id : {"a", "b", "c"}) {
+      one.Write("servers/" + std::string{id}, std::nullopt);
+    }
+    one.Write("servers/raw", EntryOf("raw", this->RawTargetAddress()));
+  });
+}
+
 void Platform::WriteDesiredState(const int version, const std::string& prefix,
                                  const std::string& kind) {
+  this->WriteRoute(version, {.prefix = prefix, .kind = kind});
+}
+
+void Platform::WriteRoute(const int version, const RouteWish& wish) {
   char number[9];
   std::snprintf(number, sizeof number, "%08x", static_cast<unsigned>(version));
   const json state{
@@ -182,7 +215,8 @@
          {"Name", "Hostname", "Prefix", "RouteType", "Timeout", "TargetLatency",
           "Priority", "Service", "Attempts", "TrafficSplit"}},
         {"Rows",
-         json::array({json::array({"r-1", kHost, prefix, kind, "2000ms",
+         json::array({json::array({"r-1", kHost, wish.prefix, wish.kind,
+                                   std::to_string(wish.timeout.count()) + "ms",
                                    "200ms", 1, "stock", 2, nullptr})})}}},
       {"Services",
        {{"Columns", {"Name", "HealthPath", "MaxConns", "Warmup", "WarmupPerS"}},
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "daemon.h"
 #include "store/store.h"
 #include "support/loopback_network.h"
 #include "trefoilbend/entry/entry.h"
@@ -99,6 +100,26 @@
   std::shared_ptr<http::Server> server;
 };
 
+/** @brief A setting that a story chooses. */
+struct Setting {
+  /** @brief Section of the key. */
+  std::string section;
+  /** @brief Key of the setting. */
+  std::string key;
+  /** @brief Value of the setting. */
+  std::string value;
+};
+
+/** @brief What operators want of the only route. */
+struct RouteWish {
+  /** @brief Beginning of its paths. */
+  std::string prefix = "/look/";
+  /** @brief Kind of its requests. */
+  std::string kind = "idempotent";
+  /** @brief Longest time that a client is kept waiting. */
+  std::chrono::milliseconds timeout{2'000};
+};
+
 /** @brief Entries in this process between a store and three targets: a and b in
  * the data centre near, c in far. Stories of one entry use the first. */
 class Platform {
@@ -115,6 +136,22 @@
    */
   void StartEntry(int number = 1);
 
+  /**
+   * @brief Starts the first entry as a process of its own and waits until it is
+   * ready.
+   * @param settings Settings that take the place of the usual ones.
+   */
+  void StartDaemon(const std::vector<Setting>& settings = {});
+
+  /** @return The process that StartDaemon has started. */
+  [[nodiscard]] Daemon& GetDaemon() { return *this->daemon; }
+
+  /** @return Address on which the first entry serves clients. */
+  [[nodiscard]] http::Address Front() const;
+
+  /** @return Address on which the first entry answers which entries to use. */
+  [[nodiscard]] http::Address DirectoryAddress() const;
+
   /**
    * @brief Ends an entry without any notice.
    * @param number Number of the entry.
@@ -130,6 +167,18 @@
   void WriteDesiredState(int version, const std::string& prefix = "/look/",
                          const std::string& kind = "idempotent");
 
+  /**
+   * @brief Writes what operators want: one route to the service stock.
+   * @param version Number of the desired state.
+   * @param wish The route.
+   */
+  void WriteRoute(int version, const RouteWish& wish);
+
+  /**
+   * @brief Has the raw target alone serve the service stock.
+   */
+  void ListOnlyTheRawTarget();
+
   /**
    * @brief Does something on the store's thread.
    * @param action What is done.
@@ -197,6 +246,7 @@
       std::chrono::milliseconds limit = std::chrono::seconds{10});
 
  private:
+  [[nodiscard]] settings::Document SettingsOf(int number);
   [[nodiscard]] http::Address At(int host, std::uint16_t port) const;
   /** Address under which an entry knows the store. */
   [[nodiscard]] http::Address StoreOf(int number) const;
@@ -211,6 +261,7 @@
   std::map<std::string, std::unique_ptr<Endpoint>> targets;
   std::thread thread;
   std::map<int, std::unique_ptr<entry::Entry>> running;
+  std::unique_ptr<Daemon> daemon;
   int calls = 0;
 };
 
--- a/tests/users_platform/raw_target.cc
+++ b/tests/users_platform/raw_target.cc
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "trefoilbend/wire/headers.h"
+
 namespace trefoilbend::tests {
 
 namespace {
@@ -16,9 +18,27 @@
 
 }  // namespace
 
+bool IsHealthCheck(const std::string& head) {
+  return head.starts_with("GET /health");
+}
+
+std::string IdOf(const std::string& head) {
+  const std::string name = std::string{wire::kRequestIdHeader} + ": ";
+  const std::size_t begin = head.find(name);
+  if (begin == std::string::npos) {
+    return "";
+  }
+  const std::size_t value = begin + name.size();
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
 std::string RawConnection::ReadHead() {
   std::string head;
-  this->socket.non_blocking(true);
+  boost::system::error_code closed;
+  this->socket.non_blocking(true, closed);
+  if (closed) {
+    return {};
+  }
   while (!head.ends_with("\r\n\r\n") && !this->stopping) {
     char byte{};
     boost::system::error_code error;
@@ -55,6 +75,12 @@
   }
 }
 
+void RawConnection::Close() {
+  boost::system::error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+}
+
 RawTarget::RawTarget(const http::Address& address, Story story)
     : acceptor(this->context,
                tcp::endpoint{boost::asio::ip::make_address(address.host),
--- a/tests/users_platform/raw_target.h
+++ b/tests/users_platform/raw_target.h
@@ -13,6 +13,25 @@
 
 namespace trefoilbend::tests {
 
+/** @brief Whole answer of a healthy target to a health check. */
+inline constexpr const char* kHealthy =
+    "HTTP/1.1 200 OK\r\nTrefoilbend-Instance-Id: raw\r\n"
+    "Trefoilbend-Server-Load: 0,0,6,100\r\nContent-Length: 0\r\n\r\n";
+
+/**
+ * @brief Tells whether a request is a health check.
+ * @param head Head of the request.
+ * @return Whether it is.
+ */
+[[nodiscard]] bool IsHealthCheck(const std::string& head);
+
+/**
+ * @brief Finds the identity of a request.
+ * @param head Head of the request.
+ * @return The identity; empty without one.
+ */
+[[nodiscard]] std::string IdOf(const std::string& head);
+
 /** @brief One connection of a target that writes bytes as a story says. */
 class RawConnection {
  public:
@@ -44,6 +63,9 @@
    */
   void WriteWithoutEnd(const std::string& bytes);
 
+  /** @brief Closes the connection after what was written. */
+  void Close();
+
  private:
   boost::asio::ip::tcp::socket socket;
   const std::atomic<bool>& stopping;
