--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -260,11 +260,6 @@
   if (this->resume) {
     this->resume->offset += length;
   }
-  if (complete && this->order.resume && !this->IsWholeBody()) {
-    this->resume.reset();
-    this->Finish(ExchangeResult::kBrokenWithinAnswer);
-    return;
-  }
   this->Deliver(std::string{this->part.data(), length}, complete);
 }
 
@@ -324,6 +319,12 @@
     complete ? this->SkipAnswer() : this->ReadPart();
     return;
   }
+  if (complete && !this->withheld && this->order.resume &&
+      !this->IsWholeBody()) {
+    this->resume.reset();
+    this->Finish(ExchangeResult::kBrokenWithinAnswer);
+    return;
+  }
   if (!this->abandoned) {
     this->Hold(std::move(body), complete);
   }
--- /dev/null
+++ b/tests/users_platform/cut_head_test.cc
@@ -0,0 +1,236 @@
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "platform.h"
+#include "raw_target.h"
+
+namespace trefoilbend::tests {
+
+namespace {
+
+const std::string kBody = "a body that is whole";
+/** Ways in which a target says where its body ends. */
+const std::string kByLength =
+    "Content-Length: " + std::to_string(kBody.size()) + "\r\n";
+const std::string kByChunks = "Transfer-Encoding: chunked\r\n";
+const std::string kByClose;
+
+std::string HeadTo(const std::string& request, const std::string& framing,
+                   const std::string& status = "200 OK") {
+  return "HTTP/1.1 " + status + "\r\nTrefoilbend-Request-Id: " + IdOf(request) +
+         "\r\nTrefoilbend-Server-Signature: s\r\n" + framing + "\r\n";
+}
+
+/** A daemon whose only target stops within the head of its answer and closes,
+ * every second time on a connection that has carried a whole answer. */
+struct CutShort : Platform {
+  void Use(const std::string& kind, const std::string& framing,
+           const std::string& hold, const std::string& before = "") {
+    this->WriteRoute(1, {.kind = kind});
+    this->target = std::make_unique<RawTarget>(
+        this->RawTargetAddress(),
+        [this, framing, before](RawConnection& connection,
+                                const std::string& request) {
+          this->Serve(connection, request, framing, before);
+        });
+    this->ListOnlyTheRawTarget();
+    this->StartDaemon({{"forwarding", "hold", hold}});
+  }
+
+  void Serve(RawConnection& connection, const std::string& request,
+             const std::string& framing, const std::string& before) {
+    if (IsHealthCheck(request)) {
+      connection.Write(kHealthy);
+      return;
+    }
+    if (request.find("/look/whole") != std::string::npos) {
+      connection.Write(HeadTo(request, kByLength) + kBody);
+      return;
+    }
+    const std::string head = HeadTo(request, framing);
+    this->head_length = head.size();
+    connection.Write(before.empty() ? "" : HeadTo(request, "", before));
+    connection.Write(head.substr(0, this->cut_at));
+    ++this->cuts;
+    connection.Close();
+  }
+
+  /** Has an answer cut at a place; returns what the client got for it. */
+  http::Response CallCutAt(const std::size_t place, const std::string& method) {
+    this->cut_at = place;
+    const int before = this->cuts;
+    http::Response response;
+    BOOST_REQUIRE(Await([&] {
+      response = this->Call("/look/cut", method);
+      return this->cuts > before;
+    }));
+    return response;
+  }
+
+  /** Checks each place within the head, as clients see it. */
+  void CheckEveryCut(const std::string& method) {
+    (void)this->CallCutAt(0, method);
+    for (std::size_t place = 0; place < this->head_length; ++place) {
+      if (place % 2 == 0) {
+        BOOST_TEST((Await([this] {
+          return this->Call("/look/whole", "GET").body == kBody;
+        })));
+      }
+      const http::Response response = this->CallCutAt(place, method);
+      BOOST_TEST((response.status == 502 || response.status == 503 ||
+                  response.status == 504),
+                 "cut at " << place << ": status " << response.status);
+    }
+    BOOST_TEST(this->GetDaemon().IsRunning());
+  }
+
+  std::atomic<std::size_t> cut_at{};
+  std::atomic<std::size_t> head_length{};
+  std::atomic<int> cuts{};
+  std::unique_ptr<RawTarget> target;
+};
+
+}  // namespace
+
+/** MIXED: clients got a 200 with an empty or short body, framed as whole
+ * (reports of other operators). */
+BOOST_FIXTURE_TEST_SUITE(a_target_that_closes_within_the_head_of_its_answer,
+                         CutShort)
+
+BOOST_AUTO_TEST_SUITE(to_a_call_that_must_not_be_repeated)
+
+BOOST_AUTO_TEST_CASE(with_a_length_gives_no_success) {
+  Use("non_idempotent", kByLength, "64 KiB");
+  CheckEveryCut("POST");
+}
+
+BOOST_AUTO_TEST_CASE(in_chunks_gives_no_success) {
+  Use("non_idempotent", kByChunks, "0 B");
+  CheckEveryCut("POST");
+}
+
+BOOST_AUTO_TEST_CASE(without_a_length_gives_no_success) {
+  Use("non_idempotent", kByClose, "64 KiB");
+  CheckEveryCut("POST");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(to_a_call_that_may_be_repeated)
+
+BOOST_AUTO_TEST_CASE(held_until_it_is_whole_gives_no_success) {
+  Use("idempotent", kByLength, "64 KiB");
+  CheckEveryCut("GET");
+}
+
+BOOST_AUTO_TEST_CASE(passed_on_as_it_comes_gives_no_success) {
+  Use("idempotent", kByClose, "0 B");
+  CheckEveryCut("GET");
+}
+
+BOOST_AUTO_TEST_CASE(without_a_body_gives_no_success) {
+  Use("download", kByLength, "0 B");
+  CheckEveryCut("HEAD");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/** A daemon whose only target breaks off each answer within its body and, when
+ * asked for the rest, has a whole answer of fewer bytes than it says. */
+struct ShortRest : Platform {
+  void Use(const std::string& framing, const std::string& rest) {
+    this->WriteRoute(1, {.kind = "download"});
+    this->target = std::make_unique<RawTarget>(
+        this->RawTargetAddress(),
+        [this, framing, rest](RawConnection& connection,
+                              const std::string& request) {
+          if (IsHealthCheck(request)) {
+            connection.Write(kHealthy);
+          } else if (request.find("Range: bytes=") == std::string::npos) {
+            this->BreakOff(connection, request, framing);
+          } else {
+            this->GiveRest(connection, request, rest);
+          }
+        });
+    this->ListOnlyTheRawTarget();
+    this->StartDaemon({{"forwarding", "hold", "0 B"}});
+  }
+
+  static void BreakOff(RawConnection& connection, const std::string& request,
+                       const std::string& framing) {
+    const std::string begun = kBody.substr(0, kBody.size() / 2);
+    connection.Write(HeadTo(request, kTag + framing) +
+                     (framing == kByChunks ? "a\r\n" + begun + "\r\n" : begun));
+    connection.Close();
+  }
+
+  void GiveRest(RawConnection& connection, const std::string& request,
+                const std::string& rest) {
+    const std::string size = std::to_string(kBody.size());
+    const std::string range = "Content-Range: bytes " +
+                              std::to_string(kBody.size() / 2) + "-" +
+                              std::to_string(kBody.size() - 1) + "/" + size;
+    connection.Write(HeadTo(request,
+                            kTag + range + "\r\nContent-Length: " +
+                                std::to_string(rest.size()) + "\r\n",
+                            "206 Partial Content") +
+                     rest);
+    ++this->rests;
+  }
+
+  /** Checks that the client does not take what it got for the whole body, and
+   * does not wait for more. */
+  void CheckThatNothingLooksWhole() {
+    const auto begin = std::chrono::steady_clock::now();
+    const http::Response response = this->Call("/look/1");
+    BOOST_TEST(
+        (std::chrono::steady_clock::now() - begin < std::chrono::seconds{2}));
+    BOOST_TEST(this->rests > 0);
+    BOOST_TEST(response.status != 200);
+  }
+
+  static constexpr const char* kTag = "ETag: \"one\"\r\n";
+
+  std::atomic<int> rests{};
+  std::unique_ptr<RawTarget> target;
+};
+
+}  // namespace
+
+/** MIXED: a client got the beginning of a body, framed as whole. */
+BOOST_FIXTURE_TEST_SUITE(a_target_that_continues_an_answer, ShortRest)
+
+BOOST_AUTO_TEST_SUITE(that_came_in_chunks)
+
+BOOST_AUTO_TEST_CASE(with_no_bytes_gives_no_success) {
+  Use(kByChunks, "");
+  CheckThatNothingLooksWhole();
+}
+
+BOOST_AUTO_TEST_CASE(with_too_few_bytes_gives_no_success) {
+  Use(kByChunks, "few");
+  CheckThatNothingLooksWhole();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_told_its_length)
+
+BOOST_AUTO_TEST_CASE(with_no_bytes_gives_no_success) {
+  Use(kByLength, "");
+  CheckThatNothingLooksWhole();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::tests
