--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -142,6 +142,9 @@
   void CloseIfIdle(core::Duration least);
 
  private:
+  /** Bytes beyond the head that wait to be parsed: the line of a chunk. */
+  static constexpr std::size_t kMostBuffered = 64U << 10U;
+
   template <typename Body>
   using Response = boost::beast::http::response<Body>;
   using StringResponse = Response<boost::beast::http::string_body>;
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -31,6 +31,7 @@
   this->parser.emplace();
   this->parser->header_limit(this->owner.GetLimits().header);
   this->parser->body_limit(this->owner.GetLimits().body);
+  this->buffer.max_size(this->owner.GetLimits().header + kMostBuffered);
   if (this->buffer.size() > 0) {
     this->ReadRequest();
     return;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -15,6 +15,9 @@
 namespace beast = boost::beast;
 using boost::asio::ip::tcp;
 
+/** Bytes that wait to be parsed: a head, or the line of a chunk. */
+constexpr std::size_t kMostBuffered = 128U << 10U;
+
 class ServerSession : public std::enable_shared_from_this<ServerSession> {
  public:
   ServerSession(tcp::socket socket, Handler handler, ServerLimits limits,
@@ -93,7 +96,7 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMostBuffered};
   std::optional<beast::http::request_parser<beast::http::string_body>> parser;
   beast::http::response<beast::http::string_body> out;
   Handler handler;
--- /dev/null
+++ b/tests/users_platform/flood_test.cc
@@ -0,0 +1,230 @@
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "platform.h"
+#include "raw_caller.h"
+#include "raw_target.h"
+
+namespace trefoilbend::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+/** Memory of the smallest machine of the users' platform: MemoryMb. */
+constexpr std::size_t kMemory = 260U << 20U;
+/** Clients whose calls meet the faulty target at the same time. */
+constexpr int kClients = 24;
+/** Time for which the bytes come. */
+constexpr std::chrono::seconds kFlood{4};
+const std::string kPiece(16'384, 'x');
+
+/** A daemon with the settings of a machine and a target whose bytes never end,
+ * beside good targets of the same service. */
+struct Flooded : Platform {
+  ~Flooded() { this->End(); }
+
+  void Use(RawTarget::Story story, const std::string& kind = "non_idempotent") {
+    this->WriteRoute(1, {.kind = kind});
+    this->target = std::make_unique<RawTarget>(
+        this->RawTargetAddress(),
+        [this, story = std::move(story)](RawConnection& connection,
+                                         const std::string& head) {
+          const bool is_check = IsHealthCheck(head);
+          if (is_check && !this->takes_checks) {
+            connection.Write(kHealthy);
+            return;
+          }
+          ++this->floods;
+          story(connection, head);
+        });
+    this->OnStore([this](stand_ins::Store& one) {
+      one.Write("servers/raw", EntryOf("raw", this->RawTargetAddress()));
+    });
+    this->StartWithMachineSettings();
+  }
+
+  void StartWithMachineSettings() {
+    this->StartDaemon({{"callers", "max-calls", "512"},
+                       {"callers", "max-connections", "3000"},
+                       {"forwarding", "hold", "64 KiB"}});
+  }
+
+  /** Has clients call until the flood is over, each on its own connection. */
+  void CallFromManyClients(const std::string& method, const bool reads = true) {
+    for (int client = 0; client < kClients; ++client) {
+      this->clients.emplace_back([this, client, method, reads] {
+        const auto until = Clock::now() + kFlood;
+        for (int call = 0; Clock::now() < until; ++call) {
+          RawCaller caller{this->Front()};
+          const std::string id =
+              "f-" + std::to_string(client) + '-' + std::to_string(call);
+          if (!caller.Send(RequestOf(method, "/look/1", id, 2s))) {
+            continue;
+          }
+          if (reads) {
+            (void)caller.Receive();
+          } else {
+            std::this_thread::sleep_for(500ms);
+          }
+        }
+      });
+    }
+    this->End();
+  }
+
+  /** Has clients send the line of a chunk until the flood is over. */
+  void SendWithoutEnd(const http::Address& address, const std::string& line) {
+    for (int client = 0; client < kClients; ++client) {
+      this->clients.emplace_back([address, line] {
+        const auto until = Clock::now() + kFlood;
+        RawCaller caller{address};
+        bool open = caller.Send(line +
+                                " HTTP/1.1\r\nHost: a.example\r\n"
+                                "Trefoilbend-Request-Id: flood\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n1;");
+        while (open && Clock::now() < until) {
+          open = caller.Send(kPiece);
+        }
+      });
+    }
+    this->End();
+  }
+
+  void End() {
+    for (std::thread& client : this->clients) {
+      client.join();
+    }
+    this->clients.clear();
+  }
+
+  /** Checks that the daemon lives within its memory, and serves once the faulty
+   * target has left. */
+  void CheckThatTheDaemonServes() {
+    BOOST_TEST(this->GetDaemon().IsRunning());
+    BOOST_TEST(this->GetDaemon().PeakMemory() < kMemory);
+    this->OnStore(
+        [](stand_ins::Store& one) { one.Write("servers/raw", std::nullopt); });
+    BOOST_TEST((Await([this] { return this->Call("/look/1").status == 200; })));
+  }
+
+  std::atomic<int> floods{};
+  bool takes_checks = false;
+  std::unique_ptr<RawTarget> target;
+  std::list<std::thread> clients;
+};
+
+}  // namespace
+
+/** Daemons that ran out of memory, and the calls of their other clients with
+ * them, by bytes without end (reports of other operators). */
+BOOST_FIXTURE_TEST_SUITE(a_daemon_that_gets_bytes_without_end, Flooded)
+
+BOOST_AUTO_TEST_SUITE(from_a_target)
+
+BOOST_AUTO_TEST_CASE(in_a_head_keeps_within_its_memory) {
+  Use([](RawConnection& connection, const std::string&) {
+    connection.Write("HTTP/1.1 200 OK\r\nX-Filler: ");
+    connection.WriteWithoutEnd(kPiece);
+  });
+  CallFromManyClients("POST");
+  BOOST_TEST(floods > 0);
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_CASE(in_heads_of_interim_answers_keeps_within_its_memory) {
+  Use([](RawConnection& connection, const std::string& head) {
+    connection.WriteWithoutEnd(
+        "HTTP/1.1 103 Early Hints\r\nTrefoilbend-Request-Id: " + IdOf(head) +
+        "\r\n\r\n");
+  });
+  CallFromManyClients("POST");
+  BOOST_TEST(floods > 0);
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_CASE(in_a_body_keeps_within_its_memory) {
+  Use(
+      [](RawConnection& connection, const std::string& head) {
+        connection.Write(
+            "HTTP/1.1 200 OK\r\nTrefoilbend-Request-Id: " + IdOf(head) +
+            "\r\nTrefoilbend-Server-Signature: s\r\n\r\n");
+        connection.WriteWithoutEnd(kPiece);
+      },
+      "download");
+  CallFromManyClients("GET");
+  BOOST_TEST(floods > 0);
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_CASE(in_a_body_that_clients_do_not_read_keeps_within_it) {
+  Use(
+      [](RawConnection& connection, const std::string& head) {
+        connection.Write(
+            "HTTP/1.1 200 OK\r\nTrefoilbend-Request-Id: " + IdOf(head) +
+            "\r\nTrefoilbend-Server-Signature: s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n");
+        connection.WriteWithoutEnd("4000\r\n" + kPiece + "\r\n");
+      },
+      "idempotent");
+  CallFromManyClients("GET", false);
+  BOOST_TEST(floods > 0);
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_CASE(in_the_fields_behind_a_body_keeps_within_its_memory) {
+  Use([](RawConnection& connection, const std::string& head) {
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nTrefoilbend-Request-Id: " + IdOf(head) +
+        "\r\nTrefoilbend-Server-Signature: s\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n");
+    connection.WriteWithoutEnd("X-Filler: " + kPiece.substr(0, 1'024) + "\r\n");
+  });
+  CallFromManyClients("POST");
+  BOOST_TEST(floods > 0);
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_CASE(in_answers_to_health_checks_keeps_within_its_memory) {
+  takes_checks = true;
+  Use([](RawConnection& connection, const std::string&) {
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+    connection.WriteWithoutEnd(kPiece);
+  });
+  CallFromManyClients("POST");
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(from_clients)
+
+/** The line that begins a chunk was kept whole, whatever its length. */
+BOOST_AUTO_TEST_CASE(in_the_line_of_a_chunk_keeps_within_its_memory) {
+  WriteDesiredState(1);
+  StartWithMachineSettings();
+  SendWithoutEnd(Front(), "POST /look/1");
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_CASE(in_a_question_for_the_directory_keeps_within_it) {
+  WriteDesiredState(1);
+  StartWithMachineSettings();
+  SendWithoutEnd(DirectoryAddress(), "POST /resolve");
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace trefoilbend::tests
