--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -339,8 +339,10 @@
   /** Time after which a caller may turn to another entry. */
   static constexpr std::chrono::milliseconds kRetryElsewhere{10};
 
+  /** A session whose client has sent its next request already waits for
+   * nothing but the answer, so that only its call keeps it alive. */
   struct OpenCall {
-    std::weak_ptr<internal::Session> session;
+    std::shared_ptr<internal::Session> session;
     bool keyed{};
   };
 
@@ -456,9 +458,7 @@
                    this->calls.size(), this->listener.OpenSessions());
     std::vector<std::shared_ptr<internal::Session>> sessions;
     for (const auto& [id, open] : this->calls) {
-      if (auto session = open.session.lock()) {
-        sessions.push_back(std::move(session));
-      }
+      sessions.push_back(open.session);
     }
     for (const auto& session : sessions) {
       session->GiveUp(
@@ -547,7 +547,7 @@
   [[nodiscard]] std::shared_ptr<internal::Session> Find(
       const core::CallId call) const {
     const auto found = this->calls.find(call);
-    return found == this->calls.end() ? nullptr : found->second.session.lock();
+    return found == this->calls.end() ? nullptr : found->second.session;
   }
 
   void Forward(const forwarding::FromCallers& message) {
--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -144,6 +144,8 @@
  private:
   /** Bytes beyond the head that wait to be parsed: the line of a chunk. */
   static constexpr std::size_t kMostBuffered = 64U << 10U;
+  /** Bytes of the next request that are read before the answer is sent. */
+  static constexpr std::size_t kMostEarly = 16U << 10U;
 
   template <typename Body>
   using Response = boost::beast::http::response<Body>;
@@ -159,6 +161,7 @@
   void ServeCall();
   [[nodiscard]] std::string CallerAddress();
   void WatchCaller();
+  void ReadEarly();
   void Send(http::Response response);
   template <typename Message>
   void BeginMessage(Message& message, const core::AnswerHead& head);
@@ -167,6 +170,7 @@
   void WritePart(std::string body, bool complete);
   void OnPartWritten(boost::system::error_code error);
   void FinishAnswer();
+  void Linger();
   void AbandonCall();
 
   SessionOwner& owner;
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -1,6 +1,7 @@
 #include "internal/session.h"
 
 #include <array>
+#include <chrono>
 
 #include "trefoilbend/callers/refusal_text.h"
 #include "trefoilbend/forwarding/fields.h"
@@ -13,6 +14,9 @@
 using boost::asio::ip::tcp;
 
 constexpr unsigned kHttp11 = 11;
+/** Time for which a client may take the last answer before its connection is
+ * closed. */
+constexpr std::chrono::seconds kLinger{1};
 
 std::string_view View(const beast::string_view text) {
   return {text.data(), text.size()};
@@ -150,6 +154,9 @@
 }
 
 void Session::WatchCaller() {
+  if (this->buffer.size() >= kMostEarly) {
+    return;
+  }
   this->stream.socket().async_wait(
       tcp::socket::wait_read,
       [self = this->shared_from_this(),
@@ -157,17 +164,26 @@
         if (error || self->call != watched) {
           return;
         }
-        boost::system::error_code failure;
-        char byte{};
-        self->stream.socket().non_blocking(true, failure);
-        self->stream.socket().receive(boost::asio::buffer(&byte, 1),
-                                      tcp::socket::message_peek, failure);
-        if (failure && failure != boost::asio::error::would_block) {
-          self->Break();
-        }
+        self->ReadEarly();
       });
 }
 
+/** A client may send its next request early; only reading its bytes tells
+ * whether it leaves meanwhile. */
+void Session::ReadEarly() {
+  boost::system::error_code failure;
+  this->stream.socket().non_blocking(true, failure);
+  const std::size_t room = kMostEarly - this->buffer.size();
+  const std::size_t length =
+      this->stream.socket().receive(this->buffer.prepare(room), 0, failure);
+  this->buffer.commit(length);
+  if (failure && failure != boost::asio::error::would_block) {
+    this->Break();
+  } else {
+    this->WatchCaller();
+  }
+}
+
 void Session::Answer(core::AnswerHead head) {
   if (head.complete) {
     this->SendWhole(std::move(head));
@@ -285,6 +301,24 @@
   }
   boost::system::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  this->stream.socket().cancel(ignored);
+  this->stream.expires_after(kLinger);
+  this->Linger();
+}
+
+/** What still arrives is discarded, as closing before would reset the
+ * connection and take the answer away. A client that never closes may not hold
+ * the connection for good. */
+void Session::Linger() {
+  this->buffer.clear();
+  this->stream.async_read_some(
+      this->buffer.prepare(kMostEarly),
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) {
+        if (!error) {
+          self->Linger();
+        }
+      });
 }
 
 void Session::Break() {
--- a/tests/users_platform/stop_test.cc
+++ b/tests/users_platform/stop_test.cc
@@ -72,7 +72,7 @@
     connection.Write(answer.substr(0, begun));
     const bool is_long = head.find("/look/long") != std::string::npos;
     std::this_thread::sleep_for(is_long ? kLongWork : kWork);
-    connection.Write(answer);
+    connection.Write(answer.substr(begun));
   }
 
   /** Sends SIGTERM, as the platform does, and SIGKILL after the grace. */
@@ -183,6 +183,24 @@
   CheckThatNothingWasCut();
 }
 
+/** The same for a request that a client sends behind one that takes long, on
+ * the same connection. */
+BOOST_AUTO_TEST_CASE(cuts_no_call_behind_one_that_takes_long) {
+  Start("non_idempotent");
+  RawCaller caller{Front()};
+  BOOST_REQUIRE(
+      caller.Send(RequestOf("POST", "/look/parts", "first", kTimeout)));
+  BOOST_REQUIRE(AwaitRun("first"));
+  Stop();
+  std::this_thread::sleep_for(1s);
+  BOOST_REQUIRE(caller.Send(RequestOf("POST", "/look/1", "second", kTimeout)));
+  Note("first", caller.Receive());
+  Note("second", caller.Receive());
+  Kill();
+  CheckThatNothingWasCut();
+  BOOST_TEST(answered.contains("first"));
+}
+
 /** The same for a request whose body ends late in the grace. */
 BOOST_AUTO_TEST_CASE(passes_on_no_request_whose_body_came_too_late) {
   Start("non_idempotent");
