Take no interim or impossible status for an answer (MIXED)

Cause: every head was taken for a final one. Interim answers (RFC 9110, section 15.2) are now passed over, counted among the bytes that nobody gets; 101, which nothing asks for, and statuses below 100 are no answer and fail the exchange.

--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t kDiscardedHead = 1U << 10U;
 /** Time for which the rest of an answer that is not passed on is awaited. */
 constexpr std::chrono::milliseconds kDiscardTime{100};
+constexpr std::uint16_t kFirstInterim = 100;
+constexpr std::uint16_t kSwitchingProtocols = 101;
+constexpr std::uint16_t kFirstFinal = 200;
 constexpr std::uint16_t kFirstServerError = 500;
 
 std::string_view View(const beast::string_view text) {
@@ -57,6 +60,12 @@
   return message;
 }
 
+/** Whether a final answer follows (RFC 9110, section 15.2). */
+bool IsInterim(const unsigned status) noexcept {
+  return status >= kFirstInterim && status < kFirstFinal &&
+         status != kSwitchingProtocols;
+}
+
 core::TimePoint ExpiryOf(const core::CallRequest& request) noexcept {
   return std::max(request.deadline, request.answer_until);
 }
@@ -176,6 +185,15 @@
     this->Fail(error);
     return;
   }
+  const unsigned status = this->parser->get().result_int();
+  if (IsInterim(status)) {
+    this->SkipInterim();
+    return;
+  }
+  if (status < kFirstFinal) {
+    this->Fail(beast::http::error::bad_status);
+    return;
+  }
   this->latency = this->Elapsed();
   const TargetProtocol& protocol = *this->owner.GetOptions().protocol;
   const core::AnswerHead head = this->MakeHead();
@@ -361,6 +379,14 @@
   this->ReadHead();
 }
 
+void Exchange::SkipInterim() {
+  if (!this->MayDiscard(kDiscardedHead)) {
+    this->Fail(beast::http::error::header_limit);
+    return;
+  }
+  this->ReadHead();
+}
+
 void Exchange::Continue() {
   if (!this->ended && !this->reading) {
     this->ReadPart();
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -105,6 +105,7 @@
   void TakeHead(AnswerKind kind, const core::AnswerHead& head);
   void Hold(std::string body, bool complete);
   void SkipAnswer();
+  void SkipInterim();
   /** Counts bytes that nobody gets; returns false if they are too many. */
   [[nodiscard]] bool MayDiscard(std::size_t bytes);
   void ReadPart();
--- a/tests/users_platform/cut_head_test.cc
+++ b/tests/users_platform/cut_head_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -29,20 +30,33 @@
  * every second time on a connection that has carried a whole answer. */
 struct CutShort : Platform {
   void Use(const std::string& kind, const std::string& framing,
-           const std::string& hold, const std::string& before = "") {
+           const std::string& hold, const std::string& first = "") {
+    this->BeginWith(first);
     this->WriteRoute(1, {.kind = kind});
     this->target = std::make_unique<RawTarget>(
         this->RawTargetAddress(),
-        [this, framing, before](RawConnection& connection,
-                                const std::string& request) {
-          this->Serve(connection, request, framing, before);
+        [this, framing](RawConnection& connection, const std::string& request) {
+          this->Serve(connection, request, framing);
         });
     this->ListOnlyTheRawTarget();
     this->StartDaemon({{"forwarding", "hold", hold}});
   }
 
+  /** Sets the status of a head that comes before the answer's. */
+  void BeginWith(const std::string& status) {
+    const std::lock_guard lock(this->mutex);
+    this->before = status;
+  }
+
+  void WriteFirst(RawConnection& connection, const std::string& request) {
+    const std::lock_guard lock(this->mutex);
+    if (!this->before.empty()) {
+      connection.Write(HeadTo(request, "", this->before));
+    }
+  }
+
   void Serve(RawConnection& connection, const std::string& request,
-             const std::string& framing, const std::string& before) {
+             const std::string& framing) {
     if (IsHealthCheck(request)) {
       connection.Write(kHealthy);
       return;
@@ -53,7 +67,11 @@
     }
     const std::string head = HeadTo(request, framing);
     this->head_length = head.size();
-    connection.Write(before.empty() ? "" : HeadTo(request, "", before));
+    this->WriteFirst(connection, request);
+    if (request.find("/look/answered") != std::string::npos) {
+      connection.Write(head + kBody);
+      return;
+    }
     connection.Write(head.substr(0, this->cut_at));
     ++this->cuts;
     connection.Close();
@@ -88,6 +106,8 @@
     BOOST_TEST(this->GetDaemon().IsRunning());
   }
 
+  std::mutex mutex;
+  std::string before;
   std::atomic<std::size_t> cut_at{};
   std::atomic<std::size_t> head_length{};
   std::atomic<int> cuts{};
@@ -141,6 +161,40 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** MIXED: a client got a status that no request ends with as its answer. */
+BOOST_FIXTURE_TEST_SUITE(a_target_that_begins_with_another_head, CutShort)
+
+BOOST_AUTO_TEST_SUITE(of_an_interim_answer)
+
+BOOST_AUTO_TEST_CASE(and_closes_within_the_next_gives_no_success) {
+  Use("non_idempotent", kByLength, "64 KiB", "103 Early Hints");
+  CheckEveryCut("POST");
+}
+
+BOOST_AUTO_TEST_CASE(and_then_answers_has_its_answer_passed_on) {
+  Use("non_idempotent", kByLength, "64 KiB", "100 Continue");
+  const http::Response response = Call("/look/answered", "POST");
+  BOOST_TEST(response.status == 200);
+  BOOST_TEST(response.body == kBody);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(of_a_status_that_does_not_exist)
+
+BOOST_AUTO_TEST_CASE(gives_a_failure_of_the_entry) {
+  Use("non_idempotent", kByLength, "64 KiB", "099 None");
+  for (const char* status :
+       {"000 None", "020 None", "099 None", "101 Switching Protocols"}) {
+    BeginWith(status);
+    BOOST_TEST(CallCutAt(0, "POST").status == 502, status);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 namespace {
 
 /** A daemon whose only target breaks off each answer within its body and, when
