--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -161,6 +161,15 @@
   /** @return Entries that have registered. */
   [[nodiscard]] std::vector<inventory::Instance> Entries() const;
 
+  /**
+   * @brief Tells whether an entry has registered.
+   * @param entry Name of the entry.
+   * @return Whether its row is known.
+   */
+  [[nodiscard]] bool HasEntry(const core::InstanceName& entry) const {
+    return this->entries.contains(kEntryRows + entry.Text());
+  }
+
   /** @return Number of the entries that have registered. */
   [[nodiscard]] std::size_t EntryCount() const noexcept {
     return this->entries.size();
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -133,8 +133,10 @@
     this->outbox.Send(feed::Learnt{.table = static_cast<std::size_t>(table),
                                    .news = std::move(news)});
     if (table == Table::kFleet) {
-      boost::asio::post(this->duty.Context(),
-                        [this] { this->ConfigureSource(); });
+      boost::asio::post(this->duty.Context(), [this] {
+        this->ConfigureSource();
+        this->CheckRegistration();
+      });
     }
     this->Confirm();
   }
@@ -284,6 +286,14 @@
     return as_of && Now() - *as_of < feed::kMostAge;
   }
 
+  /** A call of an earlier run that the store performs late may remove the row
+   * of this one. */
+  void CheckRegistration() {
+    if (!this->catalogue.HasEntry(this->options.self.name)) {
+      this->registration.NoteMissing(this->catalogue.VersionOf(Table::kFleet));
+    }
+  }
+
   /** The fleet's table is read once the own row should be in it. */
   void ReadOwnRow() {
     if (!this->fleet.IsKnown() && !this->fleet.IsReading()) {
--- a/packages/registry/src/internal/registration.h
+++ b/packages/registry/src/internal/registration.h
@@ -4,11 +4,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 
 #include "internal/metrics.h"
 #include "trefoilbend/core/log.h"
 #include "trefoilbend/inventory/objects.h"
 #include "trefoilbend/platform/backoff.h"
+#include "trefoilbend/platform/messages.h"
 #include "trefoilbend/platform/store.h"
 
 namespace trefoilbend::registry::internal {
@@ -32,15 +34,28 @@
    */
   void Write(const std::function<void()>& tried);
 
-  /** @brief Removes the row; peers see the heartbeat stop if that fails. */
+  /**
+   * @brief Takes note that the store has no row of this entry, and writes it
+   * again if it was written before.
+   * @param as_of Version of the table in which the row is missing.
+   */
+  void NoteMissing(platform::RowVersion as_of);
+
+  /** @brief Removes the row that this process has written, and no later one;
+   * peers see the heartbeat stop if that fails. */
   void Remove();
 
  private:
+  void RemoveAsOf(platform::RowVersion version);
+  void OnRemoved(const platform::TransactOutcome& outcome);
   platform::Store& store;
   inventory::Instance self;
   Metrics& metrics;
   boost::asio::steady_timer timer;
   platform::Backoff backoff;
+  /** Version of the row that was written last; nothing if it is not known. */
+  std::optional<platform::RowVersion> written;
+  int removals = 0;
   bool removed = false;
   core::Log log{"registry"};
 };
--- a/packages/registry/src/registration.cc
+++ b/packages/registry/src/registration.cc
@@ -16,6 +16,10 @@
     .first = std::chrono::milliseconds{200},
     .most = std::chrono::milliseconds{1'000}};
 
+/** Removals of a row that an earlier write of this process, performed late, has
+ * changed meanwhile. */
+constexpr int kMostRemovals = 3;
+
 std::string KeyOf(const inventory::Instance& self) {
   return kEntryRows + self.name.Text();
 }
@@ -32,15 +36,18 @@
       backoff(kBackoff, std::random_device{}()) {}
 
 void Registration::Write(const std::function<void()>& tried) {
+  this->written.reset();
   this->store.Transact(
       {.conditions = {},
        .writes = {{.key = KeyOf(this->self),
                    .value = inventory::Encode(inventory::Object{this->self})}}},
       [this, tried](const platform::TransactOutcome& outcome) {
-        const bool done = std::holds_alternative<platform::Committed>(outcome);
-        this->metrics.CountCall("write", done);
+        const auto* done = std::get_if<platform::Committed>(&outcome);
+        this->metrics.CountCall("write", done != nullptr);
         tried();
-        if (done) {
+        if (done != nullptr) {
+          this->written = done->version;
+          this->backoff.Reset();
           this->log.Info("Registered.");
           return;
         }
@@ -54,18 +61,59 @@
       });
 }
 
+void Registration::NoteMissing(const platform::RowVersion as_of) {
+  if (this->removed || !this->written || as_of < *this->written) {
+    return;
+  }
+  this->log.Warn("The registration is gone, registers again. version={}",
+                 as_of.Value());
+  this->Write([] {});
+}
+
+/** Without a known version, the row that is there now is the one to remove: the
+ * next process of this entry has not begun. */
 void Registration::Remove() {
   this->removed = true;
-  this->store.Transact(
-      {.conditions = {},
-       .writes = {{.key = KeyOf(this->self), .value = std::nullopt}}},
-      [this](const platform::TransactOutcome& outcome) {
-        if (!std::holds_alternative<platform::Committed>(outcome)) {
-          this->log.Warn(
-              "The registration was not taken back; peers will see the "
-              "heartbeat stop.");
+  if (this->written) {
+    this->RemoveAsOf(*this->written);
+    return;
+  }
+  this->store.Read(
+      KeyOf(this->self), [this](const platform::ReadOutcome& outcome) {
+        const auto* row = std::get_if<std::optional<platform::Row>>(&outcome);
+        if (row == nullptr) {
+          this->OnRemoved(std::get<platform::Unavailable>(outcome));
+        } else if (*row) {
+          this->RemoveAsOf((*row)->version);
         }
       });
 }
 
+/** The store may perform a call that it did not answer seconds later, when the
+ * next process has registered; the condition then no longer holds. */
+void Registration::RemoveAsOf(const platform::RowVersion version) {
+  ++this->removals;
+  const std::string key = KeyOf(this->self);
+  this->store.Transact({.conditions = {{.key = key, .version = version}},
+                        .writes = {{.key = key, .value = std::nullopt}}},
+                       [this](const platform::TransactOutcome& outcome) {
+                         this->OnRemoved(outcome);
+                       });
+}
+
+void Registration::OnRemoved(const platform::TransactOutcome& outcome) {
+  this->metrics.CountCall(
+      "write", !std::holds_alternative<platform::Unavailable>(outcome));
+  const auto* conflict = std::get_if<platform::Conflict>(&outcome);
+  const bool is_there = conflict != nullptr && !conflict->rows.empty() &&
+                        !conflict->rows.front().value.empty();
+  if (is_there && this->removals < kMostRemovals) {
+    this->RemoveAsOf(conflict->rows.front().version);
+  } else if (!std::holds_alternative<platform::Committed>(outcome)) {
+    this->log.Warn(
+        "The registration was not taken back; peers will see the heartbeat "
+        "stop.");
+  }
+}
+
 }  // namespace trefoilbend::registry::internal
--- a/tests/users_platform/path_test.cc
+++ b/tests/users_platform/path_test.cc
@@ -25,6 +25,14 @@
     BOOST_REQUIRE(Await([this] { return this->Readiness() == 200; }));
   }
 
+  [[nodiscard]] bool IsRegistered() {
+    bool registered = false;
+    this->OnStore([&](stand_ins::Store& store) {
+      registered = store.Read("fleet/entry/entry-1").has_value();
+    });
+    return registered;
+  }
+
   [[nodiscard]] bool BecomesStatus(const std::string& path, const int status) {
     return Await([&] { return this->Call(path).status == status; }, kInForce);
   }
@@ -283,6 +291,56 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_its_registration_is_gone)
+
+/** RECOVER: no directory named an entry whose row an earlier process had
+ * removed late, and no new client was served (case review/3). */
+BOOST_AUTO_TEST_CASE(registers_again) {
+  BOOST_REQUIRE(Await([this] { return IsRegistered(); }));
+  OnStore(
+      [](auto& store) { store.Write("fleet/entry/entry-1", std::nullopt); });
+  BOOST_TEST(Await([this] { return IsRegistered(); }, 5s));
+  BOOST_TEST(Await([this] { return Directory().status == 200; }, 5s));
+}
+
+BOOST_AUTO_TEST_CASE(stays_away_once_it_leaves) {
+  BOOST_REQUIRE(Await([this] { return IsRegistered(); }));
+  GetEntry().Drain([] {});
+  BOOST_REQUIRE(Await([this] { return !IsRegistered(); }));
+  std::this_thread::sleep_for(2s);
+  BOOST_TEST(!IsRegistered());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_store_removes_its_registration_late)
+
+/** The same: the row of the next process was removed. */
+BOOST_AUTO_TEST_CASE(spares_that_of_the_next_process) {
+  BOOST_REQUIRE(Await([this] { return IsRegistered(); }));
+  OnStore([](auto& store) {
+    store.faults.lost_answers = 1;
+    store.faults.late_writes = 2s;
+  });
+  GetEntry().Drain([] {});
+  BOOST_REQUIRE(Await([this] {
+    bool taken = false;
+    OnStore([&](auto& store) { taken = store.faults.lost_answers == 0; });
+    return taken;
+  }));
+  EndEntry(1);
+  StartEntry();
+  const auto until = std::chrono::steady_clock::now() + 3s;
+  BOOST_REQUIRE(Await([this] { return Readiness() == 200; }));
+  bool stayed = true;
+  while (std::chrono::steady_clock::now() < until) {
+    stayed = stayed && IsRegistered();
+  }
+  BOOST_TEST(stayed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_it_is_stopped)
 
 BOOST_AUTO_TEST_CASE(leaves_the_directory_and_ends_when_its_work_is_done) {
@@ -291,11 +349,7 @@
   BOOST_TEST(Await([this] { return Readiness() == 503; }));
   BOOST_TEST(Directory().status == 503);
   BOOST_TEST((done.get_future().wait_for(5s) == std::future_status::ready));
-  bool registered = true;
-  OnStore([&](auto& store) {
-    registered = store.Read("fleet/entry/entry-1").has_value();
-  });
-  BOOST_TEST(!registered);
+  BOOST_TEST(!IsRegistered());
 }
 
 BOOST_AUTO_TEST_CASE(answers_every_request_that_it_has_read) {
