--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -94,8 +94,7 @@
                     });
     this->duty.Read(
         this->from_membership, [this](const membership::View& view) {
-          core::CheckInvariant(view.self == this->options.incarnation,
-                               "all duties know the same incarnation");
+          this->Adopt(view.self);
           this->current = view.current || this->options.serves_isolated;
           this->directory.UpdatePeers(view);
         });
@@ -367,6 +366,22 @@
     }
   }
 
+  /** Peers may know a later run of this entry than this one, if the clock went
+   * back before its start; membership then counts on from theirs. Keys that
+   * were issued before are of a run that no longer exists. */
+  void Adopt(const core::Incarnation incarnation) {
+    if (incarnation == this->options.incarnation) {
+      return;
+    }
+    this->log.Warn(
+        "The clock went back, takes another incarnation. from={} "
+        "to={}",
+        this->options.incarnation.Value(), incarnation.Value());
+    this->options.incarnation = incarnation;
+    this->directory.Adopt(incarnation);
+    this->keyed.Adopt(incarnation);
+  }
+
   [[nodiscard]] bool IsReady() const noexcept {
     return this->configuration != nullptr && this->current;
   }
--- a/packages/callers/src/internal/keyed_calls.h
+++ b/packages/callers/src/internal/keyed_calls.h
@@ -125,6 +125,13 @@
    */
   void Configure(inventory::ConfigurationPtr configuration);
 
+  /**
+   * @brief Takes another incarnation of this entry; keys of the one before are
+   * refused from now on.
+   * @param incarnation The later incarnation.
+   */
+  void Adopt(core::Incarnation incarnation);
+
   /**
    * @brief Takes a caller's call.
    * @param waiter Call that waits for the result.
--- a/packages/callers/src/keyed_calls.cc
+++ b/packages/callers/src/keyed_calls.cc
@@ -37,6 +37,11 @@
   this->configuration = std::move(configuration);
 }
 
+void KeyedCalls::Adopt(const core::Incarnation incarnation) {
+  this->incarnation = incarnation;
+  this->table.Adopt(incarnation);
+}
+
 void KeyedCalls::Begin(const core::CallId waiter, const SharedRequest& request,
                        const std::string& text) {
   const auto home = idempotency::ParseHome(text);
--- a/packages/discovery/include/trefoilbend/discovery/directory.h
+++ b/packages/discovery/include/trefoilbend/discovery/directory.h
@@ -77,6 +77,14 @@
    */
   void UpdatePeers(const membership::View& view);
 
+  /**
+   * @brief Takes another incarnation of this entry.
+   * @param incarnation The later incarnation.
+   */
+  void Adopt(core::Incarnation incarnation) noexcept {
+    this->options.incarnation = incarnation;
+  }
+
   /** @brief Removes this entry from all later answers. */
   void Withdraw() noexcept { this->withdrawn = true; }
 
--- a/packages/idempotency/include/trefoilbend/idempotency/key_table.h
+++ b/packages/idempotency/include/trefoilbend/idempotency/key_table.h
@@ -79,6 +79,15 @@
    */
   explicit KeyTable(KeyTableOptions options);
 
+  /**
+   * @brief Takes another incarnation of this entry; keys of the one before are
+   * refused from now on, whether they ran is unknown.
+   * @param incarnation The later incarnation.
+   */
+  void Adopt(core::Incarnation incarnation) noexcept {
+    this->options.incarnation = incarnation;
+  }
+
   /**
    * @brief Decides what becomes of a request.
    * @param key Key of the request.
--- a/tests/users_platform/feed_test.cc
+++ b/tests/users_platform/feed_test.cc
@@ -199,6 +199,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_one_is_restarted_behind_a_clock_that_went_back)
+
+/** Fault: the process aborted, as its peers knew a later run of it than its own
+ * (case review/4). */
+BOOST_AUTO_TEST_CASE(serves_on) {
+  EndEntry(1);
+  StartEntry(1, 3s);
+  BOOST_TEST(Await([this] { return this->Readiness() == 200; }));
+  std::this_thread::sleep_for(3s);
+  BOOST_TEST(Call("/look/1").status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_the_store_is_away)
 
 BOOST_AUTO_TEST_CASE(serve_on_and_know_what_changed_meanwhile_once_it_is_back) {
