--- a/packages/balancing/include/trefoilbend/balancing/messages.h
+++ b/packages/balancing/include/trefoilbend/balancing/messages.h
@@ -1,6 +1,7 @@
 #ifndef TREFOILBEND_BALANCING_MESSAGES_H_
 #define TREFOILBEND_BALANCING_MESSAGES_H_
 
+#include <chrono>
 #include <memory>
 #include <variant>
 #include <vector>
@@ -29,6 +30,10 @@
 /** @brief Messages from the callers duty. */
 using FromCallers = std::variant<std::monostate, SubmitCall, CancelCall>;
 
+/** @brief Time after which a caller that a stopping entry has refused may turn
+ * to another entry. */
+inline constexpr std::chrono::milliseconds kRetryElsewhere{10};
+
 /** @brief Refuses a call in place of an answer from a target. */
 struct CallRefused {
   /** @brief The call. */
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -10,10 +9,12 @@
 #include "internal/keyed_calls.h"
 #include "internal/listener.h"
 #include "internal/metrics.h"
+#include "internal/open_calls.h"
+#include "internal/peer_calls.h"
 #include "internal/question_server.h"
 #include "internal/session.h"
+#include "internal/stopper.h"
 #include "trefoilbend/callers/router.h"
-#include "trefoilbend/callers/stop_plan.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/invariant.h"
@@ -27,9 +28,6 @@
 constexpr std::size_t kMessagesPerCall = 4;
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kViews = 64;
-constexpr std::chrono::milliseconds kDrainPoll{20};
-/** Time for the last answers to leave before the process ends. */
-constexpr std::chrono::milliseconds kLastWrites{100};
 constexpr std::chrono::milliseconds kExpirePeriod{1'000};
 constexpr std::string_view kKeyField = "Idempotency-Key";
 /** Lines a second about refusals that balancing does not see. */
@@ -46,7 +44,8 @@
 }  // namespace
 
 class CallersDuty::Loop final : public internal::SessionOwner,
-                                public internal::KeyedCallsOwner {
+                                public internal::KeyedCallsOwner,
+                                public internal::StopperOwner {
  public:
   Loop(Options options, prometheus::Registry& registry)
       : from_balancing(options.limits.calls * kMessagesPerCall),
@@ -55,6 +54,7 @@
         from_membership(kViews),
         from_relay(options.limits.calls * kMessagesPerCall),
         options(std::move(options)),
+        metrics(registry),
         directory({.self = this->options.self,
                    .incarnation = this->options.incarnation,
                    .max_ttl = this->options.keep,
@@ -65,15 +65,14 @@
               {.bytes = this->options.keys.answer,
                .late = this->options.keys.late_answer}),
         claims(this->duty.Context(), this->options, this->clock),
-        stop({.serve = this->options.leave_notice + this->options.keep,
-              .grace = this->options.grace}),
+        stopper(*this, this->duty.Context(),
+                {.serve = this->options.leave_notice + this->options.keep,
+                 .grace = this->options.grace}),
         questions(*this,
                   [this] { return this->IsReady() && !this->IsDraining(); }),
         listener(this->duty.Context(), *this),
-        drain_timer(this->duty.Context()),
         expire_timer(this->duty.Context()),
-        late_timer(this->duty.Context()),
-        metrics(registry) {
+        late_timer(this->duty.Context()) {
     this->duty.Read(
         this->from_balancing, [this](const balancing::ToCallers& message) {
           if (const auto* refused =
@@ -104,7 +103,7 @@
                                  this->OnReceived(call);
                                },
                                [this](const relay::CallReturned& call) {
-                                 --this->passes;
+                                 this->peers.NoteReturned();
                                  this->Deliver(call.call, call.result);
                                }},
                  message);
@@ -113,6 +112,7 @@
 
   core::Outcome<std::monostate, std::string> Start(const Outlets writes) {
     this->outlets = writes;
+    this->peers.Start(writes.relay);
     auto listening = this->listener.Open(this->options.address);
     if (!core::Succeeded(listening)) {
       return listening;
@@ -134,15 +134,14 @@
   void Drain(std::function<void()> done) {
     boost::asio::post(this->duty.Context(),
                       [this, done = std::move(done)]() mutable {
-                        this->stop.Begin(std::chrono::steady_clock::now());
-                        this->LogStop();
                         this->directory.Withdraw();
-                        this->drain_timer.expires_at(this->stop.ServesUntil());
-                        this->drain_timer.async_wait(
-                            [this, done = std::move(done)](auto) mutable {
-                              this->listener.Close();
-                              this->AwaitLastCall(std::move(done));
-                            });
+                        this->stopper.Begin([this, done = std::move(done)] {
+                          if (this->IsIdle()) {
+                            this->log.Info("Has finished all calls.");
+                          }
+                          done();
+                        });
+                        this->TellStop();
                       });
   }
 
@@ -161,7 +160,7 @@
   }
 
   [[nodiscard]] bool IsDraining() const noexcept override {
-    return this->stop.HasBegun();
+    return this->stopper.Plan().HasBegun();
   }
 
   [[nodiscard]] discovery::DirectoryAnswer Ask(
@@ -191,11 +190,11 @@
     const bool keyed_call = !request.idempotent && key && !key->empty();
     const core::RunState untouched =
         keyed_call ? core::RunState::kUnknown : core::RunState::kNotRun;
-    if (!this->stop.MayTake(request.deadline)) {
+    if (!this->stopper.Plan().MayTake(request.deadline)) {
       return this->TellRefusal(request,
                                {.run = untouched,
                                 .reason = core::RefusalReason::kStopping,
-                                .retry_after = kRetryElsewhere});
+                                .retry_after = balancing::kRetryElsewhere});
     }
     const std::string text{keyed_call ? *key : ""};
     const core::CallId id = this->NextCall();
@@ -206,11 +205,10 @@
                                          .reason = core::RefusalReason::kBusy,
                                          .retry_after = kRetryAfter});
     }
-    this->calls.emplace(id, OpenCall{.session = session, .keyed = keyed_call});
-    this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
+    this->calls.Add(id, session, keyed_call);
     if (keyed_call) {
       boost::asio::post(this->duty.Context(), [this, id, shared, text] {
-        if (this->calls.contains(id)) {
+        if (this->calls.Contains(id)) {
           this->keyed.Begin(id, shared, text);
         }
       });
@@ -239,13 +237,9 @@
   }
 
   [[nodiscard]] bool PassOn(relay::PassCall call) override {
-    if (this->passes >= this->options.limits.calls ||
-        !this->outlets.relay->TryPush(std::move(call))) {
-      return false;
-    }
-    ++this->passes;
-    this->metrics.passed_on.Increment();
-    return true;
+    const bool passed_on = this->peers.PassOn(std::move(call));
+    this->metrics.passed_on.Increment(passed_on ? 1 : 0);
+    return passed_on;
   }
 
   void Claim(const std::string& row, const idempotency::Home& home,
@@ -255,13 +249,10 @@
 
   void Deliver(const core::CallId waiter,
                const idempotency::Result& result) override {
-    const auto received = this->received.find(waiter);
-    if (received != this->received.end()) {
-      this->Reply(received->second, result);
-      this->received.erase(received);
+    if (this->peers.Deliver(waiter, result)) {
       return;
     }
-    const std::shared_ptr<internal::Session> session = this->Find(waiter);
+    const std::shared_ptr<internal::Session> session = this->calls.Find(waiter);
     if (session == nullptr) {
       return;
     }
@@ -277,12 +268,12 @@
 
   [[nodiscard]] bool Stream(const core::CallId waiter, const core::CallId run,
                             core::AnswerHead& head) override {
-    const std::shared_ptr<internal::Session> session = this->Find(waiter);
+    const std::shared_ptr<internal::Session> session = this->calls.Find(waiter);
     if (session == nullptr) {
       return false;
     }
-    this->calls.erase(waiter);
-    this->calls.emplace(run, OpenCall{.session = session, .keyed = false});
+    this->calls.Remove(waiter);
+    this->calls.Add(run, session, false);
     session->Continue(run);
     session->Answer(std::move(head));
     return true;
@@ -307,14 +298,10 @@
     });
   }
 
-  void Close(const core::CallId call) override {
-    this->calls.erase(call);
-    this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
-  }
+  void Close(const core::CallId call) override { this->calls.Remove(call); }
 
   void Abandon(const core::CallId call) override {
-    const auto found = this->calls.find(call);
-    const bool keyed_call = found != this->calls.end() && found->second.keyed;
+    const bool keyed_call = this->calls.IsKeyed(call);
     this->Close(call);
     if (keyed_call) {
       this->keyed.Leave(call);
@@ -326,6 +313,30 @@
     this->Forward(forwarding::AbandonAnswer{call});
   }
 
+  void StopAccepting() override { this->listener.Close(); }
+
+  void CloseIdleSessions() override {
+    this->listener.CloseIdleSessions(core::Duration::zero());
+  }
+
+  [[nodiscard]] bool IsIdle() const noexcept override {
+    return this->calls.Size() == 0 && this->keyed.Runs() == 0 &&
+           this->peers.IsIdle() && this->listener.OpenSessions() == 0;
+  }
+
+  /** They were taken before the stop began: calls that come later are done by
+   * then. */
+  void GiveUpCalls() override {
+    this->log.Warn("The grace ends, gives up calls. calls={} connections={}",
+                   this->calls.Size(), this->listener.OpenSessions());
+    for (const auto& session : this->calls.Sessions()) {
+      session->GiveUp(
+          this->CountRefusal({.run = core::RunState::kUnknown,
+                              .reason = core::RefusalReason::kStopping,
+                              .retry_after = balancing::kRetryElsewhere}));
+    }
+  }
+
   core::Ring<balancing::ToCallers> from_balancing;
   core::Ring<forwarding::ToCallers> from_forwarding;
   core::Ring<configuration::Update> from_configuration;
@@ -335,15 +346,6 @@
 
  private:
   static constexpr std::chrono::milliseconds kRetryAfter{1'000};
-  /** Time after which a caller may turn to another entry. */
-  static constexpr std::chrono::milliseconds kRetryElsewhere{10};
-
-  /** A session whose client has sent its next request already waits for
-   * nothing but the answer, so that only its call keeps it alive. */
-  struct OpenCall {
-    std::shared_ptr<internal::Session> session;
-    bool keyed{};
-  };
 
   void Configure(const configuration::Update& update) {
     this->configuration = update.configuration;
@@ -360,9 +362,7 @@
     const auto* self = update.configuration->Find<inventory::Instance>(
         this->options.self.Text());
     if (self != nullptr && self->relay) {
-      core::CheckInvariant(
-          this->outlets.relay->TryPush(relay::Listen{*self->relay}),
-          "the ring to the relay has room for every configuration");
+      this->peers.Listen({*self->relay});
     }
   }
 
@@ -387,36 +387,28 @@
   }
 
   [[nodiscard]] bool HasRoom() const noexcept {
-    return this->calls.size() + this->keyed.Runs() < this->options.limits.calls;
+    return this->calls.Size() + this->keyed.Runs() < this->options.limits.calls;
   }
 
   void OnReceived(const relay::CallReceived& call) {
+    core::Refusal refusal{.run = core::RunState::kUnknown,
+                          .reason = core::RefusalReason::kNotReady,
+                          .retry_after = kRetryAfter};
     if (!this->IsReady()) {
-      this->Reply(call.received,
-                  core::Refusal{.run = core::RunState::kUnknown,
-                                .reason = core::RefusalReason::kNotReady,
-                                .retry_after = kRetryAfter});
+      this->peers.Reply(call.received, refusal);
       return;
     }
-    if (!this->stop.MayTake(call.request->deadline)) {
-      this->Reply(call.received,
-                  core::Refusal{.run = core::RunState::kUnknown,
-                                .reason = core::RefusalReason::kStopping,
-                                .retry_after = kRetryElsewhere});
+    if (!this->stopper.Plan().MayTake(call.request->deadline)) {
+      refusal.reason = core::RefusalReason::kStopping;
+      refusal.retry_after = balancing::kRetryElsewhere;
+      this->peers.Reply(call.received, refusal);
       return;
     }
     const core::CallId waiter = this->NextCall();
-    this->received.emplace(waiter, call.received);
+    this->peers.Receive(waiter, call.received);
     this->keyed.Admit(waiter, call.key, call.request);
   }
 
-  void Reply(const relay::ReceivedId received,
-             const idempotency::Result& result) {
-    core::CheckInvariant(
-        this->outlets.relay->TryPush(relay::ReplyCall{received, result}),
-        "the ring to the relay has room for every call's result");
-  }
-
   void AwaitExpiry() {
     this->expire_timer.expires_after(kExpirePeriod);
     this->expire_timer.async_wait([this](
@@ -432,57 +424,16 @@
     });
   }
 
-  [[nodiscard]] bool IsIdle() const noexcept {
-    return this->calls.empty() && this->keyed.Runs() == 0 &&
-           this->received.empty() && this->listener.OpenSessions() == 0;
-  }
-
-  void LogStop() const {
-    const core::TimePoint now = std::chrono::steady_clock::now();
+  void TellStop() {
+    const StopPlan& plan = this->stopper.Plan();
     const auto serve = std::chrono::ceil<std::chrono::milliseconds>(
-        this->stop.ServesUntil() - now);
+        plan.ServesUntil() - std::chrono::steady_clock::now());
     this->log.Info(
         "Stops: serves for {} ms more, then finishes {} calls. grace_ms={}",
-        serve.count(), this->calls.size(),
+        serve.count(), this->calls.Size(),
         this->options.grace.value_or(std::chrono::milliseconds{0}).count());
   }
 
-  void AwaitLastCall(std::function<void()> done) {
-    this->listener.CloseIdleSessions(core::Duration::zero());
-    if (this->IsIdle()) {
-      this->log.Info("Has finished all calls.");
-      done();
-      return;
-    }
-    if (std::chrono::steady_clock::now() >= this->stop.AnswersUntil()) {
-      this->GiveUpCalls();
-      this->drain_timer.expires_after(kLastWrites);
-      this->drain_timer.async_wait([done = std::move(done)](auto) { done(); });
-      return;
-    }
-    this->drain_timer.expires_after(kDrainPoll);
-    this->drain_timer.async_wait([this, done = std::move(done)](auto) mutable {
-      this->AwaitLastCall(std::move(done));
-    });
-  }
-
-  /** Answers the calls that would be cut without a word. They were taken before
-   * the stop began: calls that come later are done by now. */
-  void GiveUpCalls() {
-    this->log.Warn("The grace ends, gives up calls. calls={} connections={}",
-                   this->calls.size(), this->listener.OpenSessions());
-    std::vector<std::shared_ptr<internal::Session>> sessions;
-    for (const auto& [id, open] : this->calls) {
-      sessions.push_back(open.session);
-    }
-    for (const auto& session : sessions) {
-      session->GiveUp(
-          this->CountRefusal({.run = core::RunState::kUnknown,
-                              .reason = core::RefusalReason::kStopping,
-                              .retry_after = kRetryElsewhere}));
-    }
-  }
-
   /** Counts a refusal that balancing does not see, and writes a line. */
   core::Refusal TellRefusal(const core::CallRequest& request,
                             const core::Refusal refusal) {
@@ -495,7 +446,7 @@
           "Refused at the door. id={} host={} path={} reason={} calls={} "
           "revision={}",
           request.id, request.host, http::PathOf(request.path),
-          core::ToString(refusal.reason), this->calls.size(), revision);
+          core::ToString(refusal.reason), this->calls.Size(), revision);
     }
     return this->CountRefusal(refusal);
   }
@@ -509,7 +460,8 @@
     if (this->keyed.Refused(call.call, call.refusal)) {
       return;
     }
-    const std::shared_ptr<internal::Session> session = this->Find(call.call);
+    const std::shared_ptr<internal::Session> session =
+        this->calls.Find(call.call);
     if (session == nullptr) {
       return;
     }
@@ -524,7 +476,8 @@
     if (this->keyed.Answer(answer.call, answer.head)) {
       return;
     }
-    const std::shared_ptr<internal::Session> session = this->Find(answer.call);
+    const std::shared_ptr<internal::Session> session =
+        this->calls.Find(answer.call);
     if (session == nullptr) {
       this->Forward(forwarding::AbandonAnswer{answer.call});
       return;
@@ -537,7 +490,8 @@
     if (this->keyed.Answer(answer.call, answer.part)) {
       return;
     }
-    const std::shared_ptr<internal::Session> session = this->Find(answer.call);
+    const std::shared_ptr<internal::Session> session =
+        this->calls.Find(answer.call);
     if (session != nullptr) {
       session->Answer(std::move(answer.part));
     }
@@ -553,18 +507,12 @@
   }
 
   void BreakAnswer(const core::CallId call) {
-    const std::shared_ptr<internal::Session> session = this->Find(call);
+    const std::shared_ptr<internal::Session> session = this->calls.Find(call);
     if (session != nullptr) {
       session->Break();
     }
   }
 
-  [[nodiscard]] std::shared_ptr<internal::Session> Find(
-      const core::CallId call) const {
-    const auto found = this->calls.find(call);
-    return found == this->calls.end() ? nullptr : found->second.session;
-  }
-
   void Forward(const forwarding::FromCallers& message) {
     core::CheckInvariant(
         this->outlets.forwarding->TryPush(forwarding::FromCallers{message}),
@@ -572,6 +520,9 @@
   }
 
   Options options;
+  internal::Metrics metrics;
+  internal::OpenCalls calls{this->metrics.in_progress};
+  internal::PeerCalls peers{this->options.limits.calls};
   Outlets outlets;
   inventory::ConfigurationPtr configuration;
   discovery::Directory directory;
@@ -579,19 +530,14 @@
   internal::KeyedCalls keyed;
   core::WallClock clock;
   internal::Claims claims;
-  StopPlan stop;
+  internal::Stopper stopper;
   internal::QuestionServer questions;
   internal::Listener listener;
-  boost::asio::steady_timer drain_timer;
   boost::asio::steady_timer expire_timer;
   boost::asio::steady_timer late_timer;
   core::TimePoint late_due = core::TimePoint::max();
-  std::unordered_map<core::CallId, OpenCall> calls;
-  std::unordered_map<core::CallId, relay::ReceivedId> received;
-  std::size_t passes{};
   core::CallId last_call;
   bool current = true;
-  internal::Metrics metrics;
   core::RateLimit refusal_lines{kRefusalLines};
   core::Log log{"callers"};
 };
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "internal/request_encoding.h"
 #include "trefoilbend/forwarding/fields.h"
 #include "trefoilbend/forwarding/resumption.h"
 
@@ -15,7 +16,6 @@
 namespace beast = boost::beast;
 using boost::asio::ip::tcp;
 
-constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kHeadLimit = 32U << 10U;
 constexpr std::uint64_t kNoLimit = UINT64_MAX;
 /** Bytes that are read to keep a connection though nobody gets them. */
@@ -33,33 +33,6 @@
   return {text.data(), text.size()};
 }
 
-beast::http::request<beast::http::string_body> Encode(
-    const StartExchange& order, const TargetProtocol& protocol,
-    const core::TimePoint now) {
-  const core::CallRequest& request = *order.request;
-  beast::http::request<beast::http::string_body> message;
-  message.version(kHttp11);
-  message.method_string(request.method);
-  message.target(request.path);
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      request.deadline - now);
-  core::Fields fields = request.fields;
-  protocol.Prepare(order, left, fields);
-  for (const auto& [name, value] : fields) {
-    message.insert(name, value);
-  }
-  message.set(beast::http::field::host,
-              request.host.empty() ? request.service.Text() : request.host);
-  if (order.resume) {
-    message.set(beast::http::field::range,
-                "bytes=" + std::to_string(order.resume->offset) + '-');
-    message.set(beast::http::field::if_range, order.resume->validator);
-  }
-  message.body() = request.body;
-  message.prepare_payload();
-  return message;
-}
-
 /** Whether a final answer follows (RFC 9110, section 15.2). */
 bool IsInterim(const unsigned status) noexcept {
   return status >= kFirstInterim && status < kFirstFinal &&
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -14,6 +14,7 @@
 #include "internal/publisher.h"
 #include "internal/registration.h"
 #include "internal/release_writer.h"
+#include "internal/row_notes.h"
 #include "internal/table_follower.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/duty.h"
@@ -44,8 +45,6 @@
 constexpr std::chrono::milliseconds kReaderBackoff{300};
 /** kMostWatch of the fleet's table, whose rows entries tell each other too. */
 constexpr std::chrono::milliseconds kMostFleetWatch{2'000};
-constexpr std::size_t kMostUnreadableNamed = 8;
-constexpr std::size_t kMostKeptNamed = 8;
 constexpr std::size_t kMostChangeLines = 24;
 
 core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
@@ -305,8 +304,7 @@
    * so that nothing is refused for want of what is only unread. */
   void Rebuild() {
     auto built = this->catalogue.Build(this->wall.Seconds());
-    this->WarnUnreadable();
-    this->TellKept();
+    this->rows.Note(this->catalogue);
     if (!built ||
         !(this->has_update || this->ForAll(&internal::TableFollower::IsKnown) ||
           built->bounds == std::nullopt)) {
@@ -408,27 +406,6 @@
            (this->fleet.*holds)();
   }
 
-  void TellKept() {
-    const std::vector<KeptTarget> kept = this->catalogue.TakeKept();
-    this->metrics.kept.Increment(static_cast<double>(kept.size()));
-    for (std::size_t at = 0; at < std::min(kept.size(), kMostKeptNamed); ++at) {
-      this->log.Info(
-          "Row of a target is gone, keeps the target. row={} left_ms={}",
-          kept[at].key,
-          std::chrono::duration_cast<std::chrono::milliseconds>(kept[at].left)
-              .count());
-    }
-  }
-
-  void WarnUnreadable() {
-    const auto keys = this->catalogue.TakeUnreadable();
-    this->metrics.unreadable.Increment(static_cast<double>(keys.size()));
-    for (std::size_t at = 0; at < std::min(keys.size(), kMostUnreadableNamed);
-         ++at) {
-      this->log.Warn("Row cannot be read, passed over. row={}", keys[at]);
-    }
-  }
-
   void TellMembership(const std::optional<core::TimePoint> answered) {
     if (this->outlets.membership == nullptr || !this->has_update) {
       return;
@@ -446,6 +423,7 @@
   std::unique_ptr<platform::WatchedStore> store;
   Catalogue catalogue;
   internal::Metrics metrics;
+  internal::RowNotes rows{this->metrics};
   internal::TableFollower orders;
   internal::TableFollower targets;
   internal::TableFollower fleet;
