--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -115,6 +115,15 @@
    */
   [[nodiscard]] Decisions Cancel(const CancelCall& call, core::TimePoint now);
 
+  /**
+   * @brief Begins a planned stop: refuses the calls that wait and could outlast
+   * it, and takes back those whose request has not been written yet.
+   * @param order End of the stop.
+   * @param now Current time.
+   * @return Resulting decisions.
+   */
+  [[nodiscard]] Decisions Stop(const StopSending& order, core::TimePoint now);
+
   /**
    * @brief Handles the end of an exchange.
    * @param ended Report of the exchange.
@@ -226,6 +235,10 @@
     }
   };
 
+  /** Whether a call has its answer before a planned stop ends. */
+  [[nodiscard]] bool MaySend(const CallState& call) const noexcept;
+  /** Removes a call that has no exchange from where it waits. */
+  void RemoveWaiting(core::CallId id, const CallState& call);
   void DispatchQueued(ServiceState& service, core::TimePoint now,
                       Decisions& decisions);
   /** Probes targets for a call; returns false if the call does not have to
@@ -298,6 +311,8 @@
   std::unordered_map<forwarding::ProbeId, core::ServiceName> probed_services;
   forwarding::ProbeId last_probe;
   core::Revision revision;
+  /** Time by which answers are on their way in a planned stop. */
+  core::TimePoint answers_until = core::TimePoint::max();
   std::optional<configuration::TargetKnowledge> knowledge;
   std::vector<CallTrace> traces;
 };
--- a/packages/balancing/include/trefoilbend/balancing/fwd.h
+++ b/packages/balancing/include/trefoilbend/balancing/fwd.h
@@ -9,6 +9,7 @@
 struct CancelCall;
 struct CallBroken;
 struct CallRefused;
+struct StopSending;
 
 class WarmUp;
 class Quantile;
--- a/packages/balancing/include/trefoilbend/balancing/messages.h
+++ b/packages/balancing/include/trefoilbend/balancing/messages.h
@@ -8,6 +8,7 @@
 
 #include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/call.h"
+#include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/number.h"
 #include "trefoilbend/forwarding/messages.h"
 
@@ -27,8 +28,16 @@
   core::CallId call;
 };
 
+/** @brief Begins a planned stop: calls whose deadline is later than its end are
+ * no longer sent to targets. */
+struct StopSending {
+  /** @brief Time by which every answer is on its way. */
+  core::TimePoint answers_until{};
+};
+
 /** @brief Messages from the callers duty. */
-using FromCallers = std::variant<std::monostate, SubmitCall, CancelCall>;
+using FromCallers =
+    std::variant<std::monostate, SubmitCall, CancelCall, StopSending>;
 
 /** @brief Time after which a caller that a stopping entry has refused may turn
  * to another entry. */
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -237,9 +237,7 @@
   CallState& state = found->second;
   state.trace.Add(TraceCallerLeft{}, now);
   if (state.exchanges.empty()) {
-    if (!this->pending_probes.Remove(call.call)) {
-      this->services.at(state.request->service).queue.Remove(call.call);
-    }
+    this->RemoveWaiting(call.call, state);
     this->FinishCall(call.call);
     return {};
   }
--- a/packages/balancing/src/dispatcher_attempts.cc
+++ b/packages/balancing/src/dispatcher_attempts.cc
@@ -39,6 +39,10 @@
     this->Refuse(ended.call, core::RefusalReason::kDeadline, now, decisions);
     return;
   }
+  if (!this->MaySend(call)) {
+    this->Refuse(ended.call, core::RefusalReason::kStopping, now, decisions);
+    return;
+  }
   const bool may_run_again = call.request->idempotent || !call.may_have_run;
   const bool may_retry =
       call.sent_attempts < this->MaxAttempts(call) && may_run_again &&
@@ -79,11 +83,12 @@
 void Dispatcher::Refuse(const core::CallId id, const core::RefusalReason reason,
                         const core::TimePoint now, Decisions& decisions) {
   CallState& call = this->calls.at(id);
-  const core::Refusal refusal{.run = call.may_have_run
-                                         ? core::RunState::kUnknown
-                                         : core::RunState::kNotRun,
-                              .reason = reason,
-                              .retry_after = kRetryAfter};
+  const bool stopping = reason == core::RefusalReason::kStopping;
+  const core::Refusal refusal{
+      .run = call.may_have_run ? core::RunState::kUnknown
+                               : core::RunState::kNotRun,
+      .reason = reason,
+      .retry_after = stopping ? kRetryElsewhere : kRetryAfter};
   call.trace.Add(TraceRefused{refusal}, now);
   this->FinishCall(id);
   decisions.push_back(CallRefused{.call = id, .refusal = refusal});
--- a/packages/balancing/src/duty.cc
+++ b/packages/balancing/src/duty.cc
@@ -46,6 +46,9 @@
                         },
                         [this](const CancelCall& call) {
                           this->Execute(this->dispatcher.Cancel(call, Now()));
+                        },
+                        [this](const StopSending& order) {
+                          this->Execute(this->dispatcher.Stop(order, Now()));
                         }},
           message);
     });
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -424,6 +424,7 @@
     });
   }
 
+  /** Calls that wait to be sent are refused where they could be cut. */
   void TellStop() {
     const StopPlan& plan = this->stopper.Plan();
     const auto serve = std::chrono::ceil<std::chrono::milliseconds>(
@@ -432,6 +433,12 @@
         "Stops: serves for {} ms more, then finishes {} calls. grace_ms={}",
         serve.count(), this->calls.Size(),
         this->options.grace.value_or(std::chrono::milliseconds{0}).count());
+    if (!this->outlets.balancing->TryPush(
+            balancing::StopSending{plan.AnswersUntil()})) {
+      this->log.Warn(
+          "The ring to balancing is full, waiting calls are not "
+          "refused for the stop.");
+    }
   }
 
   /** Counts a refusal that balancing does not see, and writes a line. */
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -225,8 +225,8 @@
                                    "200ms", 1, "stock", 2, nullptr})})}}},
       {"Services",
        {{"Columns", {"Name", "HealthPath", "MaxConns", "Warmup", "WarmupPerS"}},
-        {"Rows",
-         json::array({json::array({"stock", "/health", 100, "3s", 25.0})})}}},
+        {"Rows", json::array({json::array(
+                     {"stock", "/health", wish.connections, "3s", 25.0})})}}},
       {"Limits",
        {{"MaxHeaderBytes", 16'384},
         {"MaxBodyBytes", 1'000'000},
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -118,6 +118,8 @@
   std::string kind = "idempotent";
   /** @brief Longest time that a client is kept waiting. */
   std::chrono::milliseconds timeout{2'000};
+  /** @brief Connections that a target of the service takes. */
+  int connections = 100;
 };
 
 /** @brief Entries in this process between a store and three targets: a and b in
--- a/tests/users_platform/stop_test.cc
+++ b/tests/users_platform/stop_test.cc
@@ -38,8 +38,9 @@
 
 /** A daemon in its grace whose only target works long on each call. */
 struct Stopped : Platform {
-  void Start(const std::string& kind) {
-    this->WriteRoute(1, {.kind = kind, .timeout = kTimeout});
+  void Start(const std::string& kind, const int connections = 100) {
+    this->WriteRoute(
+        1, {.kind = kind, .timeout = kTimeout, .connections = connections});
     this->target = std::make_unique<RawTarget>(
         this->RawTargetAddress(),
         [this](RawConnection& connection, const std::string& head) {
@@ -199,6 +200,32 @@
   Kill();
   CheckThatNothingWasCut();
   BOOST_TEST(answered.contains("first"));
+  BOOST_TEST(refused == 1);
+}
+
+/** The same for calls that had come before and waited for their target: they
+ * were sent when it had room, late in the grace. */
+BOOST_AUTO_TEST_CASE(gives_calls_that_wait_for_a_target_back_at_once) {
+  constexpr std::size_t kWaiting = 4;
+  constexpr std::chrono::seconds kSoon{2};
+  Start("non_idempotent", 1);
+  const auto begin = Clock::now();
+  CallAt(begin, "first");
+  BOOST_REQUIRE(AwaitRun("first"));
+  for (std::size_t call = 0; call < kWaiting; ++call) {
+    CallAt(begin, "waits-" + std::to_string(call));
+  }
+  std::this_thread::sleep_for(500ms);
+  Stop();
+  BOOST_TEST(Await(
+      [this] {
+        const std::lock_guard lock(mutex);
+        return refused == kWaiting;
+      },
+      kSoon));
+  Kill();
+  CheckThatNothingWasCut();
+  BOOST_TEST(run.size() == 1);
 }
 
 /** The same for a request whose body ends late in the grace. */
