--- a/packages/registry/src/table_follower.cc
+++ b/packages/registry/src/table_follower.cc
@@ -20,6 +20,17 @@
 
 core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
 
+/** The rows that changes leave of a table of which nothing was known. */
+platform::TableState StateOf(const platform::TableChanges& changes) {
+  platform::TableState state{.rows = {}, .version = changes.version};
+  for (const platform::RowChange& change : changes.changes) {
+    if (!change.deleted) {
+      state.rows.push_back(change.row);
+    }
+  }
+  return state;
+}
+
 }  // namespace
 
 TableFollower::TableFollower(FollowerOwner& owner,
@@ -119,6 +130,9 @@
   if (as_of) {
     this->HearConfirmed(*as_of);
   }
+  const bool knew_nothing =
+      catalogue.VersionOf(this->table) == platform::RowVersion{};
+  feed::TableNews learnt = news;
   std::size_t rows = 0;
   if (const auto* state = std::get_if<platform::TableState>(&news)) {
     if (!catalogue.Take(this->table, *state, Now())) {
@@ -129,9 +143,14 @@
     const auto& changes = std::get<platform::TableChanges>(news);
     catalogue.Take(this->table, changes, Now());
     rows = changes.changes.size();
+    if (knew_nothing) {
+      // Earlier programs give changes to a peer that knows nothing, without the
+      // deletions from before their own start.
+      learnt = StateOf(changes);
+    }
   }
   this->LogChanges(rows, configuration::ToldBy::kPeer, as_of.value_or(Now()));
-  this->owner.NoteLearnt(this->table, news);
+  this->owner.NoteLearnt(this->table, std::move(learnt));
   this->owner.NoteChange();
 }
 
--- a/packages/registry/test/table_follower_test.cc
+++ b/packages/registry/test/table_follower_test.cc
@@ -70,7 +70,9 @@
   [[nodiscard]] Metrics& GetMetrics() noexcept override { return metrics; }
   void NoteAnswers() override {}
   void NoteRead() override {}
-  void NoteLearnt(Table, feed::TableNews) override {}
+  void NoteLearnt(Table, feed::TableNews news) override {
+    learnt = std::move(news);
+  }
   [[nodiscard]] bool IsBacklogged() const noexcept override {
     return backlogged;
   }
@@ -82,9 +84,33 @@
   Catalogue catalogue{codec};
   prometheus::Registry registry;
   Metrics metrics{registry};
+  feed::TableNews learnt;
   bool backlogged = false;
 };
 
+/** A table of an entry that has just started, which knows nothing. */
+struct Unread {
+  void Hear(const std::uint64_t version) {
+    follower.Hear(
+        platform::TableChanges{
+            .changes = {{.row = {.key = "a",
+                                 .value = "",
+                                 .version = platform::RowVersion{version}},
+                         .deleted = false},
+                        {.row = {.key = "b",
+                                 .value = "",
+                                 .version = platform::RowVersion{version}},
+                         .deleted = true}},
+            .version = platform::RowVersion{version}},
+        std::nullopt);
+  }
+
+  boost::asio::io_context context{1};
+  Owner owner;
+  TableFollower follower{owner, context, Table::kOrders, "orders",
+                         WatchPace{.wait = 200ms}};
+};
+
 struct Following {
   Following() {
     follower.Read();
@@ -104,6 +130,26 @@
 
 }  // namespace
 
+BOOST_FIXTURE_TEST_SUITE(a_table_that_a_peer_tells, Unread)
+
+/** DRAIN: a copy that began with a peer's changes passed for one that knows
+ * every deletion, though the peer had not told those from before its start. */
+BOOST_AUTO_TEST_CASE(is_passed_on_whole_if_nothing_of_it_was_known) {
+  Hear(5);
+  const auto& state = std::get<platform::TableState>(owner.learnt);
+  BOOST_TEST(state.rows.size() == 1);
+  BOOST_TEST((state.version == platform::RowVersion{5}));
+}
+
+BOOST_AUTO_TEST_CASE(is_passed_on_as_changes_once_it_is_known) {
+  Hear(5);
+  Hear(6);
+  BOOST_TEST(std::get<platform::TableChanges>(owner.learnt).changes.size() ==
+             2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_table_that_is_watched, Following)
 
 BOOST_AUTO_TEST_SUITE(on_a_connection_that_went_silent)
