Bound the body of a question for the directory (Fault)

Clients that send a body with their question took a daemon to 416 MB within 4 s, above the 260 MB of the smallest site: the address for questions took up to 16 MiB from each connection, the bound that is meant for operators' files. It is the class of the chunk's line: a limit that was set for another side.

Evidence: flood_test, in_the_body_of_a_question_keeps_within_it: 415,502,336 bytes before, 24 clients.

Questions and readiness now take 4 KiB. The case passes. The other cases of flood_test also check that the flood came about and that a figure of memory was read.

--- a/packages/callers/src/question_server.cc
+++ b/packages/callers/src/question_server.cc
@@ -1,5 +1,6 @@
 #include "internal/question_server.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -10,6 +11,8 @@
 constexpr std::uint16_t kOk = 200;
 constexpr std::uint16_t kNotFound = 404;
 constexpr std::uint16_t kUnavailable = 503;
+/** Bytes of a body, which no question needs. */
+constexpr std::size_t kMostBody = 4U << 10U;
 
 http::Response TextResponse(const std::uint16_t status, std::string text) {
   return {.status = status,
@@ -34,6 +37,7 @@
                                               const http::Respond& respond) {
                             this->AnswerQuestion(request, respond);
                           })
+                          .WithLimits({.body = kMostBody})
                           .Build(context);
     listening = this->directory->Listen();
   }
@@ -45,6 +49,7 @@
                                 const http::Respond& respond) {
               respond(TextResponse(this->is_ready() ? kOk : kUnavailable, ""));
             })
+            .WithLimits({.body = kMostBody})
             .Build(context);
     listening = this->readiness->Listen();
   }
--- a/tests/users_platform/flood_test.cc
+++ b/tests/users_platform/flood_test.cc
@@ -88,16 +88,18 @@
     this->End();
   }
 
-  /** Has clients send the line of a chunk until the flood is over. */
-  void SendWithoutEnd(const http::Address& address, const std::string& line) {
+  /** Has clients send a chunk that begins in a way until the flood is over. */
+  void SendWithoutEnd(const http::Address& address, const std::string& line,
+                      const std::string& chunk) {
     for (int client = 0; client < kClients; ++client) {
-      this->clients.emplace_back([address, line] {
+      this->clients.emplace_back([address, line, chunk] {
         const auto until = Clock::now() + kFlood;
         RawCaller caller{address};
         bool open = caller.Send(line +
                                 " HTTP/1.1\r\nHost: a.example\r\n"
                                 "Trefoilbend-Request-Id: flood\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n1;");
+                                "Transfer-Encoding: chunked\r\n\r\n" +
+                                chunk);
         while (open && Clock::now() < until) {
           open = caller.Send(kPiece);
         }
@@ -117,6 +119,7 @@
    * target has left. */
   void CheckThatTheDaemonServes() {
     BOOST_TEST(this->GetDaemon().IsRunning());
+    BOOST_TEST(this->GetDaemon().PeakMemory() > 0);
     BOOST_TEST(this->GetDaemon().PeakMemory() < kMemory);
     this->OnStore(
         [](stand_ins::Store& one) { one.Write("servers/raw", std::nullopt); });
@@ -207,6 +210,7 @@
     connection.WriteWithoutEnd(kPiece);
   });
   CallFromManyClients("POST");
+  BOOST_TEST(floods > 0);
   CheckThatTheDaemonServes();
 }
 
@@ -218,14 +222,22 @@
 BOOST_AUTO_TEST_CASE(in_the_line_of_a_chunk_keeps_within_its_memory) {
   WriteDesiredState(1);
   StartWithMachineSettings();
-  SendWithoutEnd(Front(), "POST /look/1");
+  SendWithoutEnd(Front(), "POST /look/1", "1;");
   CheckThatTheDaemonServes();
 }
 
 BOOST_AUTO_TEST_CASE(in_a_question_for_the_directory_keeps_within_it) {
   WriteDesiredState(1);
   StartWithMachineSettings();
-  SendWithoutEnd(DirectoryAddress(), "POST /resolve");
+  SendWithoutEnd(DirectoryAddress(), "POST /resolve", "1;");
+  CheckThatTheDaemonServes();
+}
+
+/** A question has no body, and up to 16 MiB of one was kept. */
+BOOST_AUTO_TEST_CASE(in_the_body_of_a_question_keeps_within_it) {
+  WriteDesiredState(1);
+  StartWithMachineSettings();
+  SendWithoutEnd(DirectoryAddress(), "POST /resolve", "ffffff\r\n");
   CheckThatTheDaemonServes();
 }
 
