--- a/tests/users_platform/flood_test.cc
+++ b/tests/users_platform/flood_test.cc
@@ -91,15 +91,17 @@
   /** Has clients send a chunk that begins in a way until the flood is over. */
   void SendWithoutEnd(const http::Address& address, const std::string& line,
                       const std::string& chunk) {
+    std::string begun = line;
+    begun +=
+        " HTTP/1.1\r\nHost: a.example\r\n"
+        "Trefoilbend-Request-Id: flood\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n";
+    begun += chunk;
     for (int client = 0; client < kClients; ++client) {
-      this->clients.emplace_back([address, line, chunk] {
+      this->clients.emplace_back([address, begun] {
         const auto until = Clock::now() + kFlood;
         RawCaller caller{address};
-        bool open = caller.Send(line +
-                                " HTTP/1.1\r\nHost: a.example\r\n"
-                                "Trefoilbend-Request-Id: flood\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n" +
-                                chunk);
+        bool open = caller.Send(begun);
         while (open && Clock::now() < until) {
           open = caller.Send(kPiece);
         }
