Ask for the rest of a body from where the client has it (MIXED)

What callers saw: a 200 whose body lacked bytes in its middle, ended as whole. A download broke off, the target that was asked for the rest wrote an answer to another request first and closed, and the next one was asked for the rest from 4 bytes too far on.

Cause: the offset of a continued body was counted where parts are read. Parts of an answer to another request are read and dropped, and counted as well.

Evidence: after_an_answer_to_another_request_leaves_no_gap on the daemon of: 'a body tha whole' where 'a body that is whole' is expected, status 200.

Why it works: the offset moves in PassOn alone, with what the client gets. The check that a body is whole uses the same figure.

--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -248,16 +248,16 @@
     this->ReadPart();
     return;
   }
-  if (this->resume) {
-    this->resume->offset += length;
-  }
   this->Deliver(std::string{this->part.data(), length}, complete);
 }
 
-bool Exchange::IsWholeBody() const noexcept {
+bool Exchange::EndsWholeBody(const std::size_t length) const {
+  if (!this->order.resume || this->withheld || this->abandoned) {
+    return true;
+  }
   const auto range = ParseContentRange(
       View(this->parser->get()[beast::http::field::content_range]));
-  return range && this->resume->offset == range->length;
+  return range && this->resume->offset + length == range->length;
 }
 
 core::AnswerHead Exchange::MakeHead() const {
@@ -285,6 +285,9 @@
     this->owner.Begin({this->order.call, this->order.exchange}, complete);
   }
   if (!is_first || this->order.resume) {
+    if (this->resume) {
+      this->resume->offset += body.size();
+    }
     this->owner.Answer(AnswerContinued{
         this->order.call, {.body = std::move(body), .complete = complete}});
     return;
@@ -310,8 +313,7 @@
     complete ? this->SkipAnswer() : this->ReadPart();
     return;
   }
-  if (complete && !this->withheld && this->order.resume &&
-      !this->IsWholeBody()) {
+  if (complete && !this->EndsWholeBody(body.size())) {
     this->resume.reset();
     this->Finish(ExchangeResult::kBrokenWithinAnswer);
     return;
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -115,7 +115,8 @@
   void Finish(ExchangeResult result);
   [[nodiscard]] core::AnswerHead MakeHead() const;
   [[nodiscard]] bool MayHold(const core::AnswerHead& head) const noexcept;
-  [[nodiscard]] bool IsWholeBody() const noexcept;
+  /** Whether a continued answer is whole with its last part. */
+  [[nodiscard]] bool EndsWholeBody(std::size_t length) const;
   void PassOn(std::string body, bool complete);
   void GiveBackConnection(ExchangeResult result, bool answered);
   void CloseAfterCancel();
--- a/tests/users_platform/cut_head_test.cc
+++ b/tests/users_platform/cut_head_test.cc
@@ -3,8 +3,9 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
-#include <optional>
+#include <sstream>
 #include <string>
+#include <utility>
 
 #include "platform.h"
 #include "raw_target.h"
@@ -202,21 +203,22 @@
 
 namespace {
 
-/** A daemon whose only target breaks off each answer within its body and, when
- * asked for the rest, has a whole answer of fewer bytes than it says. */
-struct ShortRest : Platform {
-  void Use(const std::string& framing, const std::string& rest) {
+/** A daemon whose only target breaks off each answer within its body, and
+ * answers as a story says when it is asked for the rest. */
+struct WrongRest : Platform {
+  void Use(const std::string& framing, RawTarget::Story give_rest) {
     this->WriteRoute(1, {.kind = "download"});
     this->target = std::make_unique<RawTarget>(
         this->RawTargetAddress(),
-        [this, framing, rest](RawConnection& connection,
-                              const std::string& request) {
+        [this, framing, give_rest = std::move(give_rest)](
+            RawConnection& connection, const std::string& request) {
           if (IsHealthCheck(request)) {
             connection.Write(kHealthy);
-          } else if (request.find("Range: bytes=") == std::string::npos) {
-            this->BreakOff(connection, request, framing);
+          } else if (request.find(kRange) == std::string::npos) {
+            BreakOff(connection, request, framing);
           } else {
-            this->GiveRest(connection, request, rest);
+            ++this->rests;
+            give_rest(connection, request);
           }
         });
     this->ListOnlyTheRawTarget();
@@ -231,18 +233,50 @@
     connection.Close();
   }
 
-  void GiveRest(RawConnection& connection, const std::string& request,
-                const std::string& rest) {
-    const std::string size = std::to_string(kBody.size());
-    const std::string range = "Content-Range: bytes " +
-                              std::to_string(kBody.size() / 2) + "-" +
-                              std::to_string(kBody.size() - 1) + "/" + size;
-    connection.Write(HeadTo(request,
-                            kTag + range + "\r\nContent-Length: " +
-                                std::to_string(rest.size()) + "\r\n",
-                            "206 Partial Content") +
-                     rest);
-    ++this->rests;
+  /** Gives some bytes for the rest, whatever it says of them. */
+  static RawTarget::Story Bytes(const std::string& rest,
+                                const bool in_chunks = false) {
+    return [rest, in_chunks](RawConnection& connection,
+                             const std::string& request) {
+      const std::string length =
+          "Content-Length: " + std::to_string(rest.size()) + "\r\n";
+      connection.Write(HeadTo(request,
+                              kTag + RangeFrom(kBody.size() / 2) +
+                                  (in_chunks ? kByChunks : length),
+                              "206 Partial Content") +
+                       (in_chunks ? InChunks(rest) : rest));
+    };
+  }
+
+  /** Gives an answer to another request and closes, the first time that it is
+   * asked, and then the rest from where it is asked. */
+  RawTarget::Story ForeignAnswerFirst() {
+    return [this](RawConnection& connection, const std::string& request) {
+      if (this->rests == 1) {
+        connection.Write(
+            "HTTP/1.1 200 OK\r\nTrefoilbend-Request-Id: another\r\n"
+            "Trefoilbend-Server-Signature: s\r\nContent-Length: 4\r\n\r\nbody");
+        connection.Close();
+        return;
+      }
+      const std::size_t from =
+          std::stoul(request.substr(request.find(kRange) + kRange.size()));
+      connection.Write(HeadTo(request, kTag + RangeFrom(from) + kByChunks,
+                              "206 Partial Content") +
+                       InChunks(kBody.substr(from)));
+    };
+  }
+
+  static std::string RangeFrom(const std::size_t first) {
+    return "Content-Range: bytes " + std::to_string(first) + "-" +
+           std::to_string(kBody.size() - 1) + "/" +
+           std::to_string(kBody.size()) + "\r\n";
+  }
+
+  static std::string InChunks(const std::string& bytes) {
+    std::ostringstream chunks;
+    chunks << std::hex << bytes.size() << "\r\n" << bytes << "\r\n0\r\n\r\n";
+    return chunks.str();
   }
 
   /** Checks that the client does not take what it got for the whole body, and
@@ -256,7 +290,16 @@
     BOOST_TEST(response.status != 200);
   }
 
-  static constexpr const char* kTag = "ETag: \"one\"\r\n";
+  /** Checks that the client gets each byte of the body once. */
+  void CheckThatTheBodyIsWhole() {
+    const http::Response response = this->Call("/look/1");
+    BOOST_TEST(this->rests > 1);
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == kBody);
+  }
+
+  inline static const std::string kTag = "ETag: \"one\"\r\n";
+  inline static const std::string kRange = "Range: bytes=";
 
   std::atomic<int> rests{};
   std::unique_ptr<RawTarget> target;
@@ -265,26 +308,33 @@
 }  // namespace
 
 /** MIXED: a client got the beginning of a body, framed as whole. */
-BOOST_FIXTURE_TEST_SUITE(a_target_that_continues_an_answer, ShortRest)
+BOOST_FIXTURE_TEST_SUITE(a_target_that_continues_an_answer, WrongRest)
 
 BOOST_AUTO_TEST_SUITE(that_came_in_chunks)
 
 BOOST_AUTO_TEST_CASE(with_no_bytes_gives_no_success) {
-  Use(kByChunks, "");
+  Use(kByChunks, Bytes(""));
   CheckThatNothingLooksWhole();
 }
 
 BOOST_AUTO_TEST_CASE(with_too_few_bytes_gives_no_success) {
-  Use(kByChunks, "few");
+  Use(kByChunks, Bytes("few"));
   CheckThatNothingLooksWhole();
 }
 
+/** The bytes of the other answer counted as told, so that the rest was asked
+ * for from further on, and the client's body had a gap. */
+BOOST_AUTO_TEST_CASE(after_an_answer_to_another_request_leaves_no_gap) {
+  Use(kByChunks, ForeignAnswerFirst());
+  CheckThatTheBodyIsWhole();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(that_told_its_length)
 
 BOOST_AUTO_TEST_CASE(with_no_bytes_gives_no_success) {
-  Use(kByLength, "");
+  Use(kByLength, Bytes(""));
   CheckThatNothingLooksWhole();
 }
 
