Take no more of a continued body than it says (MIXED)

What callers saw: bytes behind a body whose length they had been told, on the same connection: the beginning of an answer that nobody had asked for. A target that continues a broken download may tell a range and send more than it says.

Cause: the check of a continued answer looked at its end alone, and its head's two lengths were never compared; parts beyond the end had been passed on by then.

Why it works: a rest whose Content-Length disagrees with its Content-Range does not continue the answer, and each part is checked before it is passed on. The cases and forwarding_test pass.

--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -251,13 +251,15 @@
   this->Deliver(std::string{this->part.data(), length}, complete);
 }
 
-bool Exchange::EndsWholeBody(const std::size_t length) const {
+bool Exchange::FitsWholeBody(const std::size_t length,
+                             const bool complete) const {
   if (!this->order.resume || this->withheld || this->abandoned) {
     return true;
   }
   const auto range = ParseContentRange(
       View(this->parser->get()[beast::http::field::content_range]));
-  return range && this->resume->offset + length == range->length;
+  const std::uint64_t told = this->resume->offset + length;
+  return range && (complete ? told == range->length : told <= range->length);
 }
 
 core::AnswerHead Exchange::MakeHead() const {
@@ -313,7 +315,7 @@
     complete ? this->SkipAnswer() : this->ReadPart();
     return;
   }
-  if (complete && !this->EndsWholeBody(body.size())) {
+  if (!this->FitsWholeBody(body.size(), complete)) {
     this->resume.reset();
     this->Finish(ExchangeResult::kBrokenWithinAnswer);
     return;
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -115,8 +115,9 @@
   void Finish(ExchangeResult result);
   [[nodiscard]] core::AnswerHead MakeHead() const;
   [[nodiscard]] bool MayHold(const core::AnswerHead& head) const noexcept;
-  /** Whether a continued answer is whole with its last part. */
-  [[nodiscard]] bool EndsWholeBody(std::size_t length) const;
+  /** Whether a part of a continued answer leaves it as long as it says, or, if
+   * more follows, not longer. */
+  [[nodiscard]] bool FitsWholeBody(std::size_t length, bool complete) const;
   void PassOn(std::string body, bool complete);
   void GiveBackConnection(ExchangeResult result, bool answered);
   void CloseAfterCancel();
--- a/packages/forwarding/src/resumption.cc
+++ b/packages/forwarding/src/resumption.cc
@@ -63,10 +63,14 @@
   const auto validator = http::FindField(head.fields, "ETag");
   const auto range = ParseContentRange(
       http::FindField(head.fields, "Content-Range").value_or(""));
-  return head.status == kPartialContent && validator == point.validator &&
-         range && range->first == point.offset &&
-         range->last + 1 == range->length &&
-         range->length == point.length.value_or(range->length);
+  if (head.status != kPartialContent || validator != point.validator ||
+      !range) {
+    return false;
+  }
+  const std::uint64_t rest = range->length - range->first;
+  return range->first == point.offset && range->last + 1 == range->length &&
+         range->length == point.length.value_or(range->length) &&
+         head.length.value_or(rest) == rest;
 }
 
 }  // namespace trefoilbend::forwarding
--- a/packages/forwarding/test/resumption_test.cc
+++ b/packages/forwarding/test/resumption_test.cc
@@ -73,6 +73,17 @@
   }
 }
 
+/** The head's two lengths must agree; one that tells none is counted as it
+ * comes. */
+BOOST_AUTO_TEST_CASE(not_with_another_length_than_its_range) {
+  for (const std::uint64_t length : {0U, 59U, 61U, 100U}) {
+    rest.length = length;
+    BOOST_TEST(!Continues(point, rest), length);
+  }
+  rest.length.reset();
+  BOOST_TEST(Continues(point, rest));
+}
+
 BOOST_AUTO_TEST_CASE(not_with_the_whole_again) {
   rest.status = 200;
   BOOST_TEST(!Continues(point, rest));
--- a/tests/users_platform/cut_head_test.cc
+++ b/tests/users_platform/cut_head_test.cc
@@ -20,6 +20,8 @@
     "Content-Length: " + std::to_string(kBody.size()) + "\r\n";
 const std::string kByChunks = "Transfer-Encoding: chunked\r\n";
 const std::string kByClose;
+/** A rest that goes on beyond the end of the body. */
+const std::string kTooMany = kBody.substr(kBody.size() / 2) + " and more";
 
 std::string HeadTo(const std::string& request, const std::string& framing,
                    const std::string& status = "200 OK") {
@@ -307,7 +309,8 @@
 
 }  // namespace
 
-/** MIXED: a client got the beginning of a body, framed as whole. */
+/** MIXED: a client got the beginning of a body, framed as whole, or bytes
+ * beyond the body that its head told. */
 BOOST_FIXTURE_TEST_SUITE(a_target_that_continues_an_answer, WrongRest)
 
 BOOST_AUTO_TEST_SUITE(that_came_in_chunks)
@@ -322,6 +325,16 @@
   CheckThatNothingLooksWhole();
 }
 
+BOOST_AUTO_TEST_CASE(with_too_many_bytes_gives_no_success) {
+  Use(kByChunks, Bytes(kTooMany));
+  CheckThatNothingLooksWhole();
+}
+
+BOOST_AUTO_TEST_CASE(with_too_many_bytes_in_chunks_gives_no_success) {
+  Use(kByChunks, Bytes(kTooMany, true));
+  CheckThatNothingLooksWhole();
+}
+
 /** The bytes of the other answer counted as told, so that the rest was asked
  * for from further on, and the client's body had a gap. */
 BOOST_AUTO_TEST_CASE(after_an_answer_to_another_request_leaves_no_gap) {
@@ -338,6 +351,16 @@
   CheckThatNothingLooksWhole();
 }
 
+BOOST_AUTO_TEST_CASE(with_too_many_bytes_gives_no_success) {
+  Use(kByLength, Bytes(kTooMany));
+  CheckThatNothingLooksWhole();
+}
+
+BOOST_AUTO_TEST_CASE(with_too_many_bytes_in_chunks_gives_no_success) {
+  Use(kByLength, Bytes(kTooMany, true));
+  CheckThatNothingLooksWhole();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
