--- a/tests/users_platform/raw_target.cc
+++ b/tests/users_platform/raw_target.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <cstddef>
 #include <string_view>
 #include <utility>
 
@@ -15,6 +16,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kPoll{2};
+/** Connections beyond it are closed at once, as the users' targets do. */
+constexpr std::size_t kMostConnections = 512;
 
 }  // namespace
 
@@ -93,8 +96,8 @@
 RawTarget::~RawTarget() {
   this->stopping = true;
   this->accepting.join();
-  for (std::thread& connection : this->connections) {
-    connection.join();
+  for (ServedConnection& connection : this->connections) {
+    connection.thread.join();
   }
 }
 
@@ -107,13 +110,29 @@
       std::this_thread::sleep_for(kPoll);
       continue;
     }
-    this->connections.emplace_back(
-        [this, accepted = std::move(socket)]() mutable {
+    this->JoinEnded();
+    if (this->connections.size() >= kMostConnections) {
+      continue;
+    }
+    ServedConnection& served = this->connections.emplace_back();
+    served.thread =
+        std::thread([this, &served, accepted = std::move(socket)]() mutable {
           this->Serve(std::move(accepted));
+          served.ended = true;
         });
   }
 }
 
+/** Callers that break connections off open many more. */
+void RawTarget::JoinEnded() {
+  this->connections.remove_if([](ServedConnection& connection) {
+    if (connection.ended) {
+      connection.thread.join();
+    }
+    return !connection.thread.joinable();
+  });
+}
+
 void RawTarget::Serve(tcp::socket socket) {
   RawConnection connection{std::move(socket), this->stopping};
   for (std::string head = connection.ReadHead(); !head.empty();
--- a/tests/users_platform/raw_target.h
+++ b/tests/users_platform/raw_target.h
@@ -89,14 +89,21 @@
   RawTarget& operator=(const RawTarget&) = delete;
 
  private:
+  /** A connection and the thread that serves it. */
+  struct ServedConnection {
+    std::thread thread;
+    std::atomic<bool> ended{};
+  };
+
   void Accept();
+  void JoinEnded();
   void Serve(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context context{1};
   boost::asio::ip::tcp::acceptor acceptor;
   Story story;
   std::atomic<bool> stopping{};
-  std::list<std::thread> connections;
+  std::list<ServedConnection> connections;
   std::thread accepting;
 };
 
