--- a/packages/callers/include/trefoilbend/callers/duty.h
+++ b/packages/callers/include/trefoilbend/callers/duty.h
@@ -39,6 +39,8 @@
   std::uint32_t header = 16U << 10U;
   /** @brief Longest request body in bytes. */
   std::uint64_t body = 256U << 10U;
+  /** @brief Memory of all request bodies together in bytes. */
+  std::uint64_t bodies = 256U << 20U;
   /** @brief Longest time for a request to arrive once it has begun. */
   std::chrono::milliseconds receive{10'000};
   /** @brief Longest time for the caller to take a part of an answer. */
--- a/packages/callers/include/trefoilbend/callers/fwd.h
+++ b/packages/callers/include/trefoilbend/callers/fwd.h
@@ -9,6 +9,8 @@
 struct Outlets;
 struct StopTimes;
 
+class BodyBudget;
+class BodyLease;
 class CallersDuty;
 class StopPlan;
 
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -149,6 +149,17 @@
     return this->options.limits;
   }
 
+  [[nodiscard]] std::shared_ptr<BodyLease> LeaseBody() override {
+    return this->bodies.Lease();
+  }
+
+  [[nodiscard]] core::Refusal RefuseBody(
+      const core::CallRequest& head) override {
+    return this->TellRefusal(head, {.run = core::RunState::kNotRun,
+                                    .reason = core::RefusalReason::kBusy,
+                                    .retry_after = kRetryAfter});
+  }
+
   [[nodiscard]] const CallerProtocol& Protocol() const noexcept override {
     return *this->options.protocol;
   }
@@ -451,9 +462,10 @@
               : this->configuration->Revision().Value();
       this->log.Info(
           "Refused at the door. id={} host={} path={} reason={} calls={} "
-          "revision={}",
+          "body_bytes={} revision={}",
           request.id, request.host, http::PathOf(request.path),
-          core::ToString(refusal.reason), this->calls.Size(), revision);
+          core::ToString(refusal.reason), this->calls.Size(),
+          this->bodies.Held(), revision);
     }
     return this->CountRefusal(refusal);
   }
@@ -528,6 +540,7 @@
 
   Options options;
   internal::Metrics metrics;
+  BodyBudget bodies{this->options.limits.bodies};
   internal::OpenCalls calls{this->metrics.in_progress};
   internal::PeerCalls peers{this->options.limits.calls};
   Outlets outlets;
--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "trefoilbend/callers/body_budget.h"
 #include "trefoilbend/callers/caller_protocol.h"
 #include "trefoilbend/callers/classify.h"
 #include "trefoilbend/callers/duty.h"
@@ -30,6 +31,17 @@
   /** @return Bounds of what callers may send. */
   [[nodiscard]] virtual const Limits& GetLimits() const noexcept = 0;
 
+  /** @return Lease for the body of a request that begins. */
+  [[nodiscard]] virtual std::shared_ptr<BodyLease> LeaseBody() = 0;
+
+  /**
+   * @brief Refuses a request whose body finds no room.
+   * @param head The request without its body.
+   * @return The refusal.
+   */
+  [[nodiscard]] virtual core::Refusal RefuseBody(
+      const core::CallRequest& head) = 0;
+
   /** @return What callers and entries say to each other. */
   [[nodiscard]] virtual const CallerProtocol& Protocol() const noexcept = 0;
 
@@ -142,8 +154,8 @@
   void CloseIfIdle(core::Duration least);
 
  private:
-  /** Bytes beyond the head that wait to be parsed: the line of a chunk. */
-  static constexpr std::size_t kMostBuffered = 64U << 10U;
+  /** Bytes that wait to be parsed behind a head: the line of a chunk. */
+  static constexpr std::size_t kMostBuffered = 16U << 10U;
   /** Bytes of the next request that are read before the answer is sent. */
   static constexpr std::size_t kMostEarly = 16U << 10U;
 
@@ -155,10 +167,17 @@
       boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
 
   void ReadRequest();
-  void OnRead(boost::system::error_code error);
+  void OnHead(boost::system::error_code error);
+  void ReadBody();
+  /** Sees that the body, as far as it is known, has room. */
+  [[nodiscard]] bool HoldBody();
+  void RefuseBody();
+  void OnRead();
   void RefuseRequest(boost::system::error_code error);
   void Serve();
   void ServeCall();
+  /** The request that is read, without its body. */
+  [[nodiscard]] core::CallRequest MakeRequest() const;
   [[nodiscard]] std::string CallerAddress();
   void WatchCaller();
   void ReadEarly();
@@ -180,6 +199,7 @@
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser;
+  std::shared_ptr<BodyLease> body_lease;
   StringResponse whole;
   StreamResponse streamed;
   std::optional<StreamSerializer> serializer;
@@ -190,6 +210,8 @@
   std::optional<core::CallId> call;
   bool keep_alive{};
   bool is_head{};
+  /** Whether the request was read to its end. */
+  bool has_read{};
   /** Since when it waits for a request. */
   std::optional<core::TimePoint> idle_since;
 };
--- a/packages/callers/src/session.cc
+++ b/packages/callers/src/session.cc
@@ -1,7 +1,10 @@
 #include "internal/session.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdint>
+#include <utility>
 
 #include "trefoilbend/callers/refusal_text.h"
 #include "trefoilbend/forwarding/fields.h"
@@ -32,14 +35,19 @@
 }
 
 void Session::Read() {
+  this->body_lease.reset();
+  this->is_head = false;
+  this->has_read = false;
   this->parser.emplace();
   this->parser->header_limit(this->owner.GetLimits().header);
   this->parser->body_limit(this->owner.GetLimits().body);
-  this->buffer.max_size(this->owner.GetLimits().header + kMostBuffered);
+  this->buffer.max_size(std::max<std::size_t>(
+      this->buffer.size(), this->owner.GetLimits().header + kMostBuffered));
   if (this->buffer.size() > 0) {
     this->ReadRequest();
     return;
   }
+  this->buffer.shrink_to_fit();
   this->idle_since = std::chrono::steady_clock::now();
   this->stream.socket().async_wait(
       tcp::socket::wait_read,
@@ -54,6 +62,38 @@
 void Session::ReadRequest() {
   this->stream.expires_after(this->owner.GetLimits().receive);
   beast::http::async_read_header(
+      this->stream, this->buffer, *this->parser,
+      [self = this->shared_from_this()](const boost::system::error_code error,
+                                        std::size_t) { self->OnHead(error); });
+}
+
+void Session::OnHead(const boost::system::error_code error) {
+  if (error) {
+    this->RefuseRequest(error);
+    return;
+  }
+  this->buffer.max_size(std::max(this->buffer.size(), kMostBuffered));
+  this->parser->eager(true);
+  if (!this->parser->is_done()) {
+    this->body_lease = this->owner.LeaseBody();
+    this->buffer.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(
+        this->parser->content_length().value_or(kMostBuffered),
+        kMostBuffered)));
+  }
+  this->stream.expires_after(this->owner.GetLimits().receive);
+  this->ReadBody();
+}
+
+void Session::ReadBody() {
+  if (!this->HoldBody()) {
+    this->RefuseBody();
+    return;
+  }
+  if (this->parser->is_done()) {
+    this->OnRead();
+    return;
+  }
+  beast::http::async_read_some(
       this->stream, this->buffer, *this->parser,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) {
@@ -61,18 +101,32 @@
           self->RefuseRequest(error);
           return;
         }
-        self->stream.expires_after(self->owner.GetLimits().receive);
-        beast::http::async_read(self->stream, self->buffer, *self->parser,
-                                [self](const boost::system::error_code failure,
-                                       std::size_t) { self->OnRead(failure); });
+        self->ReadBody();
       });
 }
 
-void Session::OnRead(const boost::system::error_code error) {
-  if (error) {
-    this->RefuseRequest(error);
-    return;
+bool Session::HoldBody() {
+  if (!this->body_lease) {
+    return true;
   }
+  const std::string& body = this->parser->get().body();
+  const std::uint64_t read = body.empty() ? 0 : body.capacity();
+  const std::uint64_t told =
+      this->parser->content_length().value_or(std::uint64_t{0});
+  return this->body_lease->Hold(std::max(read, told));
+}
+
+void Session::RefuseBody() {
+  core::CallRequest head = this->MakeRequest();
+  head.id = this->owner.Protocol().WishesOf(head.fields).id;
+  this->keep_alive = false;
+  this->parser.reset();
+  this->body_lease.reset();
+  this->Refuse(this->owner.RefuseBody(head));
+}
+
+void Session::OnRead() {
+  this->has_read = true;
   this->stream.expires_never();
   this->keep_alive = this->parser->get().keep_alive();
   this->is_head = this->parser->get().method() == beast::http::verb::head;
@@ -126,8 +180,8 @@
   return peer.address().to_string() + ':' + std::to_string(peer.port());
 }
 
-void Session::ServeCall() {
-  auto& message = this->parser->get();
+core::CallRequest Session::MakeRequest() const {
+  const auto& message = this->parser->get();
   core::CallRequest request;
   request.host = std::string{View(message[beast::http::field::host])};
   request.method = std::string{View(message.method_string())};
@@ -140,7 +194,13 @@
       request.fields.emplace_back(name, field.value());
     }
   }
-  request.body = std::move(message.body());
+  return request;
+}
+
+void Session::ServeCall() {
+  core::CallRequest request = this->MakeRequest();
+  request.body = std::move(this->parser->get().body());
+  request.body_lease = std::move(this->body_lease);
   const Wishes wishes = this->owner.Protocol().WishesOf(request.fields);
   request.id = wishes.id;
   auto submitted =
@@ -302,13 +362,15 @@
   boost::system::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   this->stream.socket().cancel(ignored);
-  this->stream.expires_after(kLinger);
+  this->stream.expires_after(
+      this->has_read ? core::Duration{kLinger}
+                     : core::Duration{this->owner.GetLimits().receive});
   this->Linger();
 }
 
 /** What still arrives is discarded, as closing before would reset the
- * connection and take the answer away. A client that never closes may not hold
- * the connection for good. */
+ * connection and take the answer away, also while the client still sends its
+ * request. A client that never closes may not hold the connection for good. */
 void Session::Linger() {
   this->buffer.clear();
   this->stream.async_read_some(
--- a/packages/core/include/trefoilbend/core/call.h
+++ b/packages/core/include/trefoilbend/core/call.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -40,6 +41,9 @@
   Fields fields;
   /** @brief Body, whole, so that it can be sent again. */
   std::string body;
+  /** @brief Counts the body's memory for as long as it lives; nothing if that
+   * is not counted. */
+  std::shared_ptr<const void> body_lease;
   /** @brief Whether running the request twice does the same as running it once.
    */
   bool idempotent{};
--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -23,6 +23,10 @@
 constexpr std::uint64_t kMostCalls = 1'000'000;
 constexpr std::uint64_t kMostHeader = 1U << 20U;
 constexpr std::uint64_t kMostBody = 64U << 20U;
+constexpr std::uint64_t kLeastMemory = 16U << 20U;
+constexpr std::uint64_t kMostMemory = 1ULL << 40U;
+/** Part of an entry's memory that request bodies may take: one in so many. */
+constexpr std::uint64_t kBodiesPartOfMemory = 2;
 constexpr std::uint64_t kMostKeys = 10'000'000;
 constexpr std::uint64_t kMostAnswers = 1U << 30U;
 constexpr std::uint64_t kMostAttempts = 10;
@@ -125,6 +129,10 @@
         core::DataCentreName{section.Text("data-centre", "")};
     this->self.processor_percent = static_cast<std::uint32_t>(
         kWholePercent * section.Decimal("cores", {0.01, kMostCores}, 1.0));
+    if (const std::uint64_t memory =
+            section.Bytes("memory", {kLeastMemory, kMostMemory}, 0)) {
+      this->result.callers.limits.bodies = memory / kBodiesPartOfMemory;
+    }
     this->result.membership.incarnation = this->result.callers.incarnation;
   }
 
@@ -148,6 +156,8 @@
     limits.header = static_cast<std::uint32_t>(
         section.Bytes("max-header", {1'024, kMostHeader}, limits.header));
     limits.body = section.Bytes("max-body", {0, kMostBody}, limits.body);
+    limits.bodies =
+        section.Bytes("max-bodies", {0, kMostMemory}, limits.bodies);
     limits.receive = Milliseconds(
         section.Time("receive-timeout", {10ms, 1h}, limits.receive));
     limits.send =
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -50,6 +50,16 @@
               std::chrono::milliseconds{2'500}));
 }
 
+BOOST_AUTO_TEST_CASE(give_request_bodies_half_of_the_memory) {
+  constexpr std::uint64_t kMebibyte = 1U << 20U;
+  std::string text{kText};
+  text.replace(text.find("[callers]"), 9, "memory = 260 MiB\n[callers]");
+  BOOST_TEST(core::ValueOf(Read(text)).callers.limits.bodies ==
+             130 * kMebibyte);
+  text.replace(text.find("keep = 3s"), 9, "max-bodies = 70 MiB");
+  BOOST_TEST(core::ValueOf(Read(text)).callers.limits.bodies == 70 * kMebibyte);
+}
+
 BOOST_AUTO_TEST_CASE(give_each_process_random_numbers_of_its_own) {
   const auto one = Read(kText);
   const auto other = Read(kText);
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "internal/connection_pool.h"
+#include "internal/request_encoding.h"
 #include "trefoilbend/forwarding/duty.h"
 #include "trefoilbend/forwarding/messages.h"
 
@@ -95,7 +96,7 @@
  private:
   static constexpr std::size_t kPartSize = 16U << 10U;
   /** Bytes that wait to be parsed: a head, or the line of a chunk. */
-  static constexpr std::size_t kMostBuffered = 128U << 10U;
+  static constexpr std::size_t kMostBuffered = 40U << 10U;
 
   void TakeConnection(Grant grant, Connection granted);
   void Connect();
@@ -129,7 +130,7 @@
   core::Duration latency{};
   Connection connection;
   boost::beast::flat_buffer buffer{kMostBuffered};
-  boost::beast::http::request<boost::beast::http::string_body> out;
+  EncodedRequest out;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::buffer_body>>
       parser;
--- a/packages/forwarding/src/internal/request_encoding.h
+++ b/packages/forwarding/src/internal/request_encoding.h
@@ -9,16 +9,20 @@
 
 namespace trefoilbend::forwarding::internal {
 
+/** @brief Request whose body stays where its call has it. */
+using EncodedRequest =
+    boost::beast::http::request<boost::beast::http::span_body<const char>>;
+
 /**
  * @brief Makes the request of an exchange as its target gets it.
  * @param order What is sent where.
  * @param protocol What entries and targets say to each other.
  * @param now Current time, from which the time that is left counts.
- * @return The request.
+ * @return The request; the order's call outlives it.
  */
-[[nodiscard]] boost::beast::http::request<boost::beast::http::string_body>
-Encode(const StartExchange& order, const TargetProtocol& protocol,
-       core::TimePoint now);
+[[nodiscard]] EncodedRequest Encode(const StartExchange& order,
+                                    const TargetProtocol& protocol,
+                                    core::TimePoint now);
 
 }  // namespace trefoilbend::forwarding::internal
 
--- a/packages/forwarding/src/request_encoding.cc
+++ b/packages/forwarding/src/request_encoding.cc
@@ -13,11 +13,11 @@
 
 }  // namespace
 
-beast::http::request<beast::http::string_body> Encode(
-    const StartExchange& order, const TargetProtocol& protocol,
-    const core::TimePoint now) {
+EncodedRequest Encode(const StartExchange& order,
+                      const TargetProtocol& protocol,
+                      const core::TimePoint now) {
   const core::CallRequest& request = *order.request;
-  beast::http::request<beast::http::string_body> message;
+  EncodedRequest message;
   message.version(kHttp11);
   message.method_string(request.method);
   message.target(request.path);
@@ -35,7 +35,7 @@
                 "bytes=" + std::to_string(order.resume->offset) + '-');
     message.set(beast::http::field::if_range, order.resume->validator);
   }
-  message.body() = request.body;
+  message.body() = {request.body.data(), request.body.size()};
   message.prepare_payload();
   return message;
 }
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -16,7 +16,7 @@
 using boost::asio::ip::tcp;
 
 /** Bytes that wait to be parsed: a head, or the line of a chunk. */
-constexpr std::size_t kMostBuffered = 128U << 10U;
+constexpr std::size_t kMostBuffered = 16U << 10U;
 
 class ServerSession : public std::enable_shared_from_this<ServerSession> {
  public:
--- a/tests/users_platform/flood_test.cc
+++ b/tests/users_platform/flood_test.cc
@@ -4,7 +4,9 @@
 #include <cstdlib>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -24,18 +26,35 @@
 /** Memory of the smallest machine of the users' platform: MemoryMb. */
 constexpr std::size_t kMemory = 260U << 20U;
 /** Clients whose calls meet the faulty target at the same time. */
-constexpr int kClients = 24;
+constexpr int kClients = 100;
+/** Connections that a target of the users' platform takes. */
+constexpr int kConnections = 260;
+/** Longest body that operators allow here, and the length of those that many
+ * clients send at the same time. */
+constexpr std::uint64_t kMostBody = 64U << 20U;
+constexpr std::size_t kLongBody = 9U << 20U;
+constexpr int kUploads = 30;
+constexpr std::chrono::seconds kPatience{5};
 /** Time for which the bytes come. */
 constexpr std::chrono::seconds kFlood{4};
 const std::string kPiece(16'384, 'x');
 
-/** A daemon with the settings of a machine and a target whose bytes never end,
- * beside good targets of the same service. */
+/** How a client says where its body ends. */
+struct Framing {
+  std::string field;
+  /** What stands before and behind each piece of the body, and at its end. */
+  std::string before;
+  std::string behind;
+  std::string end;
+};
+
+/** A daemon with the settings of a machine, and a target whose bytes never end
+ * and that is the only one of its service. */
 struct Flooded : Platform {
   ~Flooded() { this->End(); }
 
   void Use(RawTarget::Story story, const std::string& kind = "non_idempotent") {
-    this->WriteRoute(1, {.kind = kind});
+    this->WriteRoute(1, {.kind = kind, .connections = kConnections});
     this->target = std::make_unique<RawTarget>(
         this->RawTargetAddress(),
         [this, story = std::move(story)](RawConnection& connection,
@@ -48,9 +67,7 @@
           ++this->floods;
           story(connection, head);
         });
-    this->OnStore([this](stand_ins::Store& one) {
-      one.Write("servers/raw", EntryOf("raw", this->RawTargetAddress()));
-    });
+    this->ListOnlyTheRawTarget();
     this->StartWithMachineSettings();
   }
 
@@ -59,7 +76,8 @@
   void StartWithMachineSettings() {
     setenv("ASAN_OPTIONS",
            "quarantine_size_mb=0:thread_local_quarantine_size_kb=0", 1);
-    this->StartDaemon({{"callers", "max-calls", "512"},
+    this->StartDaemon({{"entry", "memory", "260 MiB"},
+                       {"callers", "max-calls", "512"},
                        {"callers", "max-connections", "3000"},
                        {"forwarding", "hold", "64 KiB"}});
     unsetenv("ASAN_OPTIONS");
@@ -110,6 +128,37 @@
     this->End();
   }
 
+  /** Has clients send a long body each, at the same time, and counts their
+   * answers by status. */
+  void SendLongBodies(const Framing& framing) {
+    for (int client = 0; client < kUploads; ++client) {
+      std::string head = RequestOf("POST", "/look/1",
+                                   "long-" + std::to_string(client), kPatience);
+      head.insert(head.size() - 2, framing.field);
+      this->clients.emplace_back([this, head, framing] {
+        RawCaller caller{this->Front()};
+        bool open = caller.Send(head);
+        for (std::size_t sent = 0; open && sent < kLongBody;
+             sent += kPiece.size()) {
+          open = caller.Send(framing.before + kPiece + framing.behind);
+        }
+        (void)caller.Send(framing.end);
+        const auto response = caller.Receive();
+        const std::lock_guard lock(this->mutex);
+        ++this->statuses[response ? response->status : 0];
+      });
+    }
+    this->End();
+  }
+
+  /** Checks that each client got an answer, some of them a refusal that lets it
+   * come again. */
+  void CheckThatEachIsAnswered() {
+    BOOST_TEST(this->statuses[200] > 0);
+    BOOST_TEST(this->statuses[503] > 0);
+    BOOST_TEST(this->statuses[200] + this->statuses[503] == kUploads);
+  }
+
   void End() {
     for (std::thread& client : this->clients) {
       client.join();
@@ -117,14 +166,19 @@
     this->clients.clear();
   }
 
-  /** Checks that the daemon lives within its memory, and serves once the faulty
-   * target has left. */
+  /** Checks that the daemon lives within its memory, and serves once a good
+   * target has taken the place of the faulty one. */
   void CheckThatTheDaemonServes() {
     BOOST_TEST(this->GetDaemon().IsRunning());
-    BOOST_TEST(this->GetDaemon().PeakMemory() > 0);
-    BOOST_TEST(this->GetDaemon().PeakMemory() < kMemory);
-    this->OnStore(
-        [](stand_ins::Store& one) { one.Write("servers/raw", std::nullopt); });
+    const std::size_t peak = this->GetDaemon().PeakMemory();
+    BOOST_TEST_MESSAGE(
+        "greatest memory: " << peak << " bytes, floods: " << this->floods);
+    BOOST_TEST(peak > 0);
+    BOOST_TEST(peak < kMemory);
+    this->OnStore([this](stand_ins::Store& one) {
+      one.Write("servers/raw", std::nullopt);
+      one.Write("servers/a", this->Target("a").Entry());
+    });
     BOOST_TEST((Await([this] { return this->Call("/look/1").status == 200; })));
   }
 
@@ -132,6 +186,8 @@
   bool takes_checks = false;
   std::unique_ptr<RawTarget> target;
   std::list<std::thread> clients;
+  std::mutex mutex;
+  std::map<int, int> statuses;
 };
 
 }  // namespace
@@ -243,6 +299,36 @@
   CheckThatTheDaemonServes();
 }
 
+BOOST_AUTO_TEST_SUITE(in_long_bodies_of_calls_at_the_same_time)
+
+/** Each body was bounded, and all together were not: the platform ended the
+ * process for its memory (case review/5). */
+BOOST_AUTO_TEST_CASE(with_lengths_keeps_within_its_memory) {
+  WriteRoute(
+      1,
+      {.kind = "non_idempotent", .timeout = kPatience, .max_body = kMostBody});
+  StartWithMachineSettings();
+  SendLongBodies(
+      {.field = "Content-Length: " + std::to_string(kLongBody) + "\r\n"});
+  CheckThatEachIsAnswered();
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_CASE(in_chunks_keeps_within_its_memory) {
+  WriteRoute(
+      1,
+      {.kind = "non_idempotent", .timeout = kPatience, .max_body = kMostBody});
+  StartWithMachineSettings();
+  SendLongBodies({.field = "Transfer-Encoding: chunked\r\n",
+                  .before = "4000\r\n",
+                  .behind = "\r\n",
+                  .end = "0\r\n\r\n"});
+  CheckThatEachIsAnswered();
+  CheckThatTheDaemonServes();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -229,7 +229,7 @@
                      {"stock", "/health", wish.connections, "3s", 25.0})})}}},
       {"Limits",
        {{"MaxHeaderBytes", 16'384},
-        {"MaxBodyBytes", 1'000'000},
+        {"MaxBodyBytes", wish.max_body},
         {"HeaderTimeout", "3000ms"},
         {"IdleTimeout", "15000ms"}}}};
   this->OnStore(
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -120,6 +120,8 @@
   std::chrono::milliseconds timeout{2'000};
   /** @brief Connections that a target of the service takes. */
   int connections = 100;
+  /** @brief Longest body of a request in bytes. */
+  std::uint64_t max_body = 1'000'000;
 };
 
 /** @brief Entries in this process between a store and three targets: a and b in
