--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -1,10 +1,10 @@
 #include "internal/exchange.h"
 
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <utility>
 
+#include "internal/open_connection.h"
 #include "internal/request_encoding.h"
 #include "trefoilbend/forwarding/fields.h"
 #include "trefoilbend/forwarding/resumption.h"
@@ -14,7 +14,6 @@
 namespace {
 
 namespace beast = boost::beast;
-using boost::asio::ip::tcp;
 
 constexpr std::uint32_t kHeadLimit = 32U << 10U;
 constexpr std::uint64_t kNoLimit = UINT64_MAX;
@@ -98,22 +97,16 @@
       patience.count() == 0
           ? expiry
           : std::min(expiry, std::chrono::steady_clock::now() + patience));
-  boost::system::error_code error;
-  const auto host =
-      boost::asio::ip::make_address(this->order.address.host, error);
-  this->connection->async_connect(
-      tcp::endpoint{host, this->order.address.port},
-      [self =
-           this->shared_from_this()](const boost::system::error_code failure) {
-        if (failure) {
-          self->Fail(failure);
-          return;
-        }
-        boost::system::error_code ignored;
-        self->connection->socket().set_option(tcp::no_delay(true), ignored);
-        self->connection->expires_at(ExpiryOf(*self->order.request));
-        self->Write();
-      });
+  OpenConnection(*this->connection, this->order.address,
+                 [self = this->shared_from_this()](
+                     const boost::system::error_code failure) {
+                   if (failure) {
+                     self->Fail(failure);
+                     return;
+                   }
+                   self->connection->expires_at(ExpiryOf(*self->order.request));
+                   self->Write();
+                 });
 }
 
 void Exchange::Write() {
--- a/packages/forwarding/src/probe.cc
+++ b/packages/forwarding/src/probe.cc
@@ -1,9 +1,9 @@
 #include "internal/probe.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <string_view>
 #include <utility>
 
+#include "internal/open_connection.h"
 #include "trefoilbend/forwarding/fields.h"
 
 namespace trefoilbend::forwarding::internal {
@@ -11,7 +11,6 @@
 namespace {
 
 namespace beast = boost::beast;
-using boost::asio::ip::tcp;
 
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kHeadLimit = 8U << 10U;
@@ -66,21 +65,15 @@
 void Probe::Connect() {
   this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
   this->connection->expires_at(this->order.deadline);
-  boost::system::error_code error;
-  const auto host =
-      boost::asio::ip::make_address(this->order.address.host, error);
-  this->connection->async_connect(
-      tcp::endpoint{host, this->order.address.port},
-      [self =
-           this->shared_from_this()](const boost::system::error_code failure) {
-        if (failure) {
-          self->GiveUp();
-          return;
-        }
-        boost::system::error_code ignored;
-        self->connection->socket().set_option(tcp::no_delay(true), ignored);
-        self->Write();
-      });
+  OpenConnection(*this->connection, this->order.address,
+                 [self = this->shared_from_this()](
+                     const boost::system::error_code failure) {
+                   if (failure) {
+                     self->GiveUp();
+                     return;
+                   }
+                   self->Write();
+                 });
 }
 
 void Probe::Write() {
