Read the body of a change, and wait for a condition, in one place each

The two commands that change something read their body alike, and the fleets' and the platform's stories each polled on their own. Behaviour stays: operations_test passes, all programs build.

--- a/packages/operations/src/duty.cc
+++ b/packages/operations/src/duty.cc
@@ -199,14 +199,24 @@
         ->Read();
   }
 
-  void ChangeDataCentre(const Command& command) {
-    const json body = json::parse(command.request.body, nullptr, false);
+  /** The body of a change; nothing if it was refused. */
+  [[nodiscard]] std::optional<json> ReadChange(const Command& command) const {
+    json body = json::parse(command.request.body, nullptr, false);
     if (!body.is_object() || this->update.configuration == nullptr) {
       command.respond(Problem(kBadRequest,
                               "the body is not a JSON object, or this entry "
                               "has no configuration yet"));
+      return std::nullopt;
+    }
+    return body;
+  }
+
+  void ChangeDataCentre(const Command& command) {
+    const std::optional<json> read = this->ReadChange(command);
+    if (!read) {
       return;
     }
+    const json& body = *read;
     const core::DataCentreName name{body.value("name", "")};
     const bool out = body.value("out", false);
     if (this->update.configuration->Find<inventory::DataCentre>(name.Text()) ==
@@ -231,13 +241,11 @@
   }
 
   void ChangeRelease(const Command& command) {
-    const json body = json::parse(command.request.body, nullptr, false);
-    if (!body.is_object() || this->update.configuration == nullptr) {
-      command.respond(Problem(kBadRequest,
-                              "the body is not a JSON object, or this entry "
-                              "has no configuration yet"));
+    const std::optional<json> read = this->ReadChange(command);
+    if (!read) {
       return;
     }
+    const json& body = *read;
     const std::chrono::seconds deadline{
         body.value("deadline_s", std::int64_t{0})};
     auto prepared = rollout::PrepareCommand(
--- a/tests/fleet/fleet.cc
+++ b/tests/fleet/fleet.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <thread>
 
+#include "support/await.h"
 #include "support/loopback_network.h"
 #include "trefoilbend/http/message.h"
 
@@ -295,14 +296,7 @@
 
 bool Fleet::Await(const std::function<bool()>& condition,
                   const std::chrono::milliseconds limit) {
-  const auto deadline = std::chrono::steady_clock::now() + limit;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() >= deadline) {
-      return false;
-    }
-    std::this_thread::sleep_for(kPoll);
-  }
-  return true;
+  return AwaitCondition(condition, limit, kPoll);
 }
 
 std::unique_ptr<Fleet> Fleet::Builder::Build() {
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "support/await.h"
 #include "trefoilbend/entry/settings.h"
 #include "trefoilbend/wire/headers.h"
 
@@ -307,14 +308,7 @@
 
 bool Platform::Await(const std::function<bool()>& condition,
                      const std::chrono::milliseconds limit) {
-  const auto deadline = std::chrono::steady_clock::now() + limit;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() >= deadline) {
-      return false;
-    }
-    std::this_thread::sleep_for(kPoll);
-  }
-  return true;
+  return AwaitCondition(condition, limit, kPoll);
 }
 
 http::Address Platform::StoreOf(const int number) const {
