Promise nothing of a call with a key whose body finds no room

The refusal of the commit on the memory of bodies said 'not-run' of every call; with a key that holds for all attempts with it, and an earlier one may have run. Only the project's own protocol has keys. It now says 'unknown', as the refusal of an entry that is not ready does, in one place for both.

--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -155,7 +155,7 @@
 
   [[nodiscard]] core::Refusal RefuseBody(
       const core::CallRequest& head) override {
-    return this->TellRefusal(head, {.run = core::RunState::kNotRun,
+    return this->TellRefusal(head, {.run = this->UntouchedState(head),
                                     .reason = core::RefusalReason::kBusy,
                                     .retry_after = kRetryAfter});
   }
@@ -182,16 +182,13 @@
   [[nodiscard]] core::Outcome<core::CallId, core::Refusal> Submit(
       const std::shared_ptr<internal::Session>& session,
       core::CallRequest request, const Wishes& wishes) override {
-    const auto key = this->options.takes_keys
-                         ? http::FindField(request.fields, kKeyField)
-                         : std::nullopt;
     if (!this->IsReady()) {
-      return this->TellRefusal(
-          request,
-          {.run = key ? core::RunState::kUnknown : core::RunState::kNotRun,
-           .reason = core::RefusalReason::kNotReady,
-           .retry_after = kRetryAfter});
+      return this->TellRefusal(request,
+                               {.run = this->UntouchedState(request),
+                                .reason = core::RefusalReason::kNotReady,
+                                .retry_after = kRetryAfter});
     }
+    const auto key = this->KeyOf(request);
     if (!this->router.Route(wishes, std::chrono::steady_clock::now(),
                             request)) {
       return this->TellRefusal(
@@ -393,6 +390,20 @@
     this->keyed.Adopt(incarnation);
   }
 
+  [[nodiscard]] std::optional<std::string_view> KeyOf(
+      const core::CallRequest& request) const {
+    return this->options.takes_keys ? http::FindField(request.fields, kKeyField)
+                                    : std::nullopt;
+  }
+
+  /** What is known of a call before it is routed: one with a key may have run
+   * before. */
+  [[nodiscard]] core::RunState UntouchedState(
+      const core::CallRequest& request) const {
+    return this->KeyOf(request) ? core::RunState::kUnknown
+                                : core::RunState::kNotRun;
+  }
+
   [[nodiscard]] bool IsReady() const noexcept {
     return this->configuration != nullptr && this->current;
   }
--- a/packages/entry/test/path_test.cc
+++ b/packages/entry/test/path_test.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "fakes.h"
@@ -25,6 +26,9 @@
 constexpr const char* kToken = "token-of-the-test-operator";
 constexpr std::chrono::seconds kTimeout{10};
 constexpr std::chrono::milliseconds kPoll{10};
+/** Bodies that have no room in the memory for all of them, and that have. */
+constexpr std::size_t kTooLong = 90U << 10U;
+constexpr std::size_t kShort = 60U << 10U;
 
 bool Await(const std::function<bool()>& condition) {
   const auto deadline = std::chrono::steady_clock::now() + kTimeout;
@@ -114,7 +118,8 @@
     auto settings = ReadSettings(core::ValueOf(settings::Document::Parse(
         "entry.ini",
         "[entry]\nname = entry-1\n[callers]\naddress = " +
-            ToString(this->At(1)) + "\nkeep = 100ms\n[platform]\naddress = " +
+            ToString(this->At(1)) +
+            "\nkeep = 100ms\nmax-bodies = 100 KiB\n[platform]\naddress = " +
             ToString(this->At(3)) + "\npoll = 50ms\n[operations]\naddress = " +
             ToString(this->At(2)) + "\n[log]\nlevel = off\n")));
     BOOST_REQUIRE(core::Succeeded(settings));
@@ -207,6 +212,24 @@
     return {this->At(1), "/lookup", length};
   }
 
+  [[nodiscard]] http::Response Reserve(const std::size_t length,
+                                       http::Fields fields = {}) const {
+    fields.emplace_back("Host", "stock");
+    fields.emplace_back("Call-Id", "call");
+    const auto outcome = http::SendAndWait(this->At(1),
+                                           {.method = "POST",
+                                            .target = "/reserve?bytes=1",
+                                            .fields = std::move(fields),
+                                            .body = std::string(length, 'x')},
+                                           kTimeout);
+    return core::Succeeded(outcome) ? core::ValueOf(outcome) : http::Response{};
+  }
+
+  [[nodiscard]] static std::string OutcomeOf(const http::Response& response) {
+    return std::string{
+        http::FindField(response.fields, "Trefoilbend-Outcome").value_or("")};
+  }
+
   tests::LoopbackNetwork network;
   fakes::Loop loop;
   std::vector<std::unique_ptr<fakes::Target>> targets;
@@ -275,6 +298,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_a_body_finds_no_room)
+
+BOOST_AUTO_TEST_CASE(says_that_the_call_has_not_run) {
+  const http::Response response = Reserve(kTooLong);
+  BOOST_TEST(response.status == 503);
+  BOOST_TEST(OutcomeOf(response) == "not-run");
+  BOOST_TEST(http::FindField(response.fields, "Retry-After").has_value());
+}
+
+/** The key may have run before. */
+BOOST_AUTO_TEST_CASE(promises_nothing_of_a_call_with_a_key) {
+  const http::Response response =
+      Reserve(kTooLong, {{"Idempotency-Key", "key-1"}});
+  BOOST_TEST(response.status == 503);
+  BOOST_TEST(OutcomeOf(response) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(serves_shorter_ones) {
+  BOOST_TEST(Reserve(kShort).status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_the_platform_is_down)
 
 BOOST_AUTO_TEST_CASE(serves_calls_and_refuses_changes_until_it_is_back) {
