lint: a key that doesn't depend on where the checkout lies

The names of the files that a source includes were put in the order of their absolute paths, so that a clone in another folder found none of the files passed that had passed here, and checked all 260 again. They are now in the order of the names that go into the key. What is checked stays the same.

--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -62,7 +62,7 @@
     """Returns the digest of all that a verdict depends on."""
     digest = hashlib.sha256(common)
     digest.update(command.replace(str(ROOT), "").encode())
-    for path in sorted(files):
+    for path in sorted(files, key=lambda path: pathlib.PurePath(name_of(path))):
         digest.update(f"{name_of(path)} {digests.of(path)}\n".encode())
     return digest.hexdigest()
 
