--- a/packages/core/src/log.cc
+++ b/packages/core/src/log.cc
@@ -32,13 +32,6 @@
   return levels;
 }
 
-/** One thread writes all lines, so that no duty waits for the reader. */
-const std::shared_ptr<spdlog::details::thread_pool>& Writer() {
-  static const auto kWriter =
-      std::make_shared<spdlog::details::thread_pool>(kMostWaitingLines, 1);
-  return kWriter;
-}
-
 /** All parts share it, so its pattern is set before the first line. */
 const spdlog::sink_ptr& StandardOutput() {
   static const spdlog::sink_ptr kSink = [] {
@@ -49,6 +42,16 @@
   return kSink;
 }
 
+/** One thread writes all lines, so that no duty waits for the reader. It is
+ * made after the sink, so that it has ended before the sink does. */
+const std::shared_ptr<spdlog::details::thread_pool>& Writer() {
+  static const auto kWriter = [] {
+    (void)StandardOutput();
+    return std::make_shared<spdlog::details::thread_pool>(kMostWaitingLines, 1);
+  }();
+  return kWriter;
+}
+
 }  // namespace internal
 
 Log::Log(const std::string_view part) {
