Give the order for a stop again if its ring is full

A full ring to balancing lost the order with a line in the log, after which calls that wait would be sent late in the grace (LOST). The order is now given again until it is taken. Seen by reading; not shown by a test, since the ring holds six messages for each call.

--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -29,6 +29,7 @@
 constexpr std::size_t kConfigurations = 64;
 constexpr std::size_t kViews = 64;
 constexpr std::chrono::milliseconds kExpirePeriod{1'000};
+constexpr std::chrono::milliseconds kOrderRetry{20};
 constexpr std::string_view kKeyField = "Idempotency-Key";
 /** Lines a second about refusals that balancing does not see. */
 constexpr double kRefusalLines = 20;
@@ -72,7 +73,8 @@
                   [this] { return this->IsReady() && !this->IsDraining(); }),
         listener(this->duty.Context(), *this),
         expire_timer(this->duty.Context()),
-        late_timer(this->duty.Context()) {
+        late_timer(this->duty.Context()),
+        order_timer(this->duty.Context()) {
     this->duty.Read(
         this->from_balancing, [this](const balancing::ToCallers& message) {
           if (const auto* refused =
@@ -455,12 +457,22 @@
         "Stops: serves for {} ms more, then finishes {} calls. grace_ms={}",
         serve.count(), this->calls.Size(),
         this->options.grace.value_or(std::chrono::milliseconds{0}).count());
-    if (!this->outlets.balancing->TryPush(
-            balancing::StopSending{plan.AnswersUntil()})) {
-      this->log.Warn(
-          "The ring to balancing is full, waiting calls are not "
-          "refused for the stop.");
+    this->OrderStop();
+  }
+
+  /** Calls that are given up may fill the ring; the order is given all the
+   * same. */
+  void OrderStop() {
+    if (this->outlets.balancing->TryPush(
+            balancing::StopSending{this->stopper.Plan().AnswersUntil()})) {
+      return;
     }
+    this->order_timer.expires_after(kOrderRetry);
+    this->order_timer.async_wait([this](const boost::system::error_code error) {
+      if (!error) {
+        this->OrderStop();
+      }
+    });
   }
 
   /** Counts a refusal that balancing does not see, and writes a line. */
@@ -566,6 +578,7 @@
   internal::Listener listener;
   boost::asio::steady_timer expire_timer;
   boost::asio::steady_timer late_timer;
+  boost::asio::steady_timer order_timer;
   core::TimePoint late_due = core::TimePoint::max();
   core::CallId last_call;
   bool current = true;
