Start also where the memory is told as none

A platform that grants no figure may write 0, as it does for the disk of a machine; the entry would have refused its settings and not started. 0 now says that the memory is not known. settings_test, bound_request_bodies_where_the_memory_is_not_known; not run on the code before.

--- a/packages/entry/src/settings.cc
+++ b/packages/entry/src/settings.cc
@@ -23,7 +23,6 @@
 constexpr std::uint64_t kMostCalls = 1'000'000;
 constexpr std::uint64_t kMostHeader = 1U << 20U;
 constexpr std::uint64_t kMostBody = 64U << 20U;
-constexpr std::uint64_t kLeastMemory = 16U << 20U;
 constexpr std::uint64_t kMostMemory = 1ULL << 40U;
 /** Part of an entry's memory that request bodies may take: one in so many. */
 constexpr std::uint64_t kBodiesPartOfMemory = 2;
@@ -130,7 +129,7 @@
     this->self.processor_percent = static_cast<std::uint32_t>(
         kWholePercent * section.Decimal("cores", {0.01, kMostCores}, 1.0));
     if (const std::uint64_t memory =
-            section.Bytes("memory", {kLeastMemory, kMostMemory}, 0)) {
+            section.Bytes("memory", {0, kMostMemory}, 0)) {
       this->result.callers.limits.bodies = memory / kBodiesPartOfMemory;
     }
     this->result.membership.incarnation = this->result.callers.incarnation;
--- a/packages/entry/test/settings_test.cc
+++ b/packages/entry/test/settings_test.cc
@@ -60,6 +60,14 @@
   BOOST_TEST(core::ValueOf(Read(text)).callers.limits.bodies == 70 * kMebibyte);
 }
 
+BOOST_AUTO_TEST_CASE(bound_request_bodies_where_the_memory_is_not_known) {
+  const std::uint64_t usual = core::ValueOf(Read(kText)).callers.limits.bodies;
+  std::string text{kText};
+  text.replace(text.find("[callers]"), 9, "memory = 0 MiB\n[callers]");
+  BOOST_TEST(usual > 0);
+  BOOST_TEST(core::ValueOf(Read(text)).callers.limits.bodies == usual);
+}
+
 BOOST_AUTO_TEST_CASE(give_each_process_random_numbers_of_its_own) {
   const auto one = Read(kText);
   const auto other = Read(kText);
