--- a/tests/users_platform/cut_head_test.cc
+++ b/tests/users_platform/cut_head_test.cc
@@ -250,6 +250,16 @@
     };
   }
 
+  /** Gives some bytes without a length, and closes. */
+  static RawTarget::Story BytesToTheClose(const std::string& rest) {
+    return [rest](RawConnection& connection, const std::string& request) {
+      connection.Write(HeadTo(request, kTag + RangeFrom(kBody.size() / 2),
+                              "206 Partial Content") +
+                       rest);
+      connection.Close();
+    };
+  }
+
   /** Gives an answer to another request and closes, the first time that it is
    * asked, and then the rest from where it is asked. */
   RawTarget::Story ForeignAnswerFirst() {
@@ -335,6 +345,16 @@
   CheckThatNothingLooksWhole();
 }
 
+BOOST_AUTO_TEST_CASE(with_too_few_bytes_to_the_close_gives_no_success) {
+  Use(kByChunks, BytesToTheClose("few"));
+  CheckThatNothingLooksWhole();
+}
+
+BOOST_AUTO_TEST_CASE(with_too_many_bytes_to_the_close_gives_no_success) {
+  Use(kByChunks, BytesToTheClose(kTooMany));
+  CheckThatNothingLooksWhole();
+}
+
 /** The bytes of the other answer counted as told, so that the rest was asked
  * for from further on, and the client's body had a gap. */
 BOOST_AUTO_TEST_CASE(after_an_answer_to_another_request_leaves_no_gap) {
--- a/tests/users_platform/early_request_test.cc
+++ b/tests/users_platform/early_request_test.cc
@@ -100,6 +100,17 @@
   BOOST_TEST(AnswerIsFor("second"));
 }
 
+/** MIXED: the refusal of a request that could not be read told a length and
+ * had no body, since the request before had been a HEAD. */
+BOOST_AUTO_TEST_CASE(behind_a_head_request_gets_a_whole_refusal) {
+  BOOST_REQUIRE(caller->Send(RequestOf("HEAD", "/look/1", "first", 2s)));
+  BOOST_REQUIRE(caller->Receive(true).has_value());
+  BOOST_REQUIRE(caller->Send("no request\r\n\r\n"));
+  const auto refusal = caller->Receive();
+  BOOST_REQUIRE(refusal.has_value());
+  BOOST_TEST(refusal->status == 400);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_keep_the_entry_from_ending) {
   Send("first");
   std::this_thread::sleep_for(kEarly);
