Split the session, and what notes refusals, from their large files

Behaviour stays. Two classes were named Stopper, and two functions RefuseBody: the one in main.cc is SignalWatch, the owner's is RefuseForRoom. entry's test program waits by the shared AwaitCondition.

--- a/apps/trefoilbend/main.cc
+++ b/apps/trefoilbend/main.cc
@@ -157,9 +157,9 @@
 /** Begins a graceful stop at the first signal, also if that came during the
  * start. Whoever runs the entry may send SIGTERM again, which changes nothing;
  * SIGINT, from a terminal, ends it at once if it stops already. */
-class Stopper {
+class SignalWatch {
  public:
-  explicit Stopper(boost::asio::io_context& context)
+  explicit SignalWatch(boost::asio::io_context& context)
       : context(context), signals(context, SIGTERM, SIGINT) {}
 
   /** Takes signals for an entry, which ends before this. */
@@ -203,7 +203,7 @@
   core::ConfigureLogs(settings.log_level, settings.log_levels);
   const core::Log log{"entry"};
   boost::asio::io_context context{1};
-  Stopper stopper{context};
+  SignalWatch signals{context};
   const Reloader reloader{context, source, document};
   const auto entry =
       entry::Entry::Builder{}.WithSettings(std::move(settings)).Build();
@@ -212,7 +212,7 @@
     std::fprintf(stderr, "trefoilbend: %s\n", core::ProblemOf(started).c_str());
     return kCannotStart;
   }
-  stopper.Watch(*entry);
+  signals.Watch(*entry);
   log.Info("Runs.");
   context.run();
   return 0;
--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -12,6 +12,7 @@
 #include "internal/open_calls.h"
 #include "internal/peer_calls.h"
 #include "internal/question_server.h"
+#include "internal/refusal_notes.h"
 #include "internal/session.h"
 #include "internal/stopper.h"
 #include "trefoilbend/callers/router.h"
@@ -19,7 +20,6 @@
 #include "trefoilbend/core/duty.h"
 #include "trefoilbend/core/invariant.h"
 #include "trefoilbend/core/log.h"
-#include "trefoilbend/core/rate_limit.h"
 
 namespace trefoilbend::callers {
 
@@ -31,8 +31,6 @@
 constexpr std::chrono::milliseconds kExpirePeriod{1'000};
 constexpr std::chrono::milliseconds kOrderRetry{20};
 constexpr std::string_view kKeyField = "Idempotency-Key";
-/** Lines a second about refusals that balancing does not see. */
-constexpr double kRefusalLines = 20;
 
 idempotency::KeyTableOptions TableOptions(const Options& options) {
   return {.self = options.self,
@@ -155,7 +153,7 @@
     return this->bodies.Lease();
   }
 
-  [[nodiscard]] core::Refusal RefuseBody(
+  [[nodiscard]] core::Refusal RefuseForRoom(
       const core::CallRequest& head) override {
     return this->TellRefusal(head, {.run = this->UntouchedState(head),
                                     .reason = core::RefusalReason::kBusy,
@@ -267,7 +265,7 @@
       return;
     }
     if (const auto* refusal = std::get_if<core::Refusal>(&result)) {
-      this->CountRefusal(*refusal);
+      this->refusals.Count(*refusal);
       this->Close(waiter);
       session->Refuse(*refusal);
       return;
@@ -341,9 +339,9 @@
                    this->calls.Size(), this->listener.OpenSessions());
     for (const auto& session : this->calls.Sessions()) {
       session->GiveUp(
-          this->CountRefusal({.run = core::RunState::kUnknown,
-                              .reason = core::RefusalReason::kStopping,
-                              .retry_after = balancing::kRetryElsewhere}));
+          this->refusals.Count({.run = core::RunState::kUnknown,
+                                .reason = core::RefusalReason::kStopping,
+                                .retry_after = balancing::kRetryElsewhere}));
     }
   }
 
@@ -475,27 +473,15 @@
     });
   }
 
-  /** Counts a refusal that balancing does not see, and writes a line. */
   core::Refusal TellRefusal(const core::CallRequest& request,
-                            const core::Refusal refusal) {
-    if (this->refusal_lines.Allow(std::chrono::steady_clock::now())) {
-      const std::uint64_t revision =
-          this->configuration == nullptr
-              ? 0
-              : this->configuration->Revision().Value();
-      this->log.Info(
-          "Refused at the door. id={} host={} path={} reason={} calls={} "
-          "body_bytes={} revision={}",
-          request.id, request.host, http::PathOf(request.path),
-          core::ToString(refusal.reason), this->calls.Size(),
-          this->bodies.Held(), revision);
-    }
-    return this->CountRefusal(refusal);
-  }
-
-  core::Refusal CountRefusal(const core::Refusal refusal) {
-    this->metrics.CountRefusal(refusal);
-    return refusal;
+                            const core::Refusal& refusal) {
+    return this->refusals.Tell(
+        request, refusal,
+        {.calls = this->calls.Size(),
+         .body_bytes = this->bodies.Held(),
+         .revision = this->configuration == nullptr
+                         ? 0
+                         : this->configuration->Revision().Value()});
   }
 
   void OnRefused(const balancing::CallRefused& call) {
@@ -507,7 +493,7 @@
     if (session == nullptr) {
       return;
     }
-    this->CountRefusal(call.refusal);
+    this->refusals.Count(call.refusal);
     this->Close(call.call);
     session->Refuse(call.refusal);
   }
@@ -563,6 +549,7 @@
 
   Options options;
   internal::Metrics metrics;
+  internal::RefusalNotes refusals{this->metrics};
   BodyBudget bodies{this->options.limits.bodies};
   internal::OpenCalls calls{this->metrics.in_progress};
   internal::PeerCalls peers{this->options.limits.calls};
@@ -582,7 +569,6 @@
   core::TimePoint late_due = core::TimePoint::max();
   core::CallId last_call;
   bool current = true;
-  core::RateLimit refusal_lines{kRefusalLines};
   core::Log log{"callers"};
 };
 
--- a/packages/callers/src/internal/session.h
+++ b/packages/callers/src/internal/session.h
@@ -39,7 +39,7 @@
    * @param head The request without its body.
    * @return The refusal.
    */
-  [[nodiscard]] virtual core::Refusal RefuseBody(
+  [[nodiscard]] virtual core::Refusal RefuseForRoom(
       const core::CallRequest& head) = 0;
 
   /** @return What callers and entries say to each other. */
--- a/packages/entry/test/path_test.cc
+++ b/packages/entry/test/path_test.cc
@@ -5,11 +5,11 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
 #include "fakes.h"
+#include "support/await.h"
 #include "support/loopback_network.h"
 #include "trefoilbend/entry/entry.h"
 #include "trefoilbend/entry/settings.h"
@@ -31,14 +31,7 @@
 constexpr std::size_t kShort = 60U << 10U;
 
 bool Await(const std::function<bool()>& condition) {
-  const auto deadline = std::chrono::steady_clock::now() + kTimeout;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() >= deadline) {
-      return false;
-    }
-    std::this_thread::sleep_for(kPoll);
-  }
-  return true;
+  return tests::AwaitCondition(condition, kTimeout, kPoll);
 }
 
 /** What became of the calls of many callers. */
