Have the open calls answer their sessions themselves

Behaviour stays. Unit tests of balancing, forwarding, callers and entry, the whole of users_platform_test and calls_fleet_test pass.

--- a/packages/callers/src/duty.cc
+++ b/packages/callers/src/duty.cc
@@ -80,7 +80,7 @@
             this->OnRefused(*refused);
           } else if (const auto* broken =
                          std::get_if<balancing::CallBroken>(&message)) {
-            this->BreakAnswer(broken->call);
+            this->calls.Break(broken->call);
           }
         });
     this->duty.Read(
@@ -260,31 +260,17 @@
     if (this->peers.Deliver(waiter, result)) {
       return;
     }
-    const std::shared_ptr<internal::Session> session = this->calls.Find(waiter);
-    if (session == nullptr) {
-      return;
-    }
     if (const auto* refusal = std::get_if<core::Refusal>(&result)) {
-      this->refusals.Count(*refusal);
-      this->Close(waiter);
-      session->Refuse(*refusal);
-      return;
+      this->calls.Refuse(waiter, *refusal);
+    } else {
+      (void)this->calls.Answer(waiter,
+                               *std::get<idempotency::KeptAnswer>(result));
     }
-    this->metrics.answered.Increment();
-    session->Answer(*std::get<idempotency::KeptAnswer>(result));
   }
 
   [[nodiscard]] bool Stream(const core::CallId waiter, const core::CallId run,
                             core::AnswerHead& head) override {
-    const std::shared_ptr<internal::Session> session = this->calls.Find(waiter);
-    if (session == nullptr) {
-      return false;
-    }
-    this->calls.Remove(waiter);
-    this->calls.Add(run, session, false);
-    session->Continue(run);
-    session->Answer(std::move(head));
-    return true;
+    return this->calls.Stream(waiter, run, head);
   }
 
   [[nodiscard]] idempotency::IssueTime WallNow() const override {
@@ -337,12 +323,9 @@
   void GiveUpCalls() override {
     this->log.Warn("The grace ends, gives up calls. calls={} connections={}",
                    this->calls.Size(), this->listener.OpenSessions());
-    for (const auto& session : this->calls.Sessions()) {
-      session->GiveUp(
-          this->refusals.Count({.run = core::RunState::kUnknown,
-                                .reason = core::RefusalReason::kStopping,
-                                .retry_after = balancing::kRetryElsewhere}));
-    }
+    this->calls.GiveUp({.run = core::RunState::kUnknown,
+                        .reason = core::RefusalReason::kStopping,
+                        .retry_after = balancing::kRetryElsewhere});
   }
 
   core::Ring<balancing::ToCallers> from_balancing;
@@ -485,59 +468,31 @@
   }
 
   void OnRefused(const balancing::CallRefused& call) {
-    if (this->keyed.Refused(call.call, call.refusal)) {
-      return;
-    }
-    const std::shared_ptr<internal::Session> session =
-        this->calls.Find(call.call);
-    if (session == nullptr) {
-      return;
+    if (!this->keyed.Refused(call.call, call.refusal)) {
+      this->calls.Refuse(call.call, call.refusal);
     }
-    this->refusals.Count(call.refusal);
-    this->Close(call.call);
-    session->Refuse(call.refusal);
   }
 
   void OnAnswer(std::monostate /*none*/) {}
 
   void OnAnswer(forwarding::AnswerStarted& answer) {
-    if (this->keyed.Answer(answer.call, answer.head)) {
-      return;
-    }
-    const std::shared_ptr<internal::Session> session =
-        this->calls.Find(answer.call);
-    if (session == nullptr) {
+    if (!this->keyed.Answer(answer.call, answer.head) &&
+        !this->calls.Answer(answer.call, std::move(answer.head))) {
       this->Forward(forwarding::AbandonAnswer{answer.call});
-      return;
     }
-    this->metrics.answered.Increment();
-    session->Answer(std::move(answer.head));
   }
 
   void OnAnswer(forwarding::AnswerContinued& answer) {
-    if (this->keyed.Answer(answer.call, answer.part)) {
-      return;
-    }
-    const std::shared_ptr<internal::Session> session =
-        this->calls.Find(answer.call);
-    if (session != nullptr) {
-      session->Answer(std::move(answer.part));
+    if (!this->keyed.Answer(answer.call, answer.part)) {
+      this->calls.Answer(answer.call, std::move(answer.part));
     }
   }
 
   void OnAnswer(const forwarding::AnswerBroken& answer) {
-    if (this->keyed.Refused(answer.call,
-                            {.run = core::RunState::kUnknown,
-                             .reason = core::RefusalReason::kTargetFailed})) {
-      return;
-    }
-    this->BreakAnswer(answer.call);
-  }
-
-  void BreakAnswer(const core::CallId call) {
-    const std::shared_ptr<internal::Session> session = this->calls.Find(call);
-    if (session != nullptr) {
-      session->Break();
+    if (!this->keyed.Refused(answer.call,
+                             {.run = core::RunState::kUnknown,
+                              .reason = core::RefusalReason::kTargetFailed})) {
+      this->calls.Break(answer.call);
     }
   }
 
@@ -551,7 +506,7 @@
   internal::Metrics metrics;
   internal::RefusalNotes refusals{this->metrics};
   BodyBudget bodies{this->options.limits.bodies};
-  internal::OpenCalls calls{this->metrics.in_progress};
+  internal::OpenCalls calls{this->metrics, this->refusals};
   internal::PeerCalls peers{this->options.limits.calls};
   Outlets outlets;
   inventory::ConfigurationPtr configuration;
--- a/packages/callers/src/open_calls.cc
+++ b/packages/callers/src/open_calls.cc
@@ -1,6 +1,7 @@
 #include "internal/open_calls.h"
 
 #include <utility>
+#include <vector>
 
 namespace trefoilbend::callers::internal {
 
@@ -26,17 +27,66 @@
   return found != this->calls.end() && found->second.keyed;
 }
 
-std::vector<std::shared_ptr<Session>> OpenCalls::Sessions() const {
+void OpenCalls::Refuse(const core::CallId call, const core::Refusal& refusal) {
+  const std::shared_ptr<Session> session = this->Find(call);
+  if (session != nullptr) {
+    this->refusals.Count(refusal);
+    this->Remove(call);
+    session->Refuse(refusal);
+  }
+}
+
+bool OpenCalls::Answer(const core::CallId call, core::AnswerHead head) {
+  const std::shared_ptr<Session> session = this->Find(call);
+  if (session == nullptr) {
+    return false;
+  }
+  this->metrics.answered.Increment();
+  session->Answer(std::move(head));
+  return true;
+}
+
+void OpenCalls::Answer(const core::CallId call, core::AnswerPart part) {
+  const std::shared_ptr<Session> session = this->Find(call);
+  if (session != nullptr) {
+    session->Answer(std::move(part));
+  }
+}
+
+bool OpenCalls::Stream(const core::CallId waiter, const core::CallId run,
+                       core::AnswerHead& head) {
+  const std::shared_ptr<Session> session = this->Find(waiter);
+  if (session == nullptr) {
+    return false;
+  }
+  this->Remove(waiter);
+  this->Add(run, session, false);
+  session->Continue(run);
+  session->Answer(std::move(head));
+  return true;
+}
+
+void OpenCalls::Break(const core::CallId call) const {
+  const std::shared_ptr<Session> session = this->Find(call);
+  if (session != nullptr) {
+    session->Break();
+  }
+}
+
+/** Sessions close their calls meanwhile. */
+void OpenCalls::GiveUp(const core::Refusal& refusal) {
   std::vector<std::shared_ptr<Session>> sessions;
   sessions.reserve(this->calls.size());
   for (const auto& [call, open] : this->calls) {
     sessions.push_back(open.session);
   }
-  return sessions;
+  for (const auto& session : sessions) {
+    session->GiveUp(this->refusals.Count(refusal));
+  }
 }
 
 void OpenCalls::Show() {
-  this->count.Set(static_cast<double>(this->calls.size()));
+  this->metrics.in_progress.Set(static_cast<double>(this->calls.size()));
 }
 
 }  // namespace trefoilbend::callers::internal
