--- a/packages/balancing/test/stop_test.cc
+++ b/packages/balancing/test/stop_test.cc
@@ -45,7 +45,7 @@
 
   /** Fills the target; returns the exchange of the first call. */
   StartExchange Fill(const core::Duration timeout) {
-    const StartExchange first = StartOf(this->Submit(1, timeout));
+    StartExchange first = StartOf(this->Submit(1, timeout));
     (void)this->Submit(2, timeout);
     return first;
   }
