--- a/packages/callers/src/internal/refusal_notes.h
+++ b/packages/callers/src/internal/refusal_notes.h
@@ -21,8 +21,8 @@
   std::uint64_t revision{};
 };
 
-/** @brief Counts the refusals that balancing does not see, and writes lines
- * about them, a bounded number a second. */
+/** @brief Counts the refusals that callers get, and writes lines about those
+ * that balancing does not see, a bounded number a second. */
 class RefusalNotes {
  public:
   /**
