Review: kept connections hold their last answers (review/9)

Cause: a session keeps the body of its last answer until the next one, and no budget counts answers; with the connections and calls that deploy/entry.ini admits an entry exceeds the 260 MB of its machine. Nothing is fixed.

--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -266,6 +267,7 @@
         self.runs = []  # (id, first line, fields, body)
         self.all_runs = self.runs  # replaced by the deployment's common list
         self.work_s = 0.02
+        self.notes_ends = True
         self.tells_load = True  # the endpoints of some services tell their load
         self.body = b"sound answer of " + name.encode()
         self.act = None  # async (server, message, reader, writer) -> bool: handled
@@ -308,7 +310,8 @@
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, ValueError,
                 asyncio.CancelledError) as ended:
-            self.record.note(f"server {self.name}: connection ended: {type(ended).__name__}")
+            if self.notes_ends:
+                self.record.note(f"server {self.name}: connection ended: {type(ended).__name__}")
         finally:
             writer.close()
 
@@ -363,8 +366,10 @@
         if not os.access(command[0], os.X_OK):
             raise CannotRun(f"{self.deployment.role['run'].split()[0]} is not built")
         log = open(os.path.join(self.deployment.folder, f"{self.name}.log"), "ab")
+        fds = self.deployment.entry_fds
+        bound = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (fds, fds))) if fds else None
         self.process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdout=log,
-                                                            stderr=log)
+                                                            stderr=log, preexec_fn=bound)
         log.close()
         self.deployment.record.note(f"entry {self.name}: started, pid {self.process.pid}")
         self.watch = asyncio.create_task(self.wait(self.process))
@@ -392,10 +397,13 @@
             return False
 
     def memory_mb(self):
-        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
-            for line in file:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
+        try:
+            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
+                for line in file:
+                    if line.startswith("VmRSS:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
         return 0
 
     def log(self):
@@ -418,6 +426,7 @@
         self.servers, self.entries, self.entry_ips = [], [], []
         self.runs = []  # of all servers, in order
         self.stores = {}
+        self.entry_fds = None  # Limits.MaxFds, where a case comes near it
         self.version = 0x10
         self.random = random.Random(1)
 
