Keep an entry's own words in a target's answer from callers

What callers saw: a target's answer with Trefoilbend-Outcome: not-run reached them as the entry's promise that no handler had seen the request.

Cause: Exchange::MakeHead passed on every field but those of the connection.

Why it works: the two fields by which entries tell outcomes have one definition, in forwarding, and are left out where the head of an answer is made, for whole, streamed and kept answers alike.

--- a/packages/callers/src/refusal_text.cc
+++ b/packages/callers/src/refusal_text.cc
@@ -3,6 +3,10 @@
 #include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "trefoilbend/forwarding/fields.h"
 
 namespace trefoilbend::callers {
 
@@ -40,8 +44,8 @@
   http::Response response{
       .status = text.status,
       .content_type = "application/problem+json",
-      .fields = {{std::string{kOutcomeField}, outcome},
-                 {std::string{kReasonField},
+      .fields = {{std::string{forwarding::kOutcomeField}, outcome},
+                 {std::string{forwarding::kReasonField},
                   std::string{core::ToString(refusal.reason)}}},
       .body = nlohmann::json{{"title", text.title},
                              {"outcome", outcome},
--- a/packages/callers/src/session_requests.cc
+++ b/packages/callers/src/session_requests.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "internal/session.h"
-#include "trefoilbend/callers/refusal_text.h"
 #include "trefoilbend/forwarding/fields.h"
 
 namespace trefoilbend::callers::internal {
@@ -134,10 +133,11 @@
   this->keep_alive = false;
   for (const Status& known : kStatuses) {
     if (error == known.error && partly_read) {
-      this->Send({.status = known.status,
-                  .content_type = "text/plain",
-                  .fields = {{std::string{kOutcomeField}, "not-run"}},
-                  .body = {}});
+      this->Send(
+          {.status = known.status,
+           .content_type = "text/plain",
+           .fields = {{std::string{forwarding::kOutcomeField}, "not-run"}},
+           .body = {}});
       return;
     }
   }
@@ -147,7 +147,7 @@
       error != beast::http::error::partial_message) {
     this->Send({.status = 400,
                 .content_type = "text/plain",
-                .fields = {{std::string{kOutcomeField}, "not-run"}},
+                .fields = {{std::string{forwarding::kOutcomeField}, "not-run"}},
                 .body = error.message()});
   }
 }
--- a/packages/forwarding/include/trefoilbend/forwarding/fields.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/fields.h
@@ -7,6 +7,21 @@
 
 namespace trefoilbend::forwarding {
 
+/** @brief Header field in which an entry tells what is known of a refused
+ * call's run. */
+inline constexpr std::string_view kOutcomeField = "Trefoilbend-Outcome";
+
+/** @brief Header field in which an entry tells why a call was refused. */
+inline constexpr std::string_view kReasonField = "Trefoilbend-Reason";
+
+/**
+ * @brief Tells whether only entries may say a header field; callers trust it as
+ * a promise.
+ * @param name Name of the field, in any case.
+ * @return True if the field of a target's answer is not passed on.
+ */
+[[nodiscard]] bool IsEntryField(std::string_view name) noexcept;
+
 /**
  * @brief Tells whether a header field concerns one connection only (RFC 9110,
  * section 7.6.1).
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -268,7 +268,7 @@
   }
   for (const auto& field : message) {
     const std::string_view name = View(field.name_string());
-    if (!IsHopByHop(name)) {
+    if (!IsHopByHop(name) && !IsEntryField(name)) {
       head.fields.emplace_back(name, field.value());
     }
   }
--- a/packages/forwarding/src/fields.cc
+++ b/packages/forwarding/src/fields.cc
@@ -9,6 +9,26 @@
 
 namespace trefoilbend::forwarding {
 
+namespace {
+
+template <std::size_t kCount>
+bool IsOneOf(const std::array<std::string_view, kCount>& names,
+             const std::string_view name) noexcept {
+  return std::any_of(names.begin(), names.end(),
+                     [&](const std::string_view one) {
+                       return boost::beast::iequals({name.data(), name.size()},
+                                                    {one.data(), one.size()});
+                     });
+}
+
+}  // namespace
+
+bool IsEntryField(const std::string_view name) noexcept {
+  static constexpr std::array<std::string_view, 2> kNames{kOutcomeField,
+                                                          kReasonField};
+  return IsOneOf(kNames, name);
+}
+
 bool IsHopByHop(const std::string_view name) noexcept {
   static constexpr std::array<std::string_view, 10> kNames{
       "connection",
@@ -21,11 +41,7 @@
       "transfer-encoding",
       "upgrade",
       "content-length"};
-  return std::any_of(kNames.begin(), kNames.end(),
-                     [&](const std::string_view hop) {
-                       return boost::beast::iequals({name.data(), name.size()},
-                                                    {hop.data(), hop.size()});
-                     });
+  return IsOneOf(kNames, name);
 }
 
 core::Duration KeepAliveOf(const std::string_view value) noexcept {
--- a/tests/users_platform/promise_test.cc
+++ b/tests/users_platform/promise_test.cc
@@ -6,6 +6,7 @@
 
 #include "platform.h"
 #include "raw_target.h"
+#include "trefoilbend/forwarding/fields.h"
 #include "trefoilbend/wire/headers.h"
 
 namespace trefoilbend::tests {
@@ -138,6 +139,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(and_answers_in_the_words_of_an_entry)
+
+/** Callers of the project's own interface trust this field as others trust a
+ * 503. */
+BOOST_AUTO_TEST_CASE(has_them_kept_from_the_caller) {
+  Use("non_idempotent");
+  status = "500 Failed";
+  mark = "Trefoilbend-Outcome: not-run\r\ntrefoilbend-reason: busy\r\n";
+  const http::Response response = Call("/look/1", "POST");
+  BOOST_TEST(response.status == 500);
+  BOOST_TEST(!http::FindField(response.fields, forwarding::kOutcomeField));
+  BOOST_TEST(!http::FindField(response.fields, forwarding::kReasonField));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(a_target_that_says_that_it_has_not_run_a_request,
