--- a/packages/balancing/include/trefoilbend/balancing/dispatcher.h
+++ b/packages/balancing/include/trefoilbend/balancing/dispatcher.h
@@ -21,6 +21,7 @@
 #include "trefoilbend/balancing/pending_probes.h"
 #include "trefoilbend/balancing/quantile.h"
 #include "trefoilbend/balancing/target_table.h"
+#include "trefoilbend/inventory/version_roles.h"
 #include "trefoilbend/rollout/evidence_book.h"
 #include "trefoilbend/rollout/version_chooser.h"
 
@@ -204,6 +205,7 @@
     std::uint32_t cold_allowance{};
     std::uint32_t cold_rate{};
     std::string health_path;
+    inventory::VersionRoles roles;
   };
 
   struct CallState {
@@ -289,7 +291,7 @@
       const core::ServiceName& name);
   [[nodiscard]] std::uint32_t MaxAttempts(const CallState& call) const noexcept;
   [[nodiscard]] std::vector<TargetTable::Member> MakeMembers(
-      const inventory::ServiceView& view,
+      const inventory::ServiceView& view, const inventory::VersionRoles& roles,
       const Availability& availability) const;
   /** Updates the live entries; returns whether they are the same as before. */
   bool UpdateEntries(const inventory::Configuration& configuration,
--- a/packages/balancing/include/trefoilbend/balancing/target_table.h
+++ b/packages/balancing/include/trefoilbend/balancing/target_table.h
@@ -35,6 +35,8 @@
 struct TargetState {
   /** @brief Target as registered in the asset register. */
   inventory::Instance instance;
+  /** @brief Version whose calls the target takes. */
+  core::VersionName calls_of;
   /** @brief Whether the target may take new calls. */
   bool usable{};
   /** @brief Whether the platform lists the target as live. */
@@ -125,6 +127,8 @@
   struct Member {
     /** @brief Target as registered in the asset register. */
     inventory::Instance instance;
+    /** @brief Version whose calls the target takes; empty for its own. */
+    core::VersionName calls_of{};
     /** @brief Whether the target may take new calls. */
     bool usable{};
     /** @brief Maximum number of this entry's calls in flight at the target. */
@@ -146,6 +150,11 @@
     bool preferred = true;
     /** @brief Whether the platform lists the target as live. */
     bool live = true;
+
+    /** @return Version whose calls the target takes. */
+    [[nodiscard]] const core::VersionName& Calls() const noexcept {
+      return this->calls_of.Empty() ? this->instance.version : this->calls_of;
+    }
   };
 
   /**
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -72,7 +72,9 @@
   };
   for (const auto& [name, view] : configuration.Services()) {
     ServiceState& service = this->FindOrCreateService(name);
-    const bool same = same_entries &&
+    const auto* release = configuration.Find<inventory::Release>(name.Text());
+    inventory::VersionRoles roles{*view.service, release};
+    const bool same = same_entries && service.roles == roles &&
                       service.cold_allowance == view.service->cold_allowance &&
                       service.cold_rate == view.service->cold_rate &&
                       service.targets.Matches(view.targets, availability);
@@ -81,14 +83,14 @@
     if (!same) {
       service.cold_allowance = view.service->cold_allowance;
       service.cold_rate = view.service->cold_rate;
-      replace(service, this->MakeMembers(view, availability));
+      service.roles = std::move(roles);
+      replace(service, this->MakeMembers(view, service.roles, availability));
     }
-    const auto* release = configuration.Find<inventory::Release>(name.Text());
-    const bool under_way = release != nullptr && rollout::IsUnderWay(*release);
-    service.targets.LimitActiveTargets(under_way && this->options.probes > 0
+    const bool moves = release != nullptr && rollout::MovesTraffic(*release);
+    service.targets.LimitActiveTargets(moves && this->options.probes > 0
                                            ? release->version
                                            : core::VersionName{},
-                                       under_way ? release->share : 0);
+                                       moves ? release->share : 0);
     service.trusts_refusals = view.service->trusts_refusals;
     service.health_path = view.service->health_path;
     service.targets.SetHealthCheckInterval(HealthCheckInterval(*view.service));
@@ -120,7 +122,7 @@
 }
 
 std::vector<TargetTable::Member> Dispatcher::MakeMembers(
-    const inventory::ServiceView& view,
+    const inventory::ServiceView& view, const inventory::VersionRoles& roles,
     const Availability& availability) const {
   std::vector<TargetTable::Member> members;
   members.reserve(view.targets.size());
@@ -132,6 +134,7 @@
                          view.service->cold_allowance);
     members.push_back(
         {.instance = *target,
+         .calls_of = roles.CallsOf(target->version),
          .usable = availability.IsUsable(*target),
          .limit =
              ComputeConnectionShare(target->connections, this->entry_count),
--- a/packages/balancing/src/subset.cc
+++ b/packages/balancing/src/subset.cc
@@ -46,7 +46,7 @@
   for (TargetTable::Member& member : members) {
     member.preferred = false;
     if (member.usable) {
-      versions[member.instance.version].push_back(
+      versions[member.Calls()].push_back(
           {internal::RendezvousWeight(member.instance.name, self), &member});
     }
   }
--- a/packages/balancing/src/target_table.cc
+++ b/packages/balancing/src/target_table.cc
@@ -86,6 +86,7 @@
     TargetState state = known == this->positions.end()
                             ? TargetState{}
                             : std::move(this->targets[known->second]);
+    state.calls_of = member.Calls();
     state.instance = std::move(member.instance);
     state.warm_up_time = member.warm_up_time;
     state.cold_rate_limiter.SetRate(member.cold_rate);
@@ -134,8 +135,7 @@
   std::vector<std::pair<std::uint64_t, TargetState*>> ranked;
   for (TargetState& target : this->targets) {
     target.inactive = false;
-    if (!version.Empty() && target.instance.version == version &&
-        target.usable) {
+    if (!version.Empty() && target.calls_of == version && target.usable) {
       const std::string& name = target.instance.name.Text();
       ranked.emplace_back(XXH64(name.data(), name.size(), 0), &target);
     }
@@ -227,8 +227,8 @@
     const TargetState& target = this->targets[index];
     const bool tried = std::find(excluded.begin(), excluded.end(),
                                  target.instance.name) != excluded.end();
-    if (MayTakeCalls(target, now) && target.instance.version == version &&
-        !tried && IsInPool(target, pool, now) && HasRoom(target, now)) {
+    if (MayTakeCalls(target, now) && target.calls_of == version && !tried &&
+        IsInPool(target, pool, now) && HasRoom(target, now)) {
       this->candidates.push_back(this->MakeCandidate(index, now));
     }
   }
@@ -551,7 +551,7 @@
   return std::any_of(this->targets.begin(), this->targets.end(),
                      [&](const TargetState& target) {
                        return MayTakeCalls(target, now) &&
-                              target.instance.version == version;
+                              target.calls_of == version;
                      });
 }
 
--- a/packages/balancing/test/version_test.cc
+++ b/packages/balancing/test/version_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "trefoilbend/balancing/dispatcher.h"
 
@@ -21,19 +22,28 @@
   Dispatcher dispatcher{DispatcherOptions{.queue = {.length = 16}}};
   core::TimePoint now{10s};
   std::uint64_t last_call = 0;
+  bool carries_unnamed_versions = false;
+  std::vector<core::VersionName> withdrawn;
+  /** Further versions that have a target each. */
+  std::vector<std::string> further;
 
   /** Sets the new version's share of the traffic, in thousandths, and whether
    * the old version's target is live. */
   void Configure(const std::uint32_t share, const bool old_is_live = true) {
     inventory::Configuration::Builder builder;
-    builder.Put(
-        inventory::Service{.name = kStock, .version = core::VersionName{"1"}});
+    builder.Put(inventory::Service{
+        .name = kStock,
+        .version = core::VersionName{"1"},
+        .carries_unnamed_versions = this->carries_unnamed_versions});
     builder.Put(inventory::Release{.name = kStock,
                                    .version = core::VersionName{"2"},
                                    .state = inventory::ReleaseState::kMoving,
-                                   .share = share});
+                                   .share = share,
+                                   .withdrawn = this->withdrawn});
     auto listed = std::make_shared<std::vector<platform::ListedInstance>>();
-    for (const std::string version : {"1", "2"}) {
+    std::vector<std::string> versions{"1", "2"};
+    versions.insert(versions.end(), this->further.begin(), this->further.end());
+    for (const std::string& version : versions) {
       inventory::Instance target;
       target.name = core::InstanceName{"stock-" + version};
       target.service = kStock;
@@ -102,6 +112,32 @@
   BOOST_TEST(second.target.Text() == "stock-1");
 }
 
+BOOST_AUTO_TEST_SUITE(after_an_order_that_gave_way_to_another)
+
+/** EXPOSURE: the targets of a bad version counted as the old version's. */
+BOOST_AUTO_TEST_CASE(uses_no_target_of_the_version_that_gave_way) {
+  carries_unnamed_versions = true;
+  withdrawn = {core::VersionName{"0"}};
+  further = {"0"};
+  Configure(100);
+  const auto started = StartCalls(100);
+  BOOST_TEST(!started.contains("stock-0"));
+  BOOST_TEST(started.at("stock-2") == 10);
+  BOOST_TEST(started.at("stock-1") == 90);
+}
+
+BOOST_AUTO_TEST_CASE(takes_a_target_out_when_its_version_gives_way) {
+  carries_unnamed_versions = true;
+  further = {"0"};
+  Configure(0);
+  BOOST_TEST(StartCalls(100).contains("stock-0"));
+  withdrawn = {core::VersionName{"0"}};
+  Configure(0);
+  BOOST_TEST(!StartCalls(100).contains("stock-0"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_old_targets_are_not_live)
 
 BOOST_AUTO_TEST_CASE(
--- a/packages/inventory/include/trefoilbend/inventory/fwd.h
+++ b/packages/inventory/include/trefoilbend/inventory/fwd.h
@@ -17,6 +17,7 @@
 enum class SnapshotProblem : unsigned char;
 
 class Configuration;
+class VersionRoles;
 
 }  // namespace trefoilbend::inventory
 
--- a/packages/inventory/include/trefoilbend/inventory/objects.h
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -49,6 +49,10 @@
   std::uint32_t cold_rate{};
   /** @brief Time for which a target stays cold after its start. */
   std::chrono::milliseconds warm_up{};
+  /** @brief Whether targets of versions that no release has named carry the
+   * traffic as those of the service's version do; so it is where the register
+   * names no version of a service. */
+  bool carries_unnamed_versions{};
 
   [[nodiscard]] bool operator==(const Service&) const = default;
 };
@@ -180,6 +184,10 @@
   /** @brief Epoch of the controller that wrote last; writes of earlier ones
    * clash. */
   std::uint64_t epoch{};
+  /** @brief Versions that carry no traffic any more: those of earlier releases
+   * that were taken back or gave way to this one, and those that a release has
+   * replaced. */
+  std::vector<core::VersionName> withdrawn;
 
   [[nodiscard]] bool operator==(const Release&) const = default;
 };
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -44,7 +44,8 @@
           {"trusts_refusals", service.trusts_refusals},
           {"health_path", service.health_path},
           {"cold_rate", service.cold_rate},
-          {"warm_up_ms", service.warm_up.count()}};
+          {"warm_up_ms", service.warm_up.count()},
+          {"carries_unnamed_versions", service.carries_unnamed_versions}};
 }
 
 json ToJson(const Instance& instance) {
@@ -105,6 +106,23 @@
 constexpr std::array<const char*, 4> kReleaseStates{"moving", "paused",
                                                     "taken-back", "done"};
 
+json ToJson(const std::vector<core::VersionName>& versions) {
+  json names = json::array();
+  for (const core::VersionName& version : versions) {
+    names.push_back(version.Text());
+  }
+  return names;
+}
+
+/** Objects of earlier programs lack the field. */
+std::vector<core::VersionName> VersionsOf(const json& object, const char* key) {
+  std::vector<core::VersionName> versions;
+  for (const json& name : object.value(key, json::array())) {
+    versions.emplace_back(name.get<std::string>());
+  }
+  return versions;
+}
+
 json ToJson(const Release& release) {
   return {{"name", release.name.Text()},
           {"version", release.version.Text()},
@@ -114,7 +132,8 @@
           {"state", kReleaseStates.at(static_cast<std::size_t>(release.state))},
           {"step", release.step},
           {"share", release.share},
-          {"epoch", release.epoch}};
+          {"epoch", release.epoch},
+          {"withdrawn", ToJson(release.withdrawn)}};
 }
 
 ReleaseState ReleaseStateFrom(const json& object) {
@@ -141,7 +160,8 @@
                  .state = ReleaseStateFrom(object),
                  .step = object.at("step").get<std::uint32_t>(),
                  .share = object.at("share").get<std::uint32_t>(),
-                 .epoch = object.at("epoch").get<std::uint64_t>()};
+                 .epoch = object.at("epoch").get<std::uint64_t>(),
+                 .withdrawn = VersionsOf(object, "withdrawn")};
 }
 
 json ToJson(const ReleaseRule& rule) {
@@ -175,8 +195,10 @@
       .trusts_refusals = object.at("trusts_refusals").get<bool>(),
       .health_path = object.value("health_path", ""),
       .cold_rate = object.value("cold_rate", std::uint32_t{0}),
-      .warm_up = std::chrono::milliseconds{
-          object.value("warm_up_ms", std::int64_t{0})}};
+      .warm_up = std::chrono::milliseconds{object.value("warm_up_ms",
+                                                        std::int64_t{0})},
+      .carries_unnamed_versions =
+          object.value("carries_unnamed_versions", false)};
 }
 
 Object InstanceFrom(const json& object) {
--- a/packages/inventory/test/release_codec_test.cc
+++ b/packages/inventory/test/release_codec_test.cc
@@ -14,15 +14,17 @@
 BOOST_AUTO_TEST_CASE(is_read_as_it_was_written_in_every_state) {
   for (const auto state : {ReleaseState::kMoving, ReleaseState::kPaused,
                            ReleaseState::kTakenBack, ReleaseState::kDone}) {
-    const Release release{.name = core::ServiceName{"stock"},
-                          .version = core::VersionName{"2"},
-                          .from = core::VersionName{"1"},
-                          .begun = sys_seconds{seconds{1'700'000'000}},
-                          .deadline = sys_seconds{seconds{1'700'003'600}},
-                          .state = state,
-                          .step = 3,
-                          .share = 200,
-                          .epoch = 7};
+    const Release release{
+        .name = core::ServiceName{"stock"},
+        .version = core::VersionName{"2"},
+        .from = core::VersionName{"1"},
+        .begun = sys_seconds{seconds{1'700'000'000}},
+        .deadline = sys_seconds{seconds{1'700'003'600}},
+        .state = state,
+        .step = 3,
+        .share = 200,
+        .epoch = 7,
+        .withdrawn = {core::VersionName{"0"}, core::VersionName{"9"}}};
     Revised revised{.revision = core::Revision{4}, .change_id = "a"};
     revised.changes.push_back({.before = std::nullopt, .after = release});
     const auto read = DecodeRevised(Encode(revised));
@@ -31,6 +33,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(of_an_earlier_program_has_withdrawn_no_version) {
+  Revised revised{.revision = core::Revision{4}, .change_id = "a"};
+  revised.changes.push_back({.before = std::nullopt, .after = Release{}});
+  std::string text = Encode(revised);
+  const std::string field = ",\"withdrawn\":[]";
+  BOOST_REQUIRE(text.find(field) != std::string::npos);
+  text.erase(text.find(field), field.size());
+  const auto read = DecodeRevised(text);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->changes.front().after == std::optional<Object>{Release{}}));
+}
+
 BOOST_AUTO_TEST_CASE(of_an_unknown_state_makes_the_revision_unreadable) {
   Revised revised{.revision = core::Revision{4}, .change_id = "a"};
   revised.changes.push_back({.before = std::nullopt, .after = Release{}});
--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -15,6 +15,7 @@
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/inventory/configuration.h"
 #include "trefoilbend/platform/messages.h"
+#include "trefoilbend/registry/release_book.h"
 #include "trefoilbend/registry/row_codec.h"
 
 namespace trefoilbend::registry {
@@ -192,16 +193,7 @@
     std::optional<core::TimePoint> lapses;
   };
 
-  struct StoredOrder {
-    ReleaseOrder order;
-    platform::RowVersion version;
-  };
-
-  struct StoredRelease {
-    inventory::Release release;
-    platform::RowVersion version;
-  };
-
+  using Versions = std::map<core::ServiceName, VersionCounts>;
   using Put = void (Catalogue::*)(const platform::Row&, core::TimePoint);
   using Remove = void (Catalogue::*)(const std::string&, core::TimePoint);
   using Keys = std::vector<std::string> (Catalogue::*)() const;
@@ -235,10 +227,10 @@
       const inventory::Configuration& other) const noexcept;
   [[nodiscard]] std::optional<inventory::Release> ReleaseOf(
       const core::ServiceName& service, std::chrono::sys_seconds wall);
-  [[nodiscard]] core::VersionName StableVersion(
-      const core::ServiceName& service,
-      const core::VersionName& candidate) const;
+  [[nodiscard]] VersionCounts VersionsOf(
+      const core::ServiceName& service) const;
   [[nodiscard]] std::vector<std::uint64_t> SourceVersions() const;
+  [[nodiscard]] Versions AllVersions() const;
   void AddTargets(inventory::Configuration::Builder& builder,
                   std::vector<platform::ListedInstance>& listed) const;
 
@@ -248,15 +240,10 @@
   /** Difference between the peers' count of changes and this entry's. */
   std::uint64_t missed{};
   std::optional<DesiredState> desired;
-  std::map<std::string, StoredOrder> orders;
   std::map<std::string, EvacuationOrder> evacuations;
   std::map<std::string, Target> targets;
   std::map<std::string, inventory::Instance> entries;
-  std::map<core::ServiceName, StoredRelease> releases;
-  std::map<core::ServiceName,
-           std::pair<platform::RowVersion, std::chrono::sys_seconds>>
-      deadlines;
-  std::map<core::ServiceName, inventory::Release> current;
+  ReleaseBook releases;
   inventory::ConfigurationPtr restored;
   std::vector<std::string> unreadable;
   std::vector<KeptTarget> kept;
--- /dev/null
+++ b/packages/registry/include/trefoilbend/registry/release_book.h
@@ -0,0 +1,165 @@
+#ifndef TREFOILBEND_REGISTRY_RELEASE_BOOK_H_
+#define TREFOILBEND_REGISTRY_RELEASE_BOOK_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "trefoilbend/core/name.h"
+#include "trefoilbend/inventory/objects.h"
+#include "trefoilbend/platform/messages.h"
+#include "trefoilbend/registry/row_codec.h"
+
+namespace trefoilbend::registry {
+
+/** @brief Versions that the targets of a service run, with their numbers of
+ * targets. */
+using VersionCounts = std::map<core::VersionName, std::size_t>;
+
+/**
+ * @brief Orders of releases and the releases that the store holds, made into
+ * the release of each service.
+ *
+ * Operators may give a further order at any time. The version that carries the
+ * traffic stays the one that did before the first of them until a release is
+ * done; versions whose release was taken back or gave way are withdrawn.
+ */
+class ReleaseBook {
+ public:
+  /**
+   * @brief Takes an order, which may give way to a further one.
+   * @param key Key of the order's row.
+   * @param order Order of a release.
+   * @param version Version of the row.
+   * @param present Versions of the service's targets.
+   */
+  void PutOrder(const std::string& key, const ReleaseOrder& order,
+                platform::RowVersion version, const VersionCounts& present);
+
+  /**
+   * @brief Removes an order; nothing happens without one.
+   * @param key Key of the order's row.
+   * @param present Versions of the service's targets.
+   */
+  void RemoveOrder(const std::string& key, const VersionCounts& present);
+
+  /**
+   * @brief Takes a release that the store holds.
+   * @param release The release.
+   * @param version Version of its row.
+   */
+  void PutRelease(const inventory::Release& release,
+                  platform::RowVersion version);
+
+  /**
+   * @brief Takes note of a target, whatever is known of its version.
+   * @param target The target.
+   * @param version Version of its row.
+   */
+  void NoteTarget(const inventory::Instance& target,
+                  platform::RowVersion version);
+
+  /**
+   * @brief Makes the release of a service.
+   * @param service Service to look at.
+   * @param key Key of the row of its order.
+   * @param present Versions of its targets.
+   * @param wall Current wall-clock time, from which deadlines count.
+   * @return The release as the store holds it, or as an order begins it;
+   * nothing if no version was ordered.
+   */
+  [[nodiscard]] std::optional<inventory::Release> ReleaseOf(
+      const core::ServiceName& service, const std::string& key,
+      const VersionCounts& present, std::chrono::sys_seconds wall);
+
+  /**
+   * @brief Finds the service of an order.
+   * @param key Key of the order's row.
+   * @return The service; nothing without an order.
+   */
+  [[nodiscard]] std::optional<core::ServiceName> ServiceOf(
+      const std::string& key) const;
+
+  /** @return Keys of the orders' rows. */
+  [[nodiscard]] std::vector<std::string> OrderKeys() const;
+
+  /**
+   * @brief Finds the version of an order's row.
+   * @param key Key of the row.
+   * @return The version, or platform::kAbsent.
+   */
+  [[nodiscard]] platform::RowVersion OrderRow(const std::string& key) const;
+
+  /**
+   * @brief Finds the version of the row that holds a service's release.
+   * @param service Service of the release.
+   * @return The version, or platform::kAbsent.
+   */
+  [[nodiscard]] platform::RowVersion ReleaseRow(
+      const core::ServiceName& service) const;
+
+ private:
+  struct StoredOrder {
+    ReleaseOrder order;
+    platform::RowVersion version;
+  };
+
+  struct StoredRelease {
+    inventory::Release release;
+    platform::RowVersion version;
+  };
+
+  using Names = std::set<core::VersionName>;
+
+  [[nodiscard]] const inventory::Release* StoredFor(
+      const core::ServiceName& service) const;
+  void NoteSuperseded(const std::string& key, const VersionCounts& present);
+  [[nodiscard]] inventory::Release NewRelease(
+      const StoredOrder& order, const inventory::Release* previous,
+      const VersionCounts& present, std::chrono::sys_seconds wall);
+  /** An order that was removed before anything of it was stored counts as taken
+   * back; nothing if there was none. */
+  [[nodiscard]] std::optional<inventory::Release> OrderTakenAway(
+      const core::ServiceName& service, const VersionCounts& present) const;
+  /** The version that carries a service's traffic when an order comes; the
+   * order's own if its targets were there before it and no others are. */
+  [[nodiscard]] core::VersionName CarrierBefore(
+      const StoredOrder& order, const inventory::Release* previous,
+      const VersionCounts& present) const;
+  /** Versions that carry no traffic beside those of a release, given the one
+   * before it if that is not yet stored. */
+  [[nodiscard]] std::vector<core::VersionName> WithdrawnBefore(
+      const inventory::Release& release,
+      const inventory::Release* previous) const;
+
+  std::map<std::string, StoredOrder> orders;
+  std::map<core::ServiceName, StoredRelease> releases;
+  /** Versions of orders that were removed or gave way to a further one before
+   * the store held their release. */
+  std::map<core::ServiceName, Names> superseded;
+  /** Row with which a version of a service was first known. */
+  std::map<core::ServiceName, std::map<core::VersionName, platform::RowVersion>>
+      first;
+  std::map<core::ServiceName,
+           std::pair<platform::RowVersion, std::chrono::sys_seconds>>
+      deadlines;
+};
+
+/**
+ * @brief Tells which versions carry no traffic once a release is done.
+ * @param done The release.
+ * @param present Versions of the service's targets.
+ * @return All that have targets but the release's own, and those that were
+ * withdrawn before.
+ */
+[[nodiscard]] std::vector<core::VersionName> ReplacedBy(
+    const inventory::Release& done, const VersionCounts& present);
+
+}  // namespace trefoilbend::registry
+
+#endif  // TREFOILBEND_REGISTRY_RELEASE_BOOK_H_
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -14,11 +14,8 @@
   return static_cast<std::size_t>(table);
 }
 
-/** The version of an order grows like time and tells it from others. */
-std::chrono::sys_seconds BeginOf(const platform::RowVersion order) {
-  return std::chrono::sys_seconds{
-      std::chrono::seconds{static_cast<std::int64_t>(order.Value())}};
-}
+/** Stands for the version of a service that no release has named. */
+constexpr const char* kAnyVersion = "any";
 
 }  // namespace
 
@@ -167,7 +164,8 @@
       this->desired = std::move(*state);
     }
   } else if (auto* release = std::get_if<ReleaseOrder>(&order)) {
-    this->orders.insert_or_assign(row.key, StoredOrder{*release, row.version});
+    this->releases.PutOrder(row.key, *release, row.version,
+                            this->VersionsOf(release->service));
   } else if (auto* evacuation = std::get_if<EvacuationOrder>(&order)) {
     this->evacuations.insert_or_assign(row.key, *evacuation);
   } else if (std::holds_alternative<UnreadableOrder>(order)) {
@@ -176,15 +174,14 @@
 }
 
 void Catalogue::RemoveOrder(const std::string& key, core::TimePoint /*now*/) {
-  this->orders.erase(key);
+  if (const auto service = this->releases.ServiceOf(key)) {
+    this->releases.RemoveOrder(key, this->VersionsOf(*service));
+  }
   this->evacuations.erase(key);
 }
 
 std::vector<std::string> Catalogue::OrderKeys() const {
-  std::vector<std::string> keys;
-  for (const auto& [key, order] : this->orders) {
-    keys.push_back(key);
-  }
+  std::vector<std::string> keys = this->releases.OrderKeys();
   for (const auto& [key, order] : this->evacuations) {
     keys.push_back(key);
   }
@@ -203,6 +200,7 @@
       known != this->targets.end() && known->second.version == row.version;
   const core::TimePoint cold_until =
       again ? known->second.cold_until : now + record->cold_for;
+  this->releases.NoteTarget(record->instance, row.version);
   this->targets.insert_or_assign(
       row.key,
       Target{std::move(*record), row.version, cold_until, std::nullopt});
@@ -244,9 +242,8 @@
     this->entries.insert_or_assign(
         row.key, std::get<inventory::Instance>(std::move(*object)));
   } else if (object && std::holds_alternative<inventory::Release>(*object)) {
-    const auto& release = std::get<inventory::Release>(*object);
-    this->releases.insert_or_assign(release.name,
-                                    StoredRelease{release, row.version});
+    this->releases.PutRelease(std::get<inventory::Release>(*object),
+                              row.version);
   } else {
     this->unreadable.push_back(row.key);
   }
@@ -265,51 +262,24 @@
   return keys;
 }
 
-core::VersionName Catalogue::StableVersion(
-    const core::ServiceName& service,
-    const core::VersionName& candidate) const {
-  std::map<core::VersionName, std::size_t> counts;
+VersionCounts Catalogue::VersionsOf(const core::ServiceName& service) const {
+  VersionCounts counts;
   for (const auto& [key, target] : this->targets) {
     const inventory::Instance& instance = target.record.instance;
-    if (instance.service == service && instance.version != candidate) {
+    if (instance.service == service) {
       ++counts[instance.version];
     }
   }
-  const auto most = std::max_element(
-      counts.begin(), counts.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
-  return most == counts.end() ? core::VersionName{"none"} : most->first;
+  return counts;
 }
 
-std::optional<inventory::Release> Catalogue::ReleaseOf(
-    const core::ServiceName& service, const std::chrono::sys_seconds wall) {
-  const auto order = this->orders.find(this->codec.ReleaseOrderKey(service));
-  const auto stored = this->releases.find(service);
-  if (order == this->orders.end()) {
-    return stored == this->releases.end()
-               ? std::nullopt
-               : std::optional{stored->second.release};
-  }
-  const platform::RowVersion version = order->second.version;
-  if (stored != this->releases.end() &&
-      stored->second.release.begun >= BeginOf(version)) {
-    return stored->second.release;
-  }
-  auto& deadline = this->deadlines[service];
-  if (deadline.first != version) {
-    deadline = {version, wall + std::chrono::floor<std::chrono::seconds>(
-                                    order->second.order.within)};
-  }
-  const core::VersionName& to = order->second.order.version;
-  const bool repeats =
-      stored != this->releases.end() && stored->second.release.version == to &&
-      stored->second.release.state == inventory::ReleaseState::kDone;
-  return inventory::Release{
-      .name = service,
-      .version = to,
-      .from = repeats ? to : this->StableVersion(service, to),
-      .begun = BeginOf(version),
-      .deadline = deadline.second};
+Catalogue::Versions Catalogue::AllVersions() const {
+  Versions versions;
+  for (const auto& [key, target] : this->targets) {
+    const inventory::Instance& instance = target.record.instance;
+    ++versions[instance.service][instance.version];
+  }
+  return versions;
 }
 
 void Catalogue::AddTargets(
@@ -327,12 +297,6 @@
       continue;
     }
     instance.connections = limit->second;
-    const auto release = this->current.find(instance.service);
-    if (release == this->current.end()) {
-      instance.version = core::VersionName{"any"};
-    } else if (instance.version != release->second.version) {
-      instance.version = release->second.from;
-    }
     listed.push_back({.name = instance.name,
                       .cold_until = target.cold_until,
                       .incarnation = target.record.incarnation});
@@ -361,11 +325,14 @@
     return std::nullopt;
   }
   inventory::Configuration::Builder builder;
-  this->current.clear();
+  Versions versions = this->AllVersions();
   for (inventory::Service service : this->desired->services) {
-    service.version = core::VersionName{"any"};
-    if (const auto release = this->ReleaseOf(service.name, wall)) {
-      this->current.emplace(service.name, *release);
+    service.version = core::VersionName{kAnyVersion};
+    service.carries_unnamed_versions = true;
+    const auto release = this->releases.ReleaseOf(
+        service.name, this->codec.ReleaseOrderKey(service.name),
+        versions[service.name], wall);
+    if (release) {
       const bool done = release->state == inventory::ReleaseState::kDone;
       service.version = done ? release->version : release->from;
       builder.Put(*release);
@@ -403,19 +370,17 @@
     const inventory::Release& after) const {
   const std::string order_key = this->codec.ReleaseOrderKey(after.name);
   const std::string row_key = kReleaseRows + after.name.Text();
-  const auto order = this->orders.find(order_key);
-  const auto stored = this->releases.find(after.name);
   platform::Transaction transaction;
-  transaction.conditions.push_back({.key = order_key,
-                                    .version = order == this->orders.end()
-                                                   ? platform::kAbsent
-                                                   : order->second.version});
-  transaction.conditions.push_back({.key = row_key,
-                                    .version = stored == this->releases.end()
-                                                   ? platform::kAbsent
-                                                   : stored->second.version});
+  transaction.conditions.push_back(
+      {.key = order_key, .version = this->releases.OrderRow(order_key)});
+  transaction.conditions.push_back(
+      {.key = row_key, .version = this->releases.ReleaseRow(after.name)});
+  inventory::Release written = after;
+  if (after.state == inventory::ReleaseState::kDone) {
+    written.withdrawn = ReplacedBy(after, this->VersionsOf(after.name));
+  }
   transaction.writes.push_back(
-      {.key = row_key, .value = inventory::Encode(inventory::Object{after})});
+      {.key = row_key, .value = inventory::Encode(inventory::Object{written})});
   transaction.writes.push_back(this->codec.EncodeStatus(after));
   return transaction;
 }
--- a/packages/registry/src/change_lines.cc
+++ b/packages/registry/src/change_lines.cc
@@ -38,6 +38,14 @@
   return after == nullptr ? "Instance left." : "Instance changed.";
 }
 
+std::string NamesOf(const std::vector<core::VersionName>& versions) {
+  std::string names;
+  for (const core::VersionName& version : versions) {
+    names += (names.empty() ? "" : ",") + version.Text();
+  }
+  return names;
+}
+
 std::optional<std::string> FormatStep(const inventory::Object* before,
                                       const inventory::Object* after) {
   const inventory::Object* one = after != nullptr ? after : before;
@@ -58,10 +66,10 @@
   if (const auto* release = std::get_if<Release>(one)) {
     return fmt::format(
         "Release stands. service={} version={} from={} state={} share={} "
-        "step={} epoch={}",
+        "step={} epoch={} withdrawn={}",
         release->name.Text(), release->version.Text(), release->from.Text(),
         after != nullptr ? TextOf(release->state) : "forgotten", release->share,
-        release->step, release->epoch);
+        release->step, release->epoch, NamesOf(release->withdrawn));
   }
   return std::nullopt;
 }
--- a/packages/registry/test/catalogue_test.cc
+++ b/packages/registry/test/catalogue_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "plain_codec.h"
 #include "trefoilbend/inventory/codec.h"
 
 namespace trefoilbend::registry {
@@ -20,60 +21,6 @@
 
 namespace {
 
-/** Rows whose values say plainly what they are: orders "config 3",
- * "release v2" and "evacuation", targets "v1", "v1 draining" and "v1 cold". */
-class PlainCodec final : public RowCodec {
- public:
-  [[nodiscard]] std::string OrdersTable() const override { return "orders"; }
-  [[nodiscard]] std::string TargetsTable() const override { return "targets"; }
-
-  [[nodiscard]] Order DecodeOrder(const Row& row) const override {
-    if (row.value.starts_with("config ")) {
-      DesiredState state{.version = std::stoull(row.value.substr(7)),
-                         .services = {},
-                         .connections = {100},
-                         .routes = {},
-                         .bounds = {}};
-      state.services.push_back({.name = ServiceName{"stock"}, .version = {}});
-      return state;
-    }
-    if (row.value.starts_with("release ")) {
-      return ReleaseOrder{.service = ServiceName{"stock"},
-                          .version = VersionName{row.value.substr(8)},
-                          .within = 15s};
-    }
-    if (row.value == "evacuation") {
-      return EvacuationOrder{core::DataCentreName{"xela"}};
-    }
-    return UnreadableOrder{};
-  }
-
-  [[nodiscard]] std::optional<TargetRecord> DecodeTarget(
-      const Row& row) const override {
-    if (!row.value.starts_with("v")) {
-      return std::nullopt;
-    }
-    TargetRecord record;
-    record.instance.name = InstanceName{row.key};
-    record.instance.service = ServiceName{"stock"};
-    record.instance.version = VersionName{row.value.substr(0, 2)};
-    record.instance.data_centre = core::DataCentreName{"xela"};
-    record.draining = row.value.ends_with("draining");
-    record.cold_for = row.value.ends_with("cold") ? 3'000ms : 0ms;
-    return record;
-  }
-
-  [[nodiscard]] std::string ReleaseOrderKey(
-      const ServiceName& service) const override {
-    return "orders/release/" + service.Text();
-  }
-
-  [[nodiscard]] platform::Write EncodeStatus(
-      const inventory::Release& release) const override {
-    return {.key = "status/" + release.name.Text(), .value = "told"};
-  }
-};
-
 struct Fixture {
   Fixture() {
     this->Write(Table::kOrders, "config", "config 1");
--- a/packages/rollout/include/trefoilbend/rollout/controller.h
+++ b/packages/rollout/include/trefoilbend/rollout/controller.h
@@ -98,6 +98,10 @@
 
  private:
   [[nodiscard]] std::optional<Verdict> TakeBack(const Situation& situation);
+  /** Ends a release to the version that carries the traffic already: there is
+   * nothing to move, and what a release before it left is taken back. */
+  [[nodiscard]] std::optional<Verdict> FinishAtOnce(
+      const Situation& situation) const;
   [[nodiscard]] std::optional<Verdict> Advance(const Situation& situation);
   [[nodiscard]] std::optional<Verdict> AdvanceBriskly(
       const Situation& situation);
--- a/packages/rollout/include/trefoilbend/rollout/evidence_book.h
+++ b/packages/rollout/include/trefoilbend/rollout/evidence_book.h
@@ -2,10 +2,12 @@
 #define TREFOILBEND_ROLLOUT_EVIDENCE_BOOK_H_
 
 #include <map>
+#include <optional>
 
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/inventory/configuration.h"
+#include "trefoilbend/inventory/version_roles.h"
 #include "trefoilbend/rollout/evidence.h"
 #include "trefoilbend/rollout/release_id.h"
 
@@ -53,6 +55,11 @@
     Evidence evidence;
   };
 
+  /** The version to which a target's calls count; none for a version that
+   * carries no traffic, whose last calls tell nothing of the others. */
+  [[nodiscard]] std::optional<Arm> ArmOf(
+      const inventory::Instance& target) const;
+
   inventory::ConfigurationPtr configuration;
   std::map<core::ServiceName, Entry> entries;
 };
--- a/packages/rollout/include/trefoilbend/rollout/release_id.h
+++ b/packages/rollout/include/trefoilbend/rollout/release_id.h
@@ -43,6 +43,17 @@
          release.state == inventory::ReleaseState::kPaused;
 }
 
+/**
+ * @brief Tells whether a release moves traffic from one version to another.
+ * @param release Release to look at.
+ * @return False once it is done or taken back, and for one to the version that
+ * carries the traffic already.
+ */
+[[nodiscard]] inline bool MovesTraffic(
+    const inventory::Release& release) noexcept {
+  return IsUnderWay(release) && release.version != release.from;
+}
+
 }  // namespace trefoilbend::rollout
 
 #endif  // TREFOILBEND_ROLLOUT_RELEASE_ID_H_
--- a/packages/rollout/src/controller.cc
+++ b/packages/rollout/src/controller.cc
@@ -69,6 +69,9 @@
   if (IsOver(this->release) || this->release.epoch > this->epoch) {
     return std::nullopt;
   }
+  if (this->release.version == this->release.from) {
+    return this->FinishAtOnce(situation);
+  }
   if (!this->whole) {
     this->whole = this->release.deadline - situation.wall;
   }
@@ -92,6 +95,18 @@
                          : this->Advance(situation);
 }
 
+std::optional<Verdict> Controller::FinishAtOnce(
+    const Situation& situation) const {
+  if (situation.capacity.new_slots == 0) {
+    return std::nullopt;
+  }
+  Verdict verdict = this->Next("the version carries the traffic already");
+  ++verdict.after.step;
+  verdict.after.share = inventory::kWholeShare;
+  verdict.after.state = ReleaseState::kDone;
+  return verdict;
+}
+
 bool Controller::IsBrisk() const noexcept {
   return this->pace == Pace::kBrisk && this->whole &&
          *this->whole <= kBriskRelease;
--- a/packages/rollout/src/coordinator.cc
+++ b/packages/rollout/src/coordinator.cc
@@ -3,6 +3,8 @@
 #include <set>
 #include <utility>
 
+#include "trefoilbend/inventory/version_roles.h"
+
 namespace trefoilbend::rollout {
 
 namespace {
@@ -189,6 +191,7 @@
   const inventory::Configuration& configuration = *this->update.configuration;
   const inventory::ServiceView& view =
       configuration.Services().at(release.name);
+  const inventory::VersionRoles roles{*view.service, &release};
   Capacity capacity;
   for (const inventory::Instance* target : view.targets) {
     if (!live.contains(target->name) ||
@@ -197,7 +200,7 @@
     }
     if (target->version == release.version) {
       capacity.new_slots += target->slots;
-    } else if (target->version == view.service->version) {
+    } else if (roles.CallsOf(target->version) == view.service->version) {
       capacity.old_slots += target->slots;
     }
   }
--- a/packages/rollout/src/evidence_book.cc
+++ b/packages/rollout/src/evidence_book.cc
@@ -36,16 +36,34 @@
   if (entry == this->entries.end()) {
     return;
   }
-  const bool is_new = target->version == entry->second.release.version;
+  const auto arm = this->ArmOf(*target);
+  if (!arm) {
+    return;
+  }
   entry->second.evidence.Add({.route = exchange.route,
                               .data_centre = target->data_centre,
                               .target = exchange.target,
-                              .arm = is_new ? Arm::kNew : Arm::kOld,
+                              .arm = *arm,
                               .failed = exchange.failed,
                               .cold = exchange.cold,
                               .latency = exchange.latency});
 }
 
+std::optional<Arm> EvidenceBook::ArmOf(
+    const inventory::Instance& target) const {
+  const inventory::Service& service =
+      *this->configuration->Services().at(target.service).service;
+  const auto* release =
+      this->configuration->Find<inventory::Release>(target.service.Text());
+  if (target.version == release->version) {
+    return Arm::kNew;
+  }
+  const inventory::VersionRoles roles{service, release};
+  return roles.CallsOf(target.version) == service.version
+             ? std::optional{Arm::kOld}
+             : std::nullopt;
+}
+
 Windows EvidenceBook::Take() {
   Windows windows;
   for (auto& [name, entry] : this->entries) {
--- a/packages/rollout/test/brisk_release_test.cc
+++ b/packages/rollout/test/brisk_release_test.cc
@@ -77,6 +77,24 @@
 
 }  // namespace
 
+BOOST_FIXTURE_TEST_SUITE(a_release_to_the_version_that_carries_the_traffic,
+                         Fixture)
+
+BOOST_AUTO_TEST_CASE(is_done_at_once_if_the_version_has_targets) {
+  release.from = release.version;
+  controller = Controller{release, 2, now, Pace::kBrisk};
+  capacity = {.old_slots = 0, .new_slots = 0};
+  RunFor(1s);
+  BOOST_TEST((release.state == ReleaseState::kMoving));
+  capacity.new_slots = 138;
+  RunFor(100ms);
+  BOOST_TEST((release.state == ReleaseState::kDone));
+  BOOST_TEST(release.share == inventory::kWholeShare);
+  BOOST_TEST(release.epoch == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_release_of_seconds, Fixture)
 
 BOOST_AUTO_TEST_CASE(is_done_well_before_its_deadline_if_it_is_good) {
--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -136,7 +136,8 @@
   this->thread.join();
 }
 
-settings::Document Platform::SettingsOf(const int number) {
+settings::Document Platform::SettingsOf(const int number,
+                                        const std::vector<Setting>& settings) {
   const auto address = [this, number](const std::uint16_t port) {
     return http::ToString(this->At(kEntries + number, port));
   };
@@ -164,33 +165,39 @@
   document.Set("membership", "feed-address", address(kFeed));
   document.Set("operations", "address", address(kOperations));
   document.Set("log", "level", "off");
+  for (const Setting& setting : settings) {
+    document.Set(setting.section, setting.key, setting.value);
+  }
   return std::get<0>(std::move(parsed));
 }
 
 void Platform::StartEntry(const int number,
-                          const std::chrono::microseconds clock_back) {
-  auto read = entry::ReadSettings(this->SettingsOf(number));
-  BOOST_REQUIRE(core::Succeeded(read));
-  entry::Settings& settings = std::get<0>(read);
+                          const std::chrono::microseconds clock_back,
+                          const std::vector<Setting>& settings) {
+  auto parsed = entry::ReadSettings(this->SettingsOf(number, settings));
+  BOOST_REQUIRE(core::Succeeded(parsed));
+  entry::Settings& read = std::get<0>(parsed);
   const core::Incarnation incarnation{
-      settings.callers.incarnation.Value() -
+      read.callers.incarnation.Value() -
       static_cast<std::uint64_t>(clock_back.count())};
-  settings.callers.incarnation = incarnation;
-  settings.membership.incarnation = incarnation;
+  read.callers.incarnation = incarnation;
+  read.membership.incarnation = incarnation;
   std::unique_ptr<entry::Entry>& made = this->running[number];
-  made = entry::Entry::Builder{}.WithSettings(std::move(settings)).Build();
+  made = entry::Entry::Builder{}.WithSettings(std::move(read)).Build();
   BOOST_REQUIRE(core::Succeeded(made->Start()));
 }
 
 void Platform::StartDaemon(const std::vector<Setting>& settings) {
-  settings::Document document = this->SettingsOf(1);
-  for (const Setting& setting : settings) {
-    document.Set(setting.section, setting.key, setting.value);
-  }
-  this->daemon = std::make_unique<Daemon>(document);
+  this->daemon.reset();
+  this->daemon = std::make_unique<Daemon>(this->SettingsOf(1, settings));
   BOOST_REQUIRE(Await([this] { return this->Readiness() == 200; }));
 }
 
+Setting Platform::SeedOf(const int number) const {
+  return {"membership", "seeds",
+          http::ToString(this->At(kEntries + number, kPeers))};
+}
+
 http::Address Platform::Front() const { return this->At(kEntries + 1, kFront); }
 
 http::Address Platform::DirectoryAddress() const {
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -140,12 +140,22 @@
    * @brief Starts an entry.
    * @param number Number of the entry, from 1.
    * @param clock_back Time by which its clock is behind.
+   * @param settings Settings that take the place of the usual ones.
+   */
+  void StartEntry(int number = 1, std::chrono::microseconds clock_back = {},
+                  const std::vector<Setting>& settings = {});
+
+  /**
+   * @brief Makes the setting by which an entry asks another one for a copy of
+   * what it knows.
+   * @param number Number of the other entry.
+   * @return The setting.
    */
-  void StartEntry(int number = 1, std::chrono::microseconds clock_back = {});
+  [[nodiscard]] Setting SeedOf(int number) const;
 
   /**
-   * @brief Starts the first entry as a process of its own and waits until it is
-   * ready.
+   * @brief Starts the first entry as a process of its own, after killing one
+   * that was started so before, and waits until it is ready.
    * @param settings Settings that take the place of the usual ones.
    */
   void StartDaemon(const std::vector<Setting>& settings = {});
@@ -253,7 +263,8 @@
       std::chrono::milliseconds limit = std::chrono::seconds{10});
 
  private:
-  [[nodiscard]] settings::Document SettingsOf(int number);
+  [[nodiscard]] settings::Document SettingsOf(
+      int number, const std::vector<Setting>& settings);
   [[nodiscard]] http::Address At(int host, std::uint16_t port) const;
   /** Address under which an entry knows the store. */
   [[nodiscard]] http::Address StoreOf(int number) const;
