Have targets of a new version wait for an order that may name them

What callers saw: nothing reported. An entry that hears of a new version's targets before their order let them carry traffic like the old version's until the order came, up to the time in which orders are in force.

Cause: the tables are told apart, and a version that nobody has named carries the traffic.

Not shown on the daemon.

Why it works: orders are given before the targets that they name start. Once the orders are known as of a time after the targets' first row, no such order can be missing. Versions that an order names, and all versions while none is known to be old, do not wait, so that neither a release nor a start is slower.

--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -14,6 +14,7 @@
 #include "trefoilbend/configuration/messages.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/inventory/configuration.h"
+#include "trefoilbend/inventory/version_roles.h"
 #include "trefoilbend/platform/messages.h"
 #include "trefoilbend/registry/release_book.h"
 #include "trefoilbend/registry/row_codec.h"
@@ -132,6 +133,12 @@
    */
   [[nodiscard]] bool DropLapsed();
 
+  /** @return Whether targets of a new version were found since the last call to
+   * belong to no order that was still to come. */
+  [[nodiscard]] bool TakeSettled() noexcept {
+    return std::exchange(this->orders_settled, false);
+  }
+
   /**
    * @brief Makes the configuration of what is known.
    * @param wall Current wall-clock time, from which deadlines count.
@@ -193,7 +200,13 @@
     std::optional<core::TimePoint> lapses;
   };
 
-  using Versions = std::map<core::ServiceName, VersionCounts>;
+  /** Versions of a service's targets, and which calls they take. */
+  struct ServiceVersions {
+    VersionCounts present;
+    inventory::VersionRoles roles;
+  };
+
+  using Versions = std::map<core::ServiceName, ServiceVersions>;
   using Put = void (Catalogue::*)(const platform::Row&, core::TimePoint);
   using Remove = void (Catalogue::*)(const std::string&, core::TimePoint);
   using Keys = std::vector<std::string> (Catalogue::*)() const;
@@ -231,7 +244,11 @@
       const core::ServiceName& service) const;
   [[nodiscard]] std::vector<std::uint64_t> SourceVersions() const;
   [[nodiscard]] Versions AllVersions() const;
-  void AddTargets(inventory::Configuration::Builder& builder,
+  /** Whether an order that names a target's version may still come. */
+  [[nodiscard]] bool AwaitsOrders(const inventory::Instance& target,
+                                  const ServiceVersions& versions) const;
+  void AddTargets(const Versions& versions,
+                  inventory::Configuration::Builder& builder,
                   std::vector<platform::ListedInstance>& listed) const;
 
   const RowCodec& codec;
@@ -244,6 +261,9 @@
   std::map<std::string, Target> targets;
   std::map<std::string, inventory::Instance> entries;
   ReleaseBook releases;
+  /** Whether targets may have stopped waiting for an order since the last call
+   * of TakeSettled. */
+  bool orders_settled{};
   inventory::ConfigurationPtr restored;
   std::vector<std::string> unreadable;
   std::vector<KeptTarget> kept;
--- a/packages/registry/include/trefoilbend/registry/release_book.h
+++ b/packages/registry/include/trefoilbend/registry/release_book.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/inventory/objects.h"
 #include "trefoilbend/platform/messages.h"
@@ -60,9 +61,29 @@
    * @brief Takes note of a target, whatever is known of its version.
    * @param target The target.
    * @param version Version of its row.
+   * @param now Current time.
    */
   void NoteTarget(const inventory::Instance& target,
-                  platform::RowVersion version);
+                  platform::RowVersion version, core::TimePoint now);
+
+  /**
+   * @brief Takes note of the time as of which all orders are known.
+   * @param as_of Time as of which they are known.
+   * @return Whether a version need no longer wait for its order.
+   */
+  [[nodiscard]] bool NoteOrdersKnown(core::TimePoint as_of);
+
+  /**
+   * @brief Tells whether a version is so new that an order which names it may
+   * not be known yet; so is none while all of a service are.
+   * @param service Service of the targets.
+   * @param version Version that they run.
+   * @param present Versions of all targets of the service.
+   * @return Whether its targets have to wait.
+   */
+  [[nodiscard]] bool AwaitsOrders(const core::ServiceName& service,
+                                  const core::VersionName& version,
+                                  const VersionCounts& present) const;
 
   /**
    * @brief Makes the release of a service.
@@ -114,6 +135,14 @@
     platform::RowVersion version;
   };
 
+  /** When a version of a service was first known, and whether all orders were
+   * known afterwards. */
+  struct FirstTarget {
+    platform::RowVersion row;
+    core::TimePoint at{};
+    bool settled{};
+  };
+
   using Names = std::set<core::VersionName>;
 
   [[nodiscard]] const inventory::Release* StoredFor(
@@ -142,9 +171,7 @@
   /** Versions of orders that were removed or gave way to a further one before
    * the store held their release. */
   std::map<core::ServiceName, Names> superseded;
-  /** Row with which a version of a service was first known. */
-  std::map<core::ServiceName, std::map<core::VersionName, platform::RowVersion>>
-      first;
+  std::map<core::ServiceName, std::map<core::VersionName, FirstTarget>> first;
   std::map<core::ServiceName,
            std::pair<platform::RowVersion, std::chrono::sys_seconds>>
       deadlines;
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -99,6 +99,10 @@
 void Catalogue::NoteConfirmed(const Table table,
                               const core::TimePoint as_of) noexcept {
   this->NoteAnswered(table, as_of);
+  if (table == Table::kOrders) {
+    this->orders_settled =
+        this->releases.NoteOrdersKnown(as_of) || this->orders_settled;
+  }
   if (table == Table::kTargets) {
     this->confirmed = std::max(this->confirmed.value_or(as_of), as_of);
   }
@@ -200,7 +204,7 @@
       known != this->targets.end() && known->second.version == row.version;
   const core::TimePoint cold_until =
       again ? known->second.cold_until : now + record->cold_for;
-  this->releases.NoteTarget(record->instance, row.version);
+  this->releases.NoteTarget(record->instance, row.version, now);
   this->targets.insert_or_assign(
       row.key,
       Target{std::move(*record), row.version, cold_until, std::nullopt});
@@ -277,13 +281,21 @@
   Versions versions;
   for (const auto& [key, target] : this->targets) {
     const inventory::Instance& instance = target.record.instance;
-    ++versions[instance.service][instance.version];
+    ++versions[instance.service].present[instance.version];
   }
   return versions;
 }
 
+bool Catalogue::AwaitsOrders(const inventory::Instance& target,
+                             const ServiceVersions& versions) const {
+  const bool is_named =
+      versions.roles.CallsOf(target.version) == target.version;
+  return !is_named && this->releases.AwaitsOrders(
+                          target.service, target.version, versions.present);
+}
+
 void Catalogue::AddTargets(
-    inventory::Configuration::Builder& builder,
+    const Versions& versions, inventory::Configuration::Builder& builder,
     std::vector<platform::ListedInstance>& listed) const {
   std::map<core::ServiceName, std::uint32_t> connections;
   for (std::size_t at = 0; at < this->desired->services.size(); ++at) {
@@ -293,7 +305,8 @@
   for (const auto& [key, target] : this->targets) {
     inventory::Instance instance = target.record.instance;
     const auto limit = connections.find(instance.service);
-    if (limit == connections.end() || target.record.draining) {
+    if (limit == connections.end() || target.record.draining ||
+        this->AwaitsOrders(instance, versions.at(instance.service))) {
       continue;
     }
     instance.connections = limit->second;
@@ -329,14 +342,17 @@
   for (inventory::Service service : this->desired->services) {
     service.version = core::VersionName{kAnyVersion};
     service.carries_unnamed_versions = true;
+    ServiceVersions& of_service = versions[service.name];
     const auto release = this->releases.ReleaseOf(
         service.name, this->codec.ReleaseOrderKey(service.name),
-        versions[service.name], wall);
+        of_service.present, wall);
     if (release) {
       const bool done = release->state == inventory::ReleaseState::kDone;
       service.version = done ? release->version : release->from;
       builder.Put(*release);
     }
+    of_service.roles =
+        inventory::VersionRoles{service, release ? &*release : nullptr};
     builder.Put(std::move(service));
   }
   for (const inventory::Route& route : this->desired->routes) {
@@ -345,7 +361,7 @@
   for (const auto& [key, evacuation] : this->evacuations) {
     builder.Put(inventory::Outage{evacuation.data_centre});
   }
-  this->AddTargets(builder, listed);
+  this->AddTargets(versions, builder, listed);
   for (const auto& [key, entry] : this->entries) {
     builder.Put(entry);
     listed.push_back({.name = entry.name});
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -374,7 +374,9 @@
   /** Tells the peers' duty how well the tables are known. Entries tell each
    * other of their own rows, so the fleet's table may be older. */
   void Confirm() {
-    if (this->catalogue.DropLapsed()) {
+    const bool dropped = this->catalogue.DropLapsed();
+    const bool settled = this->catalogue.TakeSettled();
+    if (dropped || settled) {
       this->NoteChange();
     }
     feed::Confirmation confirmation{
--- a/packages/registry/src/release_book.cc
+++ b/packages/registry/src/release_book.cc
@@ -55,8 +55,39 @@
 }
 
 void ReleaseBook::NoteTarget(const inventory::Instance& target,
-                             const platform::RowVersion version) {
-  this->first[target.service].try_emplace(target.version, version);
+                             const platform::RowVersion version,
+                             const core::TimePoint now) {
+  this->first[target.service].try_emplace(target.version,
+                                          FirstTarget{version, now, false});
+}
+
+bool ReleaseBook::NoteOrdersKnown(const core::TimePoint as_of) {
+  bool any = false;
+  for (auto& [service, versions] : this->first) {
+    for (auto& [version, first_target] : versions) {
+      if (!first_target.settled && first_target.at <= as_of) {
+        first_target.settled = true;
+        any = true;
+      }
+    }
+  }
+  return any;
+}
+
+bool ReleaseBook::AwaitsOrders(const core::ServiceName& service,
+                               const core::VersionName& version,
+                               const VersionCounts& present) const {
+  const auto known = this->first.find(service);
+  if (known == this->first.end()) {
+    return false;
+  }
+  const auto is_settled = [&](const core::VersionName& one) {
+    const auto first_target = known->second.find(one);
+    return first_target != known->second.end() && first_target->second.settled;
+  };
+  return !is_settled(version) &&
+         std::any_of(present.begin(), present.end(),
+                     [&](const auto& one) { return is_settled(one.first); });
 }
 
 std::optional<inventory::Release> ReleaseBook::ReleaseOf(
@@ -186,7 +217,7 @@
   }
   const auto known = versions->second.find(to);
   const bool was_there =
-      known != versions->second.end() && known->second < order.version;
+      known != versions->second.end() && known->second.row < order.version;
   return was_there ? to : core::VersionName{kNoVersion};
 }
 
--- a/packages/registry/test/order_sequence_test.cc
+++ b/packages/registry/test/order_sequence_test.cc
@@ -343,6 +343,44 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** The targets' table may be told before the orders'. */
+BOOST_AUTO_TEST_SUITE(and_come_to_be_known_after_their_targets)
+
+BOOST_AUTO_TEST_CASE(are_waited_for_before_a_new_version_carries_traffic) {
+  catalogue->NoteConfirmed(Table::kOrders, now);
+  now += 300ms;
+  Write(Table::kTargets, "of-v2", "v2");
+  BOOST_TEST(Carriers() == kOld);
+  Order("v2");
+  BOOST_TEST(Carriers() == kOld);
+  BOOST_TEST(Now()->Find<inventory::Instance>("of-v2") != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(are_waited_for_until_all_orders_are_known) {
+  catalogue->NoteConfirmed(Table::kOrders, now);
+  (void)catalogue->TakeSettled();
+  now += 300ms;
+  Write(Table::kTargets, "c", "v0");
+  BOOST_TEST(Carriers() == kOld);
+  catalogue->NoteConfirmed(Table::kOrders, now - 100ms);
+  BOOST_TEST(!catalogue->TakeSettled());
+  BOOST_TEST(Carriers() == kOld);
+  catalogue->NoteConfirmed(Table::kOrders, now);
+  BOOST_TEST(catalogue->TakeSettled());
+  BOOST_TEST(Carriers() == (Names{"a", "b", "c"}));
+}
+
+BOOST_AUTO_TEST_CASE(are_not_waited_for_where_nothing_else_carries_traffic) {
+  catalogue->NoteConfirmed(Table::kOrders, now);
+  now += 300ms;
+  Delete(Table::kTargets, "a");
+  Delete(Table::kTargets, "b");
+  Write(Table::kTargets, "c", "v0");
+  BOOST_TEST(Carriers() == Names{"c"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(and_leave_each_target_the_version_of_its_row)
 
 BOOST_AUTO_TEST_CASE(whatever_its_release_has_come_to) {
