Take no number beyond the statuses for one, in health checks too

But 600 and 999 reached clients of calls that must not be repeated, and with Trefoilbend-Not-Executed they were told that nothing had run. After a health check that met an interim answer, the next call on its connection got 502 though it had run.

Cause: only statuses below 200 were asked for, and only where answers to calls are read; a health check took any head for the whole answer and kept the connection for what followed.

Why it works: one header says which statuses are interim and which may end a request, and both readers ask it. What is neither fails the exchange and closes its connection.

--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -6,6 +6,7 @@
 
 #include "internal/open_connection.h"
 #include "internal/request_encoding.h"
+#include "internal/status.h"
 #include "trefoilbend/forwarding/fields.h"
 #include "trefoilbend/forwarding/resumption.h"
 
@@ -23,21 +24,12 @@
 constexpr std::size_t kDiscardedHead = 1U << 10U;
 /** Time for which the rest of an answer that is not passed on is awaited. */
 constexpr std::chrono::milliseconds kDiscardTime{100};
-constexpr std::uint16_t kFirstInterim = 100;
-constexpr std::uint16_t kSwitchingProtocols = 101;
-constexpr std::uint16_t kFirstFinal = 200;
 constexpr std::uint16_t kFirstServerError = 500;
 
 std::string_view View(const beast::string_view text) {
   return {text.data(), text.size()};
 }
 
-/** Whether a final answer follows (RFC 9110, section 15.2). */
-bool IsInterim(const unsigned status) noexcept {
-  return status >= kFirstInterim && status < kFirstFinal &&
-         status != kSwitchingProtocols;
-}
-
 core::TimePoint ExpiryOf(const core::CallRequest& request) noexcept {
   return std::max(request.deadline, request.answer_until);
 }
@@ -156,7 +148,7 @@
     this->SkipInterim();
     return;
   }
-  if (status < kFirstFinal) {
+  if (!IsFinal(status)) {
     this->Fail(beast::http::error::bad_status);
     return;
   }
--- a/packages/forwarding/src/probe.cc
+++ b/packages/forwarding/src/probe.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "internal/open_connection.h"
+#include "internal/status.h"
 #include "trefoilbend/forwarding/fields.h"
 
 namespace trefoilbend::forwarding::internal {
@@ -100,7 +101,12 @@
 }
 
 void Probe::OnRead(const boost::system::error_code error) {
-  if (error) {
+  const unsigned status = this->parser->get().result_int();
+  if (!error && IsInterim(status)) {
+    this->Read();
+    return;
+  }
+  if (error || !IsFinal(status)) {
     this->GiveUp();
     return;
   }
--- a/tests/users_platform/promise_test.cc
+++ b/tests/users_platform/answer_status_test.cc
@@ -1,7 +1,9 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "platform.h"
@@ -24,9 +26,14 @@
     "Connection: close\r\n\r\nbody"};
 const std::string kNotRun = "Trefoilbend-Not-Executed: 1\r\n";
 
+constexpr std::chrono::milliseconds kPause{20};
+/** Statuses that no answer has (RFC 9110, section 15). */
+const std::vector<std::string> kNoStatuses{"000 None", "001 None", "099 None",
+                                           "600 None", "999 None"};
+
 /** A daemon whose only target runs each request and then answers with a status
  * that a story chooses. */
-struct Promising : Platform {
+struct Answering : Platform {
   void Use(const std::string& kind, const std::string& hold = "64 KiB") {
     this->WriteRoute(1, {.kind = kind});
     this->target = std::make_unique<RawTarget>(
@@ -40,7 +47,11 @@
 
   void Serve(RawConnection& connection, const std::string& request) {
     if (IsHealthCheck(request)) {
-      connection.Write(kHealthy);
+      connection.Write(this->health);
+      if (!this->health_rest.empty()) {
+        std::this_thread::sleep_for(kPause);
+        connection.Write(this->health_rest);
+      }
       return;
     }
     ++this->arrivals;
@@ -53,15 +64,16 @@
     }
   }
 
-  /** Checks each promise in each framing, as the client sees it. */
-  void CheckThatNoPromiseIsPassedOn(const std::string& method) {
-    for (const std::string& promise : kPromises) {
+  /** Checks each of some statuses in each framing, as the client sees it. */
+  void CheckThatNoneIsPassedOn(const std::vector<std::string>& statuses,
+                               const std::string& method) {
+    for (const std::string& one : statuses) {
       for (const std::string& way : kFramings) {
-        this->status = promise;
+        this->status = one;
         this->framing = way;
         this->arrivals = 0;
         const http::Response response = this->Call("/look/1", method);
-        BOOST_TEST(response.status == 502, promise << ", " << way);
+        BOOST_TEST(response.status == 502, one << ", " << way);
         BOOST_TEST(!http::FindField(response.fields, wire::kSignatureHeader));
         BOOST_TEST(this->arrivals >= 1);
       }
@@ -69,6 +81,9 @@
     BOOST_TEST(this->GetDaemon().IsRunning());
   }
 
+  std::string health = kHealthy;
+  /** What follows the answer to a health check after a pause. */
+  std::string health_rest;
   std::string status;
   std::string framing = kFramings.front();
   std::string mark;
@@ -80,13 +95,13 @@
 
 /** REFUSED: clients were told by a target's own 503 that reservations had not
  * run which had, and made them once more (review/6). */
-BOOST_FIXTURE_TEST_SUITE(a_target_that_runs_a_request, Promising)
+BOOST_FIXTURE_TEST_SUITE(a_target_that_runs_a_request, Answering)
 
 BOOST_AUTO_TEST_SUITE(and_answers_with_a_status_that_promises_it_has_not)
 
 BOOST_AUTO_TEST_CASE(keeps_the_promise_from_a_call_that_must_not_be_repeated) {
   Use("non_idempotent");
-  CheckThatNoPromiseIsPassedOn("POST");
+  CheckThatNoneIsPassedOn(kPromises, "POST");
 }
 
 BOOST_AUTO_TEST_CASE(runs_a_call_that_must_not_be_repeated_once) {
@@ -98,7 +113,7 @@
 
 BOOST_AUTO_TEST_CASE(keeps_the_promise_from_a_call_that_may_be_repeated) {
   Use("idempotent");
-  CheckThatNoPromiseIsPassedOn("GET");
+  CheckThatNoneIsPassedOn(kPromises, "GET");
 }
 
 BOOST_AUTO_TEST_CASE(keeps_the_promise_from_a_call_on_its_last_attempt) {
@@ -113,12 +128,12 @@
 
 BOOST_AUTO_TEST_CASE(keeps_the_promise_from_a_call_without_a_body) {
   Use("idempotent");
-  CheckThatNoPromiseIsPassedOn("HEAD");
+  CheckThatNoneIsPassedOn(kPromises, "HEAD");
 }
 
 BOOST_AUTO_TEST_CASE(keeps_the_promise_from_a_download_that_is_not_held) {
   Use("download", "0 B");
-  CheckThatNoPromiseIsPassedOn("GET");
+  CheckThatNoneIsPassedOn(kPromises, "GET");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -158,7 +173,7 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(a_target_that_says_that_it_has_not_run_a_request,
-                         Promising)
+                         Answering)
 
 BOOST_AUTO_TEST_CASE(has_the_client_told_so) {
   Use("non_idempotent");
@@ -171,4 +186,60 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** MIXED: a client got the status 000 as the answer of a target in trouble
+ * (reports of other operators). */
+BOOST_FIXTURE_TEST_SUITE(a_target_whose_status_does_not_exist, Answering)
+
+BOOST_AUTO_TEST_SUITE(in_a_whole_answer)
+
+BOOST_AUTO_TEST_CASE(fails_a_call_that_must_not_be_repeated) {
+  Use("non_idempotent");
+  CheckThatNoneIsPassedOn(kNoStatuses, "POST");
+}
+
+BOOST_AUTO_TEST_CASE(fails_a_call_that_may_be_repeated) {
+  Use("idempotent");
+  CheckThatNoneIsPassedOn(kNoStatuses, "GET");
+}
+
+BOOST_AUTO_TEST_CASE(fails_a_call_without_a_body) {
+  Use("idempotent");
+  CheckThatNoneIsPassedOn(kNoStatuses, "HEAD");
+}
+
+BOOST_AUTO_TEST_CASE(fails_a_download_that_is_not_held) {
+  Use("download", "0 B");
+  CheckThatNoneIsPassedOn(kNoStatuses, "GET");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(in_an_answer_that_says_it_has_not_run_the_request)
+
+BOOST_AUTO_TEST_CASE(is_not_believed) {
+  Use("non_idempotent");
+  mark = kNotRun;
+  CheckThatNoneIsPassedOn(kNoStatuses, "POST");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(in_the_answer_to_a_health_check)
+
+/** What follows such an answer was taken for that to the next call on its
+ * connection. */
+BOOST_AUTO_TEST_CASE(leaves_no_bytes_to_the_calls_that_follow) {
+  health = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  health_rest = kHealthy;
+  status = "200 OK";
+  Use("non_idempotent");
+  for (int call = 0; call < 10; ++call) {
+    BOOST_TEST(Call("/look/1", "POST").status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace trefoilbend::tests
