--- a/packages/registry/test/catalogue_test.cc
+++ b/packages/registry/test/catalogue_test.cc
@@ -16,7 +16,6 @@
 using core::ServiceName;
 using core::VersionName;
 using inventory::ReleaseState;
-using platform::Row;
 using platform::RowVersion;
 
 namespace {
