--- a/review/lib-3/stage.hpp
+++ b/review/lib-3/stage.hpp
@@ -721,6 +721,7 @@
   std::string service;
   std::string zone;
   std::string path;
+  std::string version;
 };
 
 /** All requests that endpoints began to work on. */
@@ -734,10 +735,26 @@
     const std::lock_guard lock(this->mutex);
     return this->all;
   }
+  void AddFailure(std::int64_t at, const std::string& version) {
+    const std::lock_guard lock(this->mutex);
+    this->failures.emplace_back(at, version);
+  }
+  /** Times of the failures that endpoints of a version answered. */
+  [[nodiscard]] std::vector<std::int64_t> FailuresOf(const std::string& version) {
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::int64_t> times;
+    for (const auto& [at, of] : this->failures) {
+      if (of == version) {
+        times.push_back(at);
+      }
+    }
+    return times;
+  }
 
  private:
   std::mutex mutex;
   std::vector<Run> all;
+  std::vector<std::pair<std::int64_t, std::string>> failures;
 };
 
 inline Runs& AllRuns() {
@@ -757,6 +774,8 @@
     int slots = 6;
     int work_ms = 20;
     std::int64_t warm_ms = 0;
+    /** Of each hundred requests that it runs, so many end with a 500. */
+    int fails_percent = 0;
   };
 
   Endpoint(Store& store, Options options)
@@ -841,12 +860,17 @@
     }
     ++this->busy;
     ++this->runs;
-    AllRuns().Add({NowMs(), id, this->options.id, this->options.service, this->options.zone, request.Path()});
+    AllRuns().Add({NowMs(), id, this->options.id, this->options.service, this->options.zone, request.Path(),
+                   this->options.version});
     Log().Line("run: " + id + " " + request.Path() + " by " + this->options.id + " (" + this->options.service + ", " +
                this->options.zone + ")");
     Sleep(this->options.work_ms);
     --this->busy;
-    return stream.Send(Encode("HTTP/1.1 200 OK",
+    const bool fails = this->runs * 61 % 100 < this->options.fails_percent;
+    if (fails) {
+      AllRuns().AddFailure(NowMs(), this->options.version);
+    }
+    return stream.Send(Encode(fails ? "HTTP/1.1 500 Internal Server Error" : "HTTP/1.1 200 OK",
                               {{"Trefoilbend-Request-Id", id},
                                {"Trefoilbend-Server-Signature", "s." + this->options.id + "." + id},
                                {"Trefoilbend-Server-Load", load}},
