--- a/review/lib-3/era_config.cpp
+++ b/review/lib-3/era_config.cpp
@@ -1,4 +1,4 @@
-// Case 11: the store comes back from a copy some seconds old; the next desired state is never in force.
+// The store comes back from a copy some seconds old; the next desired state is never in force.
 #include "stage.hpp"
 
 using namespace stage;
--- a/review/lib-3/era_evacuation.cpp
+++ b/review/lib-3/era_evacuation.cpp
@@ -1,4 +1,4 @@
-// Case 12: the store comes back from a copy, and what is written first gets versions that daemons know
+// The store comes back from a copy, and what is written first gets versions that daemons know
 // already; they go on from their old version without a 410 and never hear of an evacuation.
 #include "stage.hpp"
 
