--- a/review/lib-3/era_release.cpp
+++ b/review/lib-3/era_release.cpp
@@ -16,7 +16,10 @@
   }
   const std::vector<std::string> services{"stock"};
   const auto state = [&](unsigned version, int timeout_ms) {
-    return DesiredState(version, {{"r-look", "/look/", "idempotent", "stock", timeout_ms}}, services);
+    return DesiredState(version,
+                        {{"r-look", "/look/", "idempotent", "stock", timeout_ms},
+                         {"r-book", "/book/", "non_idempotent", "stock", timeout_ms}},
+                        services);
   };
   store.WriteSurely("op", "config", state(1, 2'000));
   std::vector<std::unique_ptr<Endpoint>> endpoints;
@@ -47,9 +50,14 @@
   }
   // About six of ten slots of the old version are busy.
   std::vector<std::unique_ptr<Clients>> lookups;
-  for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+  for (const char* name : {"a", "b", "c", "d"}) {
     lookups.push_back(std::make_unique<Clients>(all, std::string{"look-"} + name, "/look/", "GET", 20));
-    lookups.back()->Start();
+  }
+  for (const char* name : {"e", "f"}) {
+    lookups.push_back(std::make_unique<Clients>(all, std::string{"book-"} + name, "/book/", "POST", 20));
+  }
+  for (const auto& clients : lookups) {
+    clients->Start();
   }
   Sleep(4'000);
 
@@ -115,6 +123,16 @@
     // A second more, as the time of sending is not that of the run.
     late += run.version == "v2" && run.at > rollback_by + 1'000 ? 1 : 0;
   }
+  int bookings = 0;
+  int lost = 0;
+  for (const auto& clients : lookups) {
+    for (const Call& call : clients->All()) {
+      const bool counts = call.sent >= ordered && call.path.starts_with("/book/");
+      bookings += counts ? 1 : 0;
+      lost += counts && call.status != 200 ? 1 : 0;
+    }
+  }
+  Log().Say("bookings sent from the order on: " + std::to_string(bookings) + ", failed: " + std::to_string(lost));
   const int allowed = reached / 10 + 50;
   const auto status = store.Read("status", "rollout/stock");
   Log().Say("requests at the service from the order to its time budget: " + std::to_string(reached) +
