--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,6 +3,6 @@
 REVIEW_CASE=$(cd "$(dirname "$0")" && pwd)
 REVIEW_ROOT=$(cd "$REVIEW_CASE/../.." && pwd)
 export REVIEW_CASE REVIEW_ROOT
-program=$REVIEW_ROOT/build/review-3/era_config
+program=$REVIEW_ROOT/build/review-3/era_evacuation
 [[ -x $program && -x $REVIEW_ROOT/target/apps/trefoilbend/trefoilbend ]] || exit 2
 exec "$program"
