Stand-in store: come back from an older copy, in a new era

The store copies itself (take_copy), is away for a time and comes back from the copy: versions go back and are given out again, a watch from a version that it does not have gets 410, Store-Era in all answers is one higher, and what operators and targets wrote since is written again, one row after the other in a seeded random order within a chosen time, or not at all. What the system wrote is lost. By hand: POST /control with take_copy, come_back_ms, rewritten_within_ms.

--- a/stand_ins/store/main.cc
+++ b/stand_ins/store/main.cc
@@ -14,7 +14,8 @@
       "Stand-in for the users' store. POST /control with a JSON object sets "
       "the "
       "faults: busy, silent, slow_ms, lost_answers, late_writes_ms, "
-      "stale_reads, over_rate, forget_history."};
+      "stale_reads, over_rate, forget_history, take_copy, come_back_ms, "
+      "rewritten_within_ms."};
   std::string address;
   app.add_option("--address", address, "Address to listen on")->required();
   CLI11_PARSE(app, argc, argv);
--- a/stand_ins/store/store.cc
+++ b/stand_ins/store/store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <random>
 #include <utility>
 
 #include "trefoilbend/wire/base64.h"
@@ -15,10 +16,6 @@
 constexpr std::size_t kMostRows = 500;
 constexpr int kDecimal = 10;
 
-http::Response Answer(const json& body, const std::uint16_t status = 200) {
-  return {.status = status, .fields = {}, .body = body.dump()};
-}
-
 Place PlaceOf(const std::string& key) {
   const std::size_t slash = key.find('/');
   return {key.substr(0, slash), key.substr(slash + 1)};
@@ -68,13 +65,58 @@
             this->Handle(request, [this, address, respond = std::move(respond)](
                                       const http::Response& response) {
               const bool away = this->faults.turned_away.contains(address);
-              respond(away ? Answer({}, 503) : response);
+              respond(away ? this->Answer({}, 503) : response);
             });
           })
           .Build(this->context);
   return opened->Listen();
 }
 
+http::Response Store::Answer(const json& body,
+                             const std::uint16_t status) const {
+  return {.status = status,
+          .fields = {{"Store-Era", std::to_string(this->era)}},
+          .body = body.dump()};
+}
+
+void Store::ComeBackFromCopy(const Return& how) {
+  this->faults.busy = true;
+  this->ForgetWatchers();
+  this->After(how.away, [this, how] {
+    std::vector<std::pair<std::string, std::optional<std::string>>> lost;
+    for (const char* name : {"op", "servers"}) {
+      for (const auto& [key, value] : this->table.Since(name, this->copy)) {
+        lost.emplace_back(std::string{name} + '/' + key,
+                          value ? wire::DecodeBase64(*value) : std::nullopt);
+      }
+    }
+    std::shuffle(lost.begin(), lost.end(), std::mt19937{how.seed});
+    this->table = this->copy;
+    this->before = this->copy;
+    ++this->era;
+    this->faults.busy = false;
+    if (how.rewritten_within) {
+      const auto rows = static_cast<std::chrono::milliseconds::rep>(
+          std::max<std::size_t>(1, lost.size()));
+      this->WriteAgain(std::move(lost), *how.rewritten_within / rows);
+    }
+  });
+}
+
+void Store::WriteAgain(
+    std::vector<std::pair<std::string, std::optional<std::string>>> lost,
+    const std::chrono::milliseconds gap) {
+  if (lost.empty()) {
+    return;
+  }
+  const auto [key, value] = std::move(lost.back());
+  lost.pop_back();
+  this->Write(key, value);
+  this->After(gap, [this, lost = std::move(lost), gap] {
+    this->WriteAgain(lost, gap);
+  });
+}
+
 void Store::ForgetWatchers() {
   for (const Watcher& watcher : this->watchers) {
     watcher.timer->cancel();
@@ -100,12 +142,12 @@
   }
   if (this->faults.over_rate > 0) {
     --this->faults.over_rate;
-    respond(Answer({}, 429));
+    respond(this->Answer({}, 429));
     return;
   }
   const auto method = kMethods.find({request.method, path});
   if (this->faults.busy || method == kMethods.end()) {
-    respond(Answer({}, this->faults.busy ? 503 : 404));
+    respond(this->Answer({}, this->faults.busy ? 503 : 404));
     return;
   }
   const http::Respond slowly = [this, respond = std::move(respond)](
@@ -115,7 +157,7 @@
   try {
     (this->*method->second)(request, slowly);
   } catch (const json::exception& error) {
-    slowly(Answer({{"Error", error.what()}}, 400));
+    slowly(this->Answer({{"Error", error.what()}}, 400));
   }
 }
 
@@ -123,7 +165,7 @@
                      const http::Respond& respond) {
   const json transaction = json::parse(request.body);
   if (IsForbidden(transaction)) {
-    respond(Answer({}, 403));
+    respond(this->Answer({}, 403));
     return;
   }
   if (this->faults.lost_answers > 0) {
@@ -139,11 +181,11 @@
 void Store::Commit(const json& transaction, const http::Respond& respond) {
   VersionedTable unchanged = this->table;
   if (const auto conflicts = this->table.Commit(transaction)) {
-    respond(Answer({{"Rows", *conflicts}}, 412));
+    respond(this->Answer({{"Rows", *conflicts}}, 412));
     return;
   }
   this->before = std::move(unchanged);
-  respond(Answer({{"Ver", this->table.Version()}}));
+  respond(this->Answer({{"Ver", this->table.Version()}}));
   this->TellWatchers();
 }
 
@@ -156,7 +198,8 @@
   const bool stale = this->faults.stale_reads > 0;
   this->faults.stale_reads -= stale ? 1 : 0;
   const VersionedTable& shown = stale ? this->before : this->table;
-  respond(Answer(shown.Range(query["TableName"], query["RangeStart"], limit)));
+  respond(this->Answer(
+      shown.Range(query["TableName"], query["RangeStart"], limit)));
 }
 
 void Store::Feed(const http::Request& request, const http::Respond& respond) {
@@ -179,7 +222,7 @@
           std::erase_if(this->watchers,
                         [&](const Watcher& one) { return one.timer == timer; });
           const auto changes = this->table.Changes(table, after);
-          respond(changes ? Answer(*changes) : Answer({}, 410));
+          respond(changes ? this->Answer(*changes) : this->Answer({}, 410));
         }
       });
   this->watchers.push_back(std::move(watcher));
@@ -193,7 +236,7 @@
       return false;
     }
     watcher.timer->cancel();
-    watcher.respond(changes ? Answer(*changes) : Answer({}, 410));
+    watcher.respond(changes ? this->Answer(*changes) : this->Answer({}, 410));
     return true;
   });
 }
@@ -202,7 +245,7 @@
                     const http::Respond& respond) {
   const json switches = json::parse(request.body, nullptr, false);
   if (!switches.is_object()) {
-    respond(Answer({}, 400));
+    respond(this->Answer({}, 400));
     return;
   }
   using std::chrono::milliseconds;
@@ -216,7 +259,16 @@
   if (switches.value("forget_history", false)) {
     this->ForgetHistory();
   }
-  respond(Answer({}));
+  if (switches.value("take_copy", false)) {
+    this->TakeCopy();
+  }
+  if (switches.contains("come_back_ms")) {
+    this->ComeBackFromCopy(
+        {.away = milliseconds{switches.value("come_back_ms", 0)},
+         .rewritten_within =
+             milliseconds{switches.value("rewritten_within_ms", 0)}});
+  }
+  respond(this->Answer({}));
 }
 
 void Store::Write(const std::string& key,
--- a/stand_ins/store/store.h
+++ b/stand_ins/store/store.h
@@ -8,8 +8,10 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "store/table.h"
@@ -41,6 +43,17 @@
   std::string silent_table;
 };
 
+/** @brief How the store comes back from an older copy of itself. */
+struct Return {
+  /** @brief Time for which it is away before. */
+  std::chrono::milliseconds away{1'000};
+  /** @brief Time within which operators and targets have written again what is
+   * lost, one row after the other; nothing if they do not. */
+  std::optional<std::chrono::milliseconds> rewritten_within{0};
+  /** @brief Seed of the order in which they do. */
+  std::uint32_t seed = 1;
+};
+
 /** @brief Stand-in for the users' store, over HTTP. */
 class Store {
  public:
@@ -72,6 +85,24 @@
   /** @brief Forgets the history, so that watches have to begin anew. */
   void ForgetHistory() { this->table.ForgetHistory(); }
 
+  /** @brief Makes the copy that the store may come back from. */
+  void TakeCopy() { this->copy = this->table; }
+
+  /**
+   * @brief Answers 503 for a time and comes back from the last copy, in the
+   * next era. What the system wrote since is lost.
+   * @param how How long it is away, and how the others write again.
+   */
+  void ComeBackFromCopy(const Return& how);
+
+  /** @return Number of the era. */
+  [[nodiscard]] std::uint64_t Era() const noexcept { return this->era; }
+
+  /** @return Newest version. */
+  [[nodiscard]] std::uint64_t Version() const noexcept {
+    return this->table.Version();
+  }
+
   /**
    * @brief Commits what an operator or a target writes.
    * @param key Table and key, with a slash between.
@@ -108,11 +139,20 @@
   void Control(const http::Request& request, const http::Respond& respond);
   void Commit(const nlohmann::json& transaction, const http::Respond& respond);
   void TellWatchers();
+  /** Answers a call in the present era. */
+  [[nodiscard]] http::Response Answer(const nlohmann::json& body,
+                                      std::uint16_t status = 200) const;
+  /** Writes one lost row after the other. */
+  void WriteAgain(
+      std::vector<std::pair<std::string, std::optional<std::string>>> lost,
+      std::chrono::milliseconds gap);
   void After(std::chrono::milliseconds delay, std::function<void()> then);
 
   boost::asio::io_context& context;
   VersionedTable table;
   VersionedTable before;
+  VersionedTable copy;
+  std::uint64_t era = 1;
   std::vector<Watcher> watchers;
   /** Calls that get no answer; their connections stay open. */
   std::vector<http::Respond> unanswered;
--- a/stand_ins/store/table.cc
+++ b/stand_ins/store/table.cc
@@ -73,7 +73,7 @@
 
 std::optional<json> VersionedTable::Changes(const std::string& table,
                                             const std::uint64_t after) const {
-  if (after < this->forgotten) {
+  if (after < this->forgotten || after > this->version) {
     return std::nullopt;
   }
   json changed = json::array();
@@ -90,6 +90,24 @@
   return json{{"Rows", std::move(changed)}, {"Ver", this->version}};
 }
 
+std::map<std::string, std::optional<std::string>> VersionedTable::Since(
+    const std::string& table, const VersionedTable& copy) const {
+  std::map<std::string, std::optional<std::string>> since;
+  for (const auto& [place, row] : this->rows) {
+    const auto copied = copy.rows.find(place);
+    if (place.first == table &&
+        (copied == copy.rows.end() || copied->second.version != row.version)) {
+      since.emplace(place.second, row.value);
+    }
+  }
+  for (const auto& [place, row] : copy.rows) {
+    if (place.first == table && !this->rows.contains(place)) {
+      since.emplace(place.second, std::nullopt);
+    }
+  }
+  return since;
+}
+
 void VersionedTable::ForgetHistory() {
   this->history.clear();
   this->forgotten = this->version;
--- a/stand_ins/store/table.h
+++ b/stand_ins/store/table.h
@@ -41,7 +41,8 @@
    * @brief Lists the changes of a table.
    * @param table Name of the table.
    * @param after Version after which they begin.
-   * @return Changed rows in their order; nothing if the history is gone.
+   * @return Changed rows in their order; nothing if the history is gone, or
+   * has not come as far.
    */
   [[nodiscard]] std::optional<nlohmann::json> Changes(
       const std::string& table, std::uint64_t after) const;
@@ -49,6 +50,16 @@
   /** @brief Forgets all changes so far. */
   void ForgetHistory();
 
+  /**
+   * @brief Lists the rows of a table that differ from those of a copy.
+   * @param table Name of the table.
+   * @param copy Copy of these rows.
+   * @return Keys and values; without a value where the copy has a row that was
+   * removed.
+   */
+  [[nodiscard]] std::map<std::string, std::optional<std::string>> Since(
+      const std::string& table, const VersionedTable& copy) const;
+
   /** @return Newest version. */
   [[nodiscard]] std::uint64_t Version() const noexcept { return this->version; }
 
