--- a/packages/configuration/include/trefoilbend/configuration/messages.h
+++ b/packages/configuration/include/trefoilbend/configuration/messages.h
@@ -44,6 +44,11 @@
   InstanceList listed;
   /** @brief Bounds for callers, if operators set them. */
   std::optional<CallerBounds> bounds{};
+  /** @brief Era of the store that it was made from. */
+  platform::Era era{};
+  /** @brief Services whose release the store has lost by coming back from an
+   * older copy; it has to be written again. */
+  std::vector<core::ServiceName> lost_releases{};
 };
 
 /** @brief Who told what is known of the targets. */
--- a/packages/configuration/src/duty.cc
+++ b/packages/configuration/src/duty.cc
@@ -144,7 +144,7 @@
     }
     std::vector<platform::Row> rows;
     for (const std::string& row : passed.rows) {
-      rows.push_back({.key = "of a peer", .value = row, .version = {}});
+      rows.push_back({.key = "of a peer", .value = row, .position = {}});
     }
     this->TakeRows(rows);
     this->Publish();
--- a/packages/configuration/src/follower.cc
+++ b/packages/configuration/src/follower.cc
@@ -117,11 +117,12 @@
   const std::string number = std::to_string(revised.revision.Value());
   platform::Transaction transaction{
       .conditions = {{.key = std::string{inventory::kHeadKey},
-                      .version = platform::RowVersion{before.Value()}},
+                      .position =
+                          platform::Position::WithoutEra(before.Value())},
                      {.key = inventory::ChangeKey(revised.revision),
-                      .version = platform::kAbsent},
+                      .position = platform::kAbsent},
                      {.key = inventory::ChangeIdKey(request.change_id),
-                      .version = platform::kAbsent}},
+                      .position = platform::kAbsent}},
       .writes = {
           {.key = std::string{inventory::kHeadKey}, .value = number},
           {.key = inventory::ChangeKey(revised.revision),
--- a/packages/configuration/test/follower_test.cc
+++ b/packages/configuration/test/follower_test.cc
@@ -21,7 +21,7 @@
       .changes = {{.before = std::nullopt, .after = outage}}};
   return {.key = inventory::ChangeKey(revised.revision),
           .value = inventory::Encode(revised),
-          .version = platform::RowVersion{1}};
+          .position = platform::Position::WithoutEra(1)};
 }
 
 ChangeRequest TakeOut(const std::string& data_centre) {
@@ -95,14 +95,15 @@
 
 BOOST_AUTO_TEST_CASE(guards_it_by_its_fences_and_its_change_id) {
   ChangeRequest request = TakeOut("xela-1");
-  request.fences = {{.key = "lease", .version = platform::RowVersion{9}}};
+  request.fences = {
+      {.key = "lease", .position = platform::Position::WithoutEra(9)}};
   const auto prepared = Prepare(request);
   const auto* transaction = std::get_if<platform::Transaction>(&prepared);
   BOOST_REQUIRE(transaction != nullptr);
   const auto guards = [&](const std::string& key, const std::uint64_t version) {
     for (const platform::Condition& condition : transaction->conditions) {
       if (condition.key == key) {
-        return condition.version == platform::RowVersion{version};
+        return condition.position == platform::Position::WithoutEra(version);
       }
     }
     return false;
--- a/packages/feed/include/trefoilbend/feed/messages.h
+++ b/packages/feed/include/trefoilbend/feed/messages.h
@@ -34,6 +34,8 @@
 struct Confirmation {
   /** @brief Time as of which all tables are known; nothing if they are not. */
   std::optional<core::TimePoint> at;
+  /** @brief Era of the store in which they are. */
+  platform::Era era;
   /** @brief Whether the store answers this entry; peers do not wait for news of
    * one that it does not answer. */
   bool store_answers{};
@@ -48,8 +50,8 @@
   AskId id;
   /** @brief Address of the peer. */
   http::Address peer;
-  /** @brief Versions up to which this entry knows the tables. */
-  std::vector<platform::RowVersion> after;
+  /** @brief Positions up to which this entry knows the tables. */
+  std::vector<platform::Position> after;
   /** @brief Longest time that the peer waits for news. */
   std::chrono::milliseconds wait{};
   /** @brief Time as of which this entry knows the store, if it does; the peer
@@ -67,6 +69,8 @@
   /** @brief Time as of which the peer knows the store; nothing if it does not
    * know all tables. */
   std::optional<core::TimePoint> confirmed;
+  /** @brief Era of the store in which the peer knows all tables. */
+  platform::Era era;
   /** @brief Whether the store answers the peer; it tells nothing of whether the
    * store answers others. */
   bool store_answers{};
--- a/packages/feed/include/trefoilbend/feed/table_image.h
+++ b/packages/feed/include/trefoilbend/feed/table_image.h
@@ -23,7 +23,8 @@
  * Rows carry their versions, so that no history is needed but that of
  * deletions. A whole table tells nothing of the rows that were deleted before
  * it was read, which a reader may still have. So a reader that knows less than
- * the last whole table gets the whole table, and never a list of changes.
+ * the last whole table gets the whole table, and never a list of changes. So
+ * does one that knows the table in an earlier era of the store.
  */
 class TableImage {
  public:
@@ -42,46 +43,46 @@
    */
   void Take(const TableNews& news);
 
-  /** @return Version up to which the table is known. */
-  [[nodiscard]] platform::RowVersion Version() const noexcept {
-    return this->version;
+  /** @return Position up to which the table is known. */
+  [[nodiscard]] platform::Position Known() const noexcept {
+    return this->known;
   }
 
-  /** @return Version of the newest row or deletion, known or possible. */
-  [[nodiscard]] platform::RowVersion Newest() const noexcept {
+  /** @return Position of the newest row or deletion, known or possible. */
+  [[nodiscard]] platform::Position Newest() const noexcept {
     return this->newest;
   }
 
   /**
    * @brief Tells whether a reader lacks rows or deletions.
-   * @param after Version up to which the reader knows the table.
-   * @return Whether it does.
+   * @param after Position up to which the reader knows the table.
+   * @return Whether it does; never for one that knows a later era.
    */
-  [[nodiscard]] bool HasNews(platform::RowVersion after) const noexcept {
-    return after < this->newest;
+  [[nodiscard]] bool HasNews(const platform::Position& after) const noexcept {
+    return after.Precedes(this->newest);
   }
 
   /**
    * @brief Lists what a reader lacks.
-   * @param after Version up to which the reader knows the table.
+   * @param after Position up to which the reader knows the table.
    * @return Changes in the order of their versions, or the whole table.
    */
-  [[nodiscard]] TableNews After(platform::RowVersion after) const;
+  [[nodiscard]] TableNews After(const platform::Position& after) const;
 
  private:
   void TakeState(const platform::TableState& state);
   void TakeChanges(const platform::TableChanges& changes);
   void Put(const platform::Row& row);
-  void Delete(const std::string& key, platform::RowVersion at);
+  void Delete(const std::string& key, const platform::Position& at);
 
   std::size_t most_deletions;
   std::map<std::string, platform::Row> rows;
-  std::deque<std::pair<std::string, platform::RowVersion>> deletions;
-  platform::RowVersion version;
-  /** Version up to which some row or deletion is known or possible. */
-  platform::RowVersion newest;
-  /** Version up to which deletions may be missing from the list. */
-  platform::RowVersion forgotten;
+  std::deque<std::pair<std::string, platform::Position>> deletions;
+  platform::Position known;
+  /** Position up to which some row or deletion is known or possible. */
+  platform::Position newest;
+  /** Position up to which deletions may be missing from the list. */
+  platform::Position forgotten;
 };
 
 }  // namespace trefoilbend::feed
--- a/packages/feed/src/duty.cc
+++ b/packages/feed/src/duty.cc
@@ -112,8 +112,10 @@
                                            std::chrono::steady_clock::now()));
         }
         auto after = request.initAfter(static_cast<unsigned>(ask.after.size()));
+        auto eras = request.initEras(static_cast<unsigned>(ask.after.size()));
         for (unsigned at = 0; at < after.size(); ++at) {
-          after.set(at, ask.after[at].Value());
+          after.set(at, ask.after[at].Version().Value());
+          eras.set(at, ask.after[at].Era().Value());
         }
         return request.send().then(
             [this](capnp::Response<wire::Feed::WatchResults>&& response) {
--- a/packages/feed/src/feed.capnp
+++ b/packages/feed/src/feed.capnp
@@ -15,6 +15,7 @@
   version @1 :UInt64;
   whole @2 :Bool;  # Whether rows that are not listed do not exist.
   rows @3 :List(Row);
+  era @4 :UInt64;  # Era of the store that the versions belong to.
 }
 
 struct News {
@@ -22,12 +23,14 @@
   ageMs @1 :UInt32;  # Time since the store confirmed all tables.
   known @2 :Bool;  # Whether all tables are known at all.
   storeAnswers @3 :Bool;
+  era @4 :UInt64;  # Era in which all tables are in force.
 }
 
 interface Feed {
   # Returns what the caller lacks, as soon as there is anything, the store has
   # confirmed the tables anew or the caller's belief that it answers is wrong, or
   # after the wait.
-  watch @0 (after :List(UInt64), waitMs :UInt32, storeAnswers :Bool, known :Bool, ageMs :UInt32)
-      -> (news :News);
+  # A caller that lists no eras is of an earlier program, and compares versions.
+  watch @0 (after :List(UInt64), waitMs :UInt32, storeAnswers :Bool, known :Bool, ageMs :UInt32,
+      eras :List(UInt64)) -> (news :News);
 }
--- a/packages/feed/src/feed.capnp.h
+++ b/packages/feed/src/feed.capnp.h
@@ -56,7 +56,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0b107e9ea7dcd50, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f0b107e9ea7dcd50, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9086681152cbd106, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9086681152cbd106, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -105,7 +105,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cc913d4f831d4120, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cc913d4f831d4120, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -256,6 +256,8 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::trefoilbend::feed::wire::Row,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -300,6 +302,9 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::trefoilbend::feed::wire::Row,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::trefoilbend::feed::wire::Row,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -352,6 +357,8 @@
 
   inline bool getStoreAnswers() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -396,6 +403,9 @@
   inline bool getStoreAnswers();
   inline void setStoreAnswers(bool value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -503,6 +513,9 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline bool hasEras() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEras() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -551,6 +564,14 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline bool hasEras();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEras();
+  inline void setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEras(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEras(unsigned int size);
+  inline void adoptEras(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEras();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -833,6 +854,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Table::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Table::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Table::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool News::Reader::hasTables() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -909,6 +944,20 @@
       ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t News::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t News::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void News::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Feed::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1027,6 +1076,44 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Feed::WatchParams::Reader::hasEras() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Feed::WatchParams::Builder::hasEras() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Feed::WatchParams::Reader::getEras() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Feed::WatchParams::Builder::getEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Feed::WatchParams::Builder::setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Feed::WatchParams::Builder::setEras(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Feed::WatchParams::Builder::initEras(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Feed::WatchParams::Builder::adoptEras(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Feed::WatchParams::Builder::disownEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Feed::WatchResults::Reader::hasNews() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/feed/src/feed_codec.cc
+++ b/packages/feed/src/feed_codec.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+using platform::Era;
+using platform::Position;
 using platform::RowVersion;
 
 void Encode(const platform::Row& row, const bool deleted,
@@ -19,22 +21,23 @@
   out.setKey(kj::StringPtr(row.key.c_str(), row.key.size()));
   out.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(row.value.data()),
                             row.value.size()));
-  out.setVersion(row.version.Value());
+  out.setVersion(row.position.Version().Value());
   out.setDeleted(deleted);
 }
 
-platform::RowChange Decode(const wire::Row::Reader row) {
+platform::RowChange Decode(const wire::Row::Reader row, const Era era) {
   const auto value = row.getValue();
   const auto key = row.getKey();
   return {.row = {.key = std::string{key.begin(), key.size()},
                   .value = std::string{value.asChars().begin(), value.size()},
-                  .version = RowVersion{row.getVersion()}},
+                  .position = {era, RowVersion{row.getVersion()}}},
           .deleted = row.getDeleted()};
 }
 
 void EncodeChanges(const platform::TableChanges& changes,
                    wire::Table::Builder out) {
-  out.setVersion(changes.version.Value());
+  out.setEra(changes.position.Era().Value());
+  out.setVersion(changes.position.Version().Value());
   auto rows = out.initRows(static_cast<unsigned>(changes.changes.size()));
   for (unsigned at = 0; at < rows.size(); ++at) {
     Encode(changes.changes[at].row, changes.changes[at].deleted, rows[at]);
@@ -42,7 +45,8 @@
 }
 
 void EncodeState(const platform::TableState& state, wire::Table::Builder out) {
-  out.setVersion(state.version.Value());
+  out.setEra(state.position.Era().Value());
+  out.setVersion(state.position.Version().Value());
   out.setWhole(true);
   auto rows = out.initRows(static_cast<unsigned>(state.rows.size()));
   for (unsigned at = 0; at < rows.size(); ++at) {
@@ -51,15 +55,16 @@
 }
 
 TableNews Decode(const wire::Table::Reader table) {
-  platform::TableChanges changes{.changes = {},
-                                 .version = RowVersion{table.getVersion()}};
+  const Era era{table.getEra()};
+  platform::TableChanges changes{
+      .changes = {}, .position = {era, RowVersion{table.getVersion()}}};
   for (const wire::Row::Reader row : table.getRows()) {
-    changes.changes.push_back(Decode(row));
+    changes.changes.push_back(Decode(row, era));
   }
   if (!table.getWhole()) {
     return changes;
   }
-  platform::TableState state{.rows = {}, .version = changes.version};
+  platform::TableState state{.rows = {}, .position = changes.position};
   for (platform::RowChange& change : changes.changes) {
     state.rows.push_back(std::move(change.row));
   }
@@ -81,6 +86,7 @@
 void Encode(const Heard& heard, const core::TimePoint now,
             wire::News::Builder news) {
   news.setStoreAnswers(heard.store_answers);
+  news.setEra(heard.era.Value());
   news.setKnown(heard.confirmed.has_value());
   if (heard.confirmed) {
     news.setAgeMs(AgeOf(*heard.confirmed, now));
@@ -103,6 +109,7 @@
              const core::TimePoint now) {
   Heard heard{.tables = {},
               .confirmed = std::nullopt,
+              .era = Era{news.getEra()},
               .store_answers = news.getStoreAnswers()};
   if (news.getKnown()) {
     heard.confirmed = now - std::chrono::milliseconds{news.getAgeMs()};
--- a/packages/feed/src/internal/server.h
+++ b/packages/feed/src/internal/server.h
@@ -42,8 +42,11 @@
 
   /** Whether the tables are confirmed as of clearly later than a peer knows. */
   [[nodiscard]] bool IsNewerThan(core::TimePoint known) const noexcept;
-  [[nodiscard]] bool HasNews(capnp::List<std::uint64_t>::Reader after) const;
-  [[nodiscard]] Heard After(capnp::List<std::uint64_t>::Reader after) const;
+  /** Position up to which the peer that asks knows a table. */
+  [[nodiscard]] platform::Position KnownTo(WatchParams::Reader peer,
+                                           std::size_t table) const;
+  [[nodiscard]] bool HasNews(WatchParams::Reader peer) const;
+  [[nodiscard]] Heard After(WatchParams::Reader peer) const;
   void Tell(WatchContext context) const;
   void WakeAll();
 
--- a/packages/feed/src/server.cc
+++ b/packages/feed/src/server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "internal/feed_codec.h"
@@ -17,11 +18,10 @@
 constexpr std::chrono::milliseconds kConfirmationStep{300};
 constexpr std::uint32_t kLongestWaitMs = 5'000;
 
-platform::RowVersion AfterOf(const capnp::List<std::uint64_t>::Reader after,
-                             const std::size_t table) {
-  return table < after.size()
-             ? platform::RowVersion{after[static_cast<unsigned>(table)]}
-             : platform::RowVersion{};
+std::optional<std::uint64_t> NumberAt(
+    const capnp::List<std::uint64_t>::Reader numbers, const std::size_t at) {
+  return at < numbers.size() ? std::optional{numbers[static_cast<unsigned>(at)]}
+                             : std::nullopt;
 }
 
 }  // namespace
@@ -31,7 +31,7 @@
 
 void Server::Take(const Learnt& learnt) {
   TableImage& image = this->images.at(learnt.table);
-  const platform::RowVersion before = image.Newest();
+  const platform::Position before = image.Newest();
   image.Take(learnt.news);
   if (image.HasNews(before)) {
     this->WakeAll();
@@ -55,9 +55,8 @@
       params.getKnown() ? std::chrono::steady_clock::now() -
                               std::chrono::milliseconds{params.getAgeMs()}
                         : core::TimePoint{};
-  if (wait == 0 || this->HasNews(params.getAfter()) ||
-      !this->confirmation.store_answers || this->IsNewerThan(known) ||
-      this->waiting.size() >= kMostWaiting) {
+  if (wait == 0 || this->HasNews(params) || !this->confirmation.store_answers ||
+      this->IsNewerThan(known) || this->waiting.size() >= kMostWaiting) {
     this->Tell(context);
     return kj::READY_NOW;
   }
@@ -75,21 +74,31 @@
          *this->confirmation.at >= known + kConfirmationStep;
 }
 
-bool Server::HasNews(const capnp::List<std::uint64_t>::Reader after) const {
+/** Earlier programs tell no eras: their versions are taken for those of the
+ * image's era, as they take the image's for theirs. */
+platform::Position Server::KnownTo(const WatchParams::Reader peer,
+                                   const std::size_t table) const {
+  const platform::Era era = this->images[table].Known().Era();
+  return {platform::Era{NumberAt(peer.getEras(), table).value_or(era.Value())},
+          platform::RowVersion{NumberAt(peer.getAfter(), table).value_or(0)}};
+}
+
+bool Server::HasNews(const WatchParams::Reader peer) const {
   for (std::size_t table = 0; table < this->images.size(); ++table) {
-    if (this->images[table].HasNews(AfterOf(after, table))) {
+    if (this->images[table].HasNews(this->KnownTo(peer, table))) {
       return true;
     }
   }
   return false;
 }
 
-Heard Server::After(const capnp::List<std::uint64_t>::Reader after) const {
+Heard Server::After(const WatchParams::Reader peer) const {
   Heard heard{.tables = {},
               .confirmed = this->confirmation.at,
+              .era = this->confirmation.era,
               .store_answers = this->confirmation.store_answers};
   for (std::size_t table = 0; table < this->images.size(); ++table) {
-    const platform::RowVersion known = AfterOf(after, table);
+    const platform::Position known = this->KnownTo(peer, table);
     if (this->images[table].HasNews(known)) {
       heard.tables.push_back(
           {.table = table, .news = this->images[table].After(known)});
@@ -99,8 +108,8 @@
 }
 
 void Server::Tell(WatchContext context) const {
-  Encode(this->After(context.getParams().getAfter()),
-         std::chrono::steady_clock::now(), context.getResults().initNews());
+  Encode(this->After(context.getParams()), std::chrono::steady_clock::now(),
+         context.getResults().initNews());
 }
 
 void Server::WakeAll() {
--- a/packages/feed/src/table_image.cc
+++ b/packages/feed/src/table_image.cc
@@ -17,73 +17,78 @@
 }
 
 void TableImage::TakeState(const platform::TableState& state) {
-  if (state.version < this->version) {
+  if (state.position.Precedes(this->known)) {
     return;
   }
   this->rows.clear();
   this->deletions.clear();
-  this->newest = std::max(this->newest, state.version);
+  this->newest = core::LaterOf(this->newest, state.position);
   for (const platform::Row& row : state.rows) {
     this->Put(row);
   }
-  this->forgotten = state.version;
-  this->version = state.version;
+  this->forgotten = state.position;
+  this->known = state.position;
 }
 
+/** Only a whole table begins an era. */
 void TableImage::TakeChanges(const platform::TableChanges& changes) {
+  if (!changes.position.SharesEraWith(this->known)) {
+    return;
+  }
   for (const platform::RowChange& change : changes.changes) {
-    if (change.row.version <= this->version) {
+    if (!this->known.Precedes(change.row.position)) {
       continue;
     }
     if (change.deleted) {
-      this->Delete(change.row.key, change.row.version);
+      this->Delete(change.row.key, change.row.position);
     } else {
       this->Put(change.row);
     }
   }
-  this->version = std::max(this->version, changes.version);
+  this->known = core::LaterOf(this->known, changes.position);
 }
 
 void TableImage::Put(const platform::Row& row) {
   this->rows.insert_or_assign(row.key, row);
-  this->newest = std::max(this->newest, row.version);
+  this->newest = core::LaterOf(this->newest, row.position);
 }
 
-void TableImage::Delete(const std::string& key, const platform::RowVersion at) {
+void TableImage::Delete(const std::string& key, const platform::Position& at) {
   this->rows.erase(key);
-  this->newest = std::max(this->newest, at);
+  this->newest = core::LaterOf(this->newest, at);
   this->deletions.emplace_back(key, at);
   if (this->deletions.size() > this->most_deletions) {
-    this->forgotten = std::max(this->forgotten, this->deletions.front().second);
+    this->forgotten =
+        core::LaterOf(this->forgotten, this->deletions.front().second);
     this->deletions.pop_front();
   }
 }
 
-TableNews TableImage::After(const platform::RowVersion after) const {
-  if (after < this->forgotten) {
-    platform::TableState state{.rows = {}, .version = this->version};
+TableNews TableImage::After(const platform::Position& after) const {
+  if (after.Precedes(this->forgotten)) {
+    platform::TableState state{.rows = {}, .position = this->known};
     for (const auto& [key, row] : this->rows) {
       state.rows.push_back(row);
     }
     return state;
   }
-  platform::TableChanges news{.changes = {}, .version = this->version};
+  platform::TableChanges news{.changes = {}, .position = this->known};
   for (const auto& [key, deleted_at] : this->deletions) {
-    if (deleted_at > after) {
+    if (after.Precedes(deleted_at)) {
       news.changes.push_back(
-          {.row = {.key = key, .value = "", .version = deleted_at},
+          {.row = {.key = key, .value = "", .position = deleted_at},
            .deleted = true});
     }
   }
   for (const auto& [key, row] : this->rows) {
-    if (row.version > after) {
+    if (after.Precedes(row.position)) {
       news.changes.push_back({.row = row, .deleted = false});
     }
   }
   std::stable_sort(
       news.changes.begin(), news.changes.end(),
       [](const platform::RowChange& a, const platform::RowChange& b) {
-        return a.row.version < b.row.version;
+        return a.row.position.Precedes(b.row.position);
       });
   return news;
 }
--- a/packages/feed/test/feed_test.cc
+++ b/packages/feed/test/feed_test.cc
@@ -14,7 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using platform::RowVersion;
+using platform::Position;
 
 constexpr std::size_t kTables = 3;
 constexpr std::size_t kTargets = 1;
@@ -44,13 +44,14 @@
   }
 
   void Learn(const std::uint64_t version) {
-    Send(Learnt{.table = kTargets,
-                .news = platform::TableChanges{
-                    .changes = {{.row = {.key = "servers/a",
-                                         .value = std::string("\0\x01", 2),
-                                         .version = RowVersion{version}},
-                                 .deleted = false}},
-                    .version = RowVersion{version}}});
+    Send(Learnt{
+        .table = kTargets,
+        .news = platform::TableChanges{
+            .changes = {{.row = {.key = "servers/a",
+                                 .value = std::string("\0\x01", 2),
+                                 .position = Position::WithoutEra(version)},
+                         .deleted = false}},
+            .position = Position::WithoutEra(version)}});
   }
 
   std::future<Answer> Begin(const http::Address& peer,
@@ -60,7 +61,8 @@
     auto answer = received.get_future();
     Send(Ask{.id = AskId{7},
              .peer = peer,
-             .after = {RowVersion{0}, RowVersion{known}, RowVersion{0}},
+             .after = {Position::WithoutEra(0), Position::WithoutEra(known),
+                       Position::WithoutEra(0)},
              .wait = wait,
              .confirmed = std::chrono::steady_clock::now()});
     return answer;
@@ -109,7 +111,7 @@
       std::get<platform::TableChanges>(heard.tables[0].news).changes;
   BOOST_REQUIRE(changes.size() == 1);
   BOOST_TEST(changes[0].row.value == std::string("\0\x01", 2));
-  BOOST_TEST((changes[0].row.version == RowVersion{5}));
+  BOOST_TEST((changes[0].row.position == Position::WithoutEra(5)));
   BOOST_TEST(heard.store_answers);
   BOOST_REQUIRE(heard.confirmed.has_value());
   BOOST_TEST((std::chrono::steady_clock::now() - *heard.confirmed >= 100ms));
@@ -118,13 +120,14 @@
 /** A listener kept a row under another key than its reader. */
 BOOST_AUTO_TEST_CASE(hears_keys_whole_whatever_bytes_they_have) {
   const std::string key("servers/a\0b", 11);
-  reader.Send(Learnt{.table = kTargets,
-                     .news = platform::TableChanges{
-                         .changes = {{.row = {.key = key,
-                                              .value = "v",
-                                              .version = RowVersion{6}},
-                                      .deleted = false}},
-                         .version = RowVersion{6}}});
+  reader.Send(
+      Learnt{.table = kTargets,
+             .news = platform::TableChanges{
+                 .changes = {{.row = {.key = key,
+                                      .value = "v",
+                                      .position = Position::WithoutEra(6)},
+                              .deleted = false}},
+                 .position = Position::WithoutEra(6)}});
   auto heard = HeardOf(listener.Begin(kReader, 0ms, 5));
   while (heard.tables.empty()) {
     heard = HeardOf(listener.Begin(kReader, 0ms, 5));
@@ -137,12 +140,12 @@
 /** DRAIN: a reader that had just started did not tell what had been deleted
  * before, and the listener kept it. */
 BOOST_AUTO_TEST_CASE(gets_the_whole_table_from_one_that_has_just_read_it) {
-  reader.Send(
-      Learnt{.table = kTargets,
-             .news = platform::TableState{.rows = {{.key = "servers/a",
-                                                    .value = "v",
-                                                    .version = RowVersion{5}}},
-                                          .version = RowVersion{20}}});
+  reader.Send(Learnt{.table = kTargets,
+                     .news = platform::TableState{
+                         .rows = {{.key = "servers/a",
+                                   .value = "v",
+                                   .position = Position::WithoutEra(5)}},
+                         .position = Position::WithoutEra(20)}});
   constexpr std::chrono::seconds kLimit{4};
   const auto limit = std::chrono::steady_clock::now() + kLimit;
   Heard heard;
@@ -152,7 +155,30 @@
   BOOST_REQUIRE(heard.tables.size() == 1);
   const auto& state = std::get<platform::TableState>(heard.tables[0].news);
   BOOST_TEST(state.rows.size() == 1);
-  BOOST_TEST((state.version == RowVersion{20}));
+  BOOST_TEST((state.position == Position::WithoutEra(20)));
+}
+
+/** CONFIG: a listener took a reader's versions for those of its own era. */
+BOOST_AUTO_TEST_CASE(hears_of_which_era_the_tables_are) {
+  const Position later{platform::Era{2}, platform::RowVersion{3}};
+  reader.Send(Learnt{
+      .table = kTargets,
+      .news = platform::TableState{
+          .rows = {{.key = "servers/a", .value = "v", .position = later}},
+          .position = later}});
+  reader.Send(Confirmation{.at = std::chrono::steady_clock::now(),
+                           .era = platform::Era{2},
+                           .store_answers = true});
+  Heard heard = HeardOf(listener.Begin(kReader, 0ms, 5));
+  while (heard.tables.empty()) {
+    heard = HeardOf(listener.Begin(kReader, 0ms, 5));
+  }
+  const auto& state = std::get<platform::TableState>(heard.tables[0].news);
+  BOOST_TEST((state.position == later));
+  BOOST_TEST((state.rows.front().position == later));
+  while (heard.era != platform::Era{2}) {
+    heard = HeardOf(listener.Begin(kReader, 0ms, 5));
+  }
 }
 
 BOOST_AUTO_TEST_SUITE(and_lacks_nothing)
--- a/packages/idempotency/src/claim.cc
+++ b/packages/idempotency/src/claim.cc
@@ -42,7 +42,7 @@
 }
 
 platform::Transaction MakeClaim(const std::string& row, const Home& home) {
-  return {.conditions = {{.key = row, .version = platform::kAbsent}},
+  return {.conditions = {{.key = row, .position = platform::kAbsent}},
           .writes = {{.key = row, .value = Encode(home)}}};
 }
 
@@ -62,11 +62,11 @@
 }
 
 ClaimStep Settle(const platform::ReadOutcome& outcome) {
-  const auto* row = std::get_if<std::optional<platform::Row>>(&outcome);
-  if (row == nullptr || !row->has_value()) {
+  const auto* found = std::get_if<platform::FoundRow>(&outcome);
+  if (found == nullptr || !found->row) {
     return NotClaimed{};
   }
-  return Decode((*row)->value);
+  return Decode(found->row->value);
 }
 
 }  // namespace trefoilbend::idempotency
--- a/packages/idempotency/test/claim_sweep_test.cc
+++ b/packages/idempotency/test/claim_sweep_test.cc
@@ -23,7 +23,7 @@
                                         .issued = issued});
     return {.key = claim.writes.front().key,
             .value = *claim.writes.front().value,
-            .version = platform::RowVersion{7}};
+            .position = platform::Position::WithoutEra(7)};
   }
 
   IssueTime now{100h};
@@ -41,12 +41,13 @@
   BOOST_TEST(deletion.writes.front().key == "keys/stock/old");
   BOOST_TEST(!deletion.writes.front().value.has_value());
   BOOST_REQUIRE(deletion.conditions.size() == 1);
-  BOOST_TEST(deletion.conditions.front().version == platform::RowVersion{7});
+  BOOST_TEST(deletion.conditions.front().position ==
+             platform::Position::WithoutEra(7));
 }
 
 BOOST_AUTO_TEST_CASE(leaves_alone_what_is_no_claim) {
   const auto deletion =
-      sweep.Take({{.key = "keys/stock/x", .value = "?", .version = {}}}, now);
+      sweep.Take({{.key = "keys/stock/x", .value = "?", .position = {}}}, now);
   BOOST_TEST(deletion.writes.empty());
 }
 
--- a/packages/idempotency/test/claim_test.cc
+++ b/packages/idempotency/test/claim_test.cc
@@ -19,7 +19,7 @@
   const platform::Transaction claim = MakeClaim("keys/stock/a", home);
   return {.key = "keys/stock/a",
           .value = claim.writes.front().value.value_or(""),
-          .version = platform::RowVersion{1}};
+          .position = platform::Position::WithoutEra(1)};
 }
 
 bool IsHome(const ClaimStep& step, const Home& home) {
@@ -36,7 +36,7 @@
       MakeClaim(ClaimRow(core::ServiceName{"stock"}, "a"), MakeHome("e"));
   BOOST_REQUIRE(claim.conditions.size() == 1U);
   BOOST_TEST(claim.conditions.front().key == "keys/stock/a");
-  BOOST_TEST(claim.conditions.front().version == platform::kAbsent);
+  BOOST_TEST(claim.conditions.front().position == platform::kAbsent);
 }
 
 BOOST_AUTO_TEST_CASE(makes_the_claiming_process_the_home) {
@@ -55,16 +55,18 @@
   const platform::Unavailable lost{.effect_unknown = true, .message = {}};
   BOOST_TEST(
       std::holds_alternative<ReadClaimBack>(Settle(lost, MakeHome("e"))));
-  const platform::ReadOutcome read = std::optional{RowOf(MakeHome("e"))};
+  const platform::ReadOutcome read =
+      platform::FoundRow{.row = RowOf(MakeHome("e")), .era = {}};
   BOOST_TEST(IsHome(Settle(read), MakeHome("e")));
 }
 
 BOOST_AUTO_TEST_CASE(takes_no_missing_or_malformed_row_for_a_claim) {
-  const platform::ReadOutcome none = std::optional<platform::Row>{};
+  const platform::ReadOutcome none = platform::FoundRow{};
   BOOST_TEST(std::holds_alternative<NotClaimed>(Settle(none)));
   platform::Row row = RowOf(MakeHome("e"));
   row.value = R"({"entry": 1})";
-  const platform::ReadOutcome malformed = std::optional{row};
+  const platform::ReadOutcome malformed =
+      platform::FoundRow{.row = row, .era = {}};
   BOOST_TEST(std::holds_alternative<NotClaimed>(Settle(malformed)));
   const platform::Unavailable down{.effect_unknown = false, .message = {}};
   BOOST_TEST(std::holds_alternative<NotClaimed>(Settle(down, MakeHome("e"))));
--- a/packages/inventory/include/trefoilbend/inventory/configuration.h
+++ b/packages/inventory/include/trefoilbend/inventory/configuration.h
@@ -11,6 +11,7 @@
 
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/core/number.h"
+#include "trefoilbend/core/position.h"
 #include "trefoilbend/inventory/change.h"
 #include "trefoilbend/inventory/objects.h"
 
@@ -40,9 +41,9 @@
     return this->revision;
   }
 
-  /** @return Versions of the tables that it was made from, in an order that its
-   * maker knows; empty if it was not made from tables. */
-  [[nodiscard]] const std::vector<std::uint64_t>& Sources() const noexcept {
+  /** @return Positions of the tables that it was made from, in an order that
+   * its maker knows; empty if it was not made from tables. */
+  [[nodiscard]] const std::vector<core::Position>& Sources() const noexcept {
     return this->sources;
   }
 
@@ -93,11 +94,11 @@
   }
 
  private:
-  Configuration(core::Revision revision, std::vector<std::uint64_t> sources,
+  Configuration(core::Revision revision, std::vector<core::Position> sources,
                 std::map<ObjectKey, Object> objects);
 
   core::Revision revision;
-  std::vector<std::uint64_t> sources;
+  std::vector<core::Position> sources;
   std::map<ObjectKey, Object> objects;
   std::map<core::ServiceName, ServiceView> services;
   std::map<std::string, std::vector<const Route*>> hosts;
@@ -145,12 +146,12 @@
   }
 
   /**
-   * @brief Sets the versions of the tables that it is made from.
-   * @param versions Versions in the order that the maker knows.
+   * @brief Sets the positions of the tables that it is made from.
+   * @param positions Positions in the order that the maker knows.
    * @return This builder.
    */
-  Builder& From(std::vector<std::uint64_t> versions) {
-    this->sources = std::move(versions);
+  Builder& From(std::vector<core::Position> positions) {
+    this->sources = std::move(positions);
     return *this;
   }
 
@@ -159,7 +160,7 @@
 
  private:
   core::Revision revision;
-  std::vector<std::uint64_t> sources;
+  std::vector<core::Position> sources;
   std::map<ObjectKey, Object> objects;
 };
 
--- a/packages/inventory/include/trefoilbend/inventory/objects.h
+++ b/packages/inventory/include/trefoilbend/inventory/objects.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "trefoilbend/core/name.h"
+#include "trefoilbend/core/position.h"
 #include "trefoilbend/http/address.h"
 
 namespace trefoilbend::inventory {
@@ -188,6 +189,9 @@
    * that were taken back or gave way to this one, and those that a release has
    * replaced. */
   std::vector<core::VersionName> withdrawn;
+  /** @brief Position of the order that it carries out, where operators give
+   * orders by a row of their own. */
+  std::optional<core::Position> order;
 
   [[nodiscard]] bool operator==(const Release&) const = default;
 };
--- a/packages/inventory/src/codec.cc
+++ b/packages/inventory/src/codec.cc
@@ -124,16 +124,32 @@
 }
 
 json ToJson(const Release& release) {
-  return {{"name", release.name.Text()},
-          {"version", release.version.Text()},
-          {"from", release.from.Text()},
-          {"begun_s", release.begun.time_since_epoch().count()},
-          {"deadline_s", release.deadline.time_since_epoch().count()},
-          {"state", kReleaseStates.at(static_cast<std::size_t>(release.state))},
-          {"step", release.step},
-          {"share", release.share},
-          {"epoch", release.epoch},
-          {"withdrawn", ToJson(release.withdrawn)}};
+  json object{
+      {"name", release.name.Text()},
+      {"version", release.version.Text()},
+      {"from", release.from.Text()},
+      {"begun_s", release.begun.time_since_epoch().count()},
+      {"deadline_s", release.deadline.time_since_epoch().count()},
+      {"state", kReleaseStates.at(static_cast<std::size_t>(release.state))},
+      {"step", release.step},
+      {"share", release.share},
+      {"epoch", release.epoch},
+      {"withdrawn", ToJson(release.withdrawn)}};
+  if (release.order) {
+    object["order_era"] = release.order->Era().Value();
+    object["order_version"] = release.order->Version().Value();
+  }
+  return object;
+}
+
+/** Rows of earlier programs, and of other stores, lack the fields. */
+std::optional<core::Position> OrderFrom(const json& object) {
+  if (!object.contains("order_version")) {
+    return std::nullopt;
+  }
+  return core::Position{
+      core::Era{object.value("order_era", std::uint64_t{0})},
+      core::RowVersion{object.at("order_version").get<std::uint64_t>()}};
 }
 
 ReleaseState ReleaseStateFrom(const json& object) {
@@ -161,7 +177,8 @@
                  .step = object.at("step").get<std::uint32_t>(),
                  .share = object.at("share").get<std::uint32_t>(),
                  .epoch = object.at("epoch").get<std::uint64_t>(),
-                 .withdrawn = VersionsOf(object, "withdrawn")};
+                 .withdrawn = VersionsOf(object, "withdrawn"),
+                 .order = OrderFrom(object)};
 }
 
 json ToJson(const ReleaseRule& rule) {
--- a/packages/inventory/src/configuration.cc
+++ b/packages/inventory/src/configuration.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 Configuration::Configuration(const core::Revision revision,
-                             std::vector<std::uint64_t> sources,
+                             std::vector<core::Position> sources,
                              std::map<ObjectKey, Object> objects)
     : revision(revision),
       sources(std::move(sources)),
--- a/packages/inventory/src/snapshot.cc
+++ b/packages/inventory/src/snapshot.cc
@@ -20,6 +20,20 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
+using Numbers = std::vector<std::uint64_t>;
+
+/** Versions and eras stand apart, as earlier programs write versions alone. */
+std::vector<core::Position> SourcesFrom(const json& snapshot) {
+  const Numbers versions = snapshot.value("sources", Numbers{});
+  Numbers eras = snapshot.value("eras", Numbers{});
+  eras.resize(versions.size());
+  std::vector<core::Position> sources;
+  for (std::size_t at = 0; at < versions.size(); ++at) {
+    sources.emplace_back(core::Era{eras[at]}, core::RowVersion{versions[at]});
+  }
+  return sources;
+}
+
 }  // namespace
 
 const char* ToString(const SnapshotProblem problem) noexcept {
@@ -45,10 +59,17 @@
   for (const auto& [key, object] : configuration.Objects()) {
     all.changes.push_back({.before = std::nullopt, .after = object});
   }
+  Numbers versions;
+  Numbers eras;
+  for (const core::Position& source : configuration.Sources()) {
+    versions.push_back(source.Version().Value());
+    eras.push_back(source.Era().Value());
+  }
   const std::string body = Encode(all);
   return json{{"format", kFormat},
               {"checksum", ChecksumOf(body)},
-              {"sources", configuration.Sources()},
+              {"sources", versions},
+              {"eras", eras},
               {"body", body}}
       .dump();
 }
@@ -70,7 +91,7 @@
     }
     return Configuration::Builder{}
         .Apply(*all)
-        .From(snapshot.value("sources", std::vector<std::uint64_t>{}))
+        .From(SourcesFrom(snapshot))
         .Build();
   } catch (const json::exception&) {
     return SnapshotProblem::kMalformed;
--- a/packages/inventory/test/release_codec_test.cc
+++ b/packages/inventory/test/release_codec_test.cc
@@ -24,7 +24,8 @@
         .step = 3,
         .share = 200,
         .epoch = 7,
-        .withdrawn = {core::VersionName{"0"}, core::VersionName{"9"}}};
+        .withdrawn = {core::VersionName{"0"}, core::VersionName{"9"}},
+        .order = core::Position{core::Era{2}, core::RowVersion{41}}};
     Revised revised{.revision = core::Revision{4}, .change_id = "a"};
     revised.changes.push_back({.before = std::nullopt, .after = release});
     const auto read = DecodeRevised(Encode(revised));
@@ -45,6 +46,16 @@
   BOOST_TEST((read->changes.front().after == std::optional<Object>{Release{}}));
 }
 
+BOOST_AUTO_TEST_CASE(of_another_store_names_no_order) {
+  Revised revised{.revision = core::Revision{4}, .change_id = "a"};
+  revised.changes.push_back({.before = std::nullopt, .after = Release{}});
+  const std::string text = Encode(revised);
+  BOOST_TEST(text.find("order") == std::string::npos);
+  const auto read = DecodeRevised(text);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->changes.front().after == std::optional<Object>{Release{}}));
+}
+
 BOOST_AUTO_TEST_CASE(of_an_unknown_state_makes_the_revision_unreadable) {
   Revised revised{.revision = core::Revision{4}, .change_id = "a"};
   revised.changes.push_back({.before = std::nullopt, .after = Release{}});
--- a/packages/inventory/test/snapshot_test.cc
+++ b/packages/inventory/test/snapshot_test.cc
@@ -1,6 +1,9 @@
 #include "trefoilbend/inventory/snapshot.h"
 
 #include <boost/test/unit_test.hpp>
+#include <string>
+#include <variant>
+#include <vector>
 
 namespace trefoilbend::inventory {
 
@@ -34,6 +37,29 @@
   BOOST_TEST((*configuration)->IsOut(core::DataCentreName{"xela-1"}));
 }
 
+BOOST_AUTO_TEST_CASE(tells_the_positions_of_its_tables_over_eras) {
+  const std::vector<core::Position> sources{
+      {core::Era{2}, core::RowVersion{41}},
+      {core::Era{2}, core::RowVersion{7}}};
+  const auto read = DecodeSnapshot(EncodeSnapshot(
+      *Configuration::Builder{}.At(core::Revision{7}).From(sources).Build()));
+  const auto* configuration = std::get_if<ConfigurationPtr>(&read);
+  BOOST_REQUIRE(configuration != nullptr);
+  BOOST_TEST(((*configuration)->Sources() == sources));
+}
+
+BOOST_AUTO_TEST_CASE(of_an_earlier_program_is_of_no_era) {
+  const std::vector<core::Position> sources{
+      {core::Era{0}, core::RowVersion{41}}};
+  std::string text = EncodeSnapshot(
+      *Configuration::Builder{}.At(core::Revision{7}).From(sources).Build());
+  text = Replace(text, "\"eras\":[0],", "");
+  const auto read = DecodeSnapshot(text);
+  const auto* configuration = std::get_if<ConfigurationPtr>(&read);
+  BOOST_REQUIRE(configuration != nullptr);
+  BOOST_TEST(((*configuration)->Sources() == sources));
+}
+
 BOOST_AUTO_TEST_CASE(is_refused_when_damaged_newer_or_cut) {
   const auto problem = [](const std::string& text) {
     const auto read = DecodeSnapshot(text);
--- a/packages/platform/include/trefoilbend/platform/fwd.h
+++ b/packages/platform/include/trefoilbend/platform/fwd.h
@@ -4,6 +4,7 @@
 namespace trefoilbend::platform {
 
 struct Row;
+struct FoundRow;
 struct Condition;
 struct Write;
 struct Transaction;
--- a/packages/platform/include/trefoilbend/platform/lease.h
+++ b/packages/platform/include/trefoilbend/platform/lease.h
@@ -48,6 +48,12 @@
  * A contender takes the lease over when it has seen the same version for the
  * whole length on its own clock. The holder counts its time from before it sent
  * the renewal, which is never later than when a contender saw it.
+ *
+ * After the store has come back from an older copy the row may be missing or
+ * name an earlier holder, and says nothing of who holds the lease by the clock.
+ * So in a new era everybody waits for the whole length, but for the holder
+ * whose time is not over: it may renew at once, and until it has done so it
+ * does not act.
  */
 class Lease {
  public:
@@ -62,14 +68,29 @@
   /** @return Key of the row, to be read before each attempt. */
   [[nodiscard]] const std::string& Key() const noexcept { return this->key; }
 
+  /**
+   * @brief Takes note of the era that the store is in; earlier ones are passed
+   * over.
+   * @param now_era Era of an answer of the store.
+   * @param now Current time.
+   */
+  void NoteEra(Era now_era, core::TimePoint now) noexcept;
+
+  /**
+   * @brief Takes note of an epoch that some holder has had, though the row may
+   * no longer tell of it.
+   * @param seen Epoch to stay above.
+   */
+  void NoteEpoch(Epoch seen) noexcept;
+
   /**
    * @brief Takes note of the row and prepares to take or renew the lease.
-   * @param row Row as it was read, or nothing if it is absent.
+   * @param found Row as it was read.
    * @param now Time after the reading.
-   * @return Transaction to commit now, or nothing while another holds it.
+   * @return Transaction to commit now, or nothing while another may hold it.
    */
-  [[nodiscard]] std::optional<Transaction> Attempt(
-      const std::optional<Row>& row, core::TimePoint now);
+  [[nodiscard]] std::optional<Transaction> Attempt(const FoundRow& found,
+                                                   core::TimePoint now);
 
   /**
    * @brief Takes note that the transaction of the last attempt has committed.
@@ -84,10 +105,11 @@
   /**
    * @brief Tells whether this process may act as the holder.
    * @param now Current time.
-   * @return True while the lease is held for certain.
+   * @return True while the lease is held for certain, in the store's present
+   * era.
    */
-  [[nodiscard]] bool Held(core::TimePoint now) const noexcept {
-    return this->held_until && now < *this->held_until;
+  [[nodiscard]] bool Held(const core::TimePoint now) const noexcept {
+    return this->IsHeldByTheClock(now) && this->position.Era() == this->era;
   }
 
   /** @return Epoch of the last renewal. */
@@ -95,22 +117,37 @@
 
   /**
    * @brief Returns the condition that fences a write against a later holder.
-   * @return Condition on the row's version since the last renewal.
+   * @return Condition on the row's position since the last renewal.
    */
   [[nodiscard]] Condition Fence() const;
 
  private:
   struct Seen {
-    RowVersion version;
+    Position position;
+    Era era;
     core::TimePoint since;
   };
 
+  /** Whether nobody else can hold the lease, whatever the row says. */
+  [[nodiscard]] bool IsHeldByTheClock(
+      const core::TimePoint now) const noexcept {
+    return this->held_until && now < *this->held_until;
+  }
+  /** Whether the lease of whoever held it has run out. */
+  [[nodiscard]] bool HasLapsed(const FoundRow& found,
+                               core::TimePoint now) const noexcept;
+
   std::string key;
   LeaseHolder self;
   LeaseTimes times;
+  Era era;
+  /** Time from which this process knows the era. */
+  core::TimePoint era_since{};
   Epoch epoch;
+  Epoch highest_epoch;
   Epoch attempted_epoch;
-  RowVersion version;
+  Era attempted_era;
+  Position position;
   std::optional<Seen> seen;
   std::optional<core::TimePoint> held_until;
 };
--- a/packages/platform/include/trefoilbend/platform/messages.h
+++ b/packages/platform/include/trefoilbend/platform/messages.h
@@ -10,14 +10,16 @@
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/core/name.h"
 #include "trefoilbend/core/number.h"
+#include "trefoilbend/core/position.h"
 
 namespace trefoilbend::platform {
 
-/** @brief Version of a row; the table raises it with each write of the row. */
-using RowVersion = core::Number<struct RowVersionTag>;
+using core::Era;
+using core::Position;
+using core::RowVersion;
 
-/** @brief Version of a row that does not exist. */
-inline constexpr RowVersion kAbsent{0};
+/** @brief Position of a row that does not exist. */
+inline constexpr Position kAbsent{};
 
 /** @brief A row of the platform's table. */
 struct Row {
@@ -25,16 +27,18 @@
   std::string key;
   /** @brief Value of the row. */
   std::string value;
-  /** @brief Version of the row. */
-  RowVersion version;
+  /** @brief Position at which the row was written, in the era in which it was
+   * read. */
+  Position position;
 };
 
-/** @brief Requirement that a row has a version when a transaction commits. */
+/** @brief Requirement that a row is as it was written last when a transaction
+ * commits. It holds in the era of its position only. */
 struct Condition {
   /** @brief Key of the row. */
   std::string key;
-  /** @brief Version that the row must have; kAbsent for none. */
-  RowVersion version;
+  /** @brief Position that the row must have; kAbsent for no such row. */
+  Position position;
 };
 
 /** @brief Change of one row. */
@@ -55,15 +59,16 @@
 
 /** @brief The transaction has taken effect. */
 struct Committed {
-  /** @brief Version of all rows that were written, if the store tells it. */
-  std::optional<RowVersion> version;
+  /** @brief Position of all rows that were written, if the store tells it. */
+  std::optional<Position> position;
 };
 
 /** @brief The transaction has had no effect because a condition did not hold.
  */
 struct Conflict {
   /** @brief Rows whose conditions did not hold, as they are; absent ones with
-   * an empty value. */
+   * an empty value. Empty if the conditions are of an earlier era, so that the
+   * rows are not known. */
   std::vector<Row> rows;
 };
 
@@ -95,8 +100,16 @@
 /** @brief Result of a transaction. */
 using TransactOutcome = std::variant<Committed, Conflict, Unavailable>;
 
+/** @brief What the store holds under a key. */
+struct FoundRow {
+  /** @brief The row; nothing if it is absent. */
+  std::optional<Row> row;
+  /** @brief Era in which it was read. */
+  core::Era era;
+};
+
 /** @brief Result of reading a row that may be absent. */
-using ReadOutcome = std::variant<std::optional<Row>, Unavailable>;
+using ReadOutcome = std::variant<FoundRow, Unavailable>;
 
 /** @brief Result of reading an object that may be absent. */
 using ObjectOutcome = std::variant<std::optional<std::string>, Unavailable>;
@@ -108,8 +121,8 @@
 struct TableState {
   /** @brief Rows in the order of their keys. */
   std::vector<Row> rows;
-  /** @brief Newest version of the store at that moment. */
-  RowVersion version;
+  /** @brief Position of the store at that moment. */
+  Position position;
 };
 
 /** @brief Result of reading a whole table. */
@@ -127,8 +140,8 @@
 struct TableChanges {
   /** @brief Rows that changed. */
   std::vector<RowChange> changes;
-  /** @brief Version after which the next changes follow. */
-  RowVersion version;
+  /** @brief Position after which the next changes follow. */
+  Position position;
 };
 
 /** @brief The store has forgotten the changes that were asked for; the table
--- a/packages/platform/include/trefoilbend/platform/store.h
+++ b/packages/platform/include/trefoilbend/platform/store.h
@@ -18,8 +18,9 @@
 
   /**
    * @brief Commits a transaction.
-   * @param transaction Transaction to commit.
-   * @param done Takes the result.
+   * @param transaction Transaction to commit; one with conditions of an era
+   * that is known to be over is a conflict, and is not sent.
+   * @param done Takes the result, possibly before this returns.
    */
   virtual void Transact(const Transaction& transaction,
                         std::function<void(TransactOutcome)> done) = 0;
@@ -48,11 +49,12 @@
   /**
    * @brief Waits for changes of a table.
    * @param table Name of the table.
-   * @param after Version after which the changes are wanted.
+   * @param after Position after which the changes are wanted. The changes
+   * have a meaning only if their position shares its era.
    * @param wait Longest time that the store waits for a change.
    * @param done Takes the result, without changes if there were none.
    */
-  virtual void Watch(const std::string& table, RowVersion after,
+  virtual void Watch(const std::string& table, Position after,
                      std::chrono::milliseconds wait,
                      std::function<void(ChangesOutcome)> done) = 0;
 };
--- a/packages/platform/src/client.cc
+++ b/packages/platform/src/client.cc
@@ -23,9 +23,10 @@
 }
 
 Row DecodeRow(const json& row) {
-  return {.key = row.at("key").get<std::string>(),
-          .value = row.value("value", std::string{}),
-          .version = RowVersion{row.at("version").get<std::uint64_t>()}};
+  return {
+      .key = row.at("key").get<std::string>(),
+      .value = row.value("value", std::string{}),
+      .position = Position::WithoutEra(row.at("version").get<std::uint64_t>())};
 }
 
 std::vector<Row> DecodeRows(const json& rows) {
@@ -40,7 +41,8 @@
   json body{{"conditions", json::array()}, {"writes", json::array()}};
   for (const Condition& condition : transaction.conditions) {
     body["conditions"].push_back(
-        {{"key", condition.key}, {"version", condition.version.Value()}});
+        {{"key", condition.key},
+         {"version", condition.position.Version().Value()}});
   }
   for (const Write& write : transaction.writes) {
     json encoded{{"key", write.key}};
@@ -54,7 +56,7 @@
 
 TransactOutcome DecodeTransact(const http::Response& response) {
   if (response.status == kOk) {
-    return Committed{.version = std::nullopt};
+    return Committed{.position = std::nullopt};
   }
   if (response.status != kConflict) {
     return BadAnswer(response);
@@ -66,13 +68,13 @@
 
 ReadOutcome DecodeRead(const http::Response& response) {
   if (response.status == kNotFound) {
-    return std::optional<Row>{};
+    return FoundRow{};
   }
   if (response.status != kOk) {
     return BadAnswer(response);
   }
   return DecodeOr<ReadOutcome>(response, [](const json& body) {
-    return std::optional<Row>{DecodeRow(body)};
+    return FoundRow{.row = DecodeRow(body), .era = {}};
   });
 }
 
--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -18,6 +18,7 @@
 #include "trefoilbend/platform/messages.h"
 #include "trefoilbend/registry/release_book.h"
 #include "trefoilbend/registry/row_codec.h"
+#include "trefoilbend/registry/row_memory.h"
 
 namespace trefoilbend::registry {
 
@@ -27,6 +28,10 @@
 /** @brief Number of tables. */
 inline constexpr std::size_t kTables = 3;
 
+/** @brief All tables. */
+inline constexpr std::array<Table, kTables> kAllTables{
+    Table::kOrders, Table::kTargets, Table::kFleet};
+
 /** @brief Beginning of the keys of the rows in which entries register. */
 inline constexpr const char* kEntryRows = "fleet/entry/";
 
@@ -45,6 +50,11 @@
  * comes and goes does not drop the targets. */
 inline constexpr std::chrono::milliseconds kRelapse{1'200};
 
+/** @brief Time after the store has come back from an older copy within which
+ * operators' and entries' rows are written again, and rows that were removed
+ * before are removed again. */
+inline constexpr std::chrono::milliseconds kRewriteTime{10'000};
+
 /** @brief A target that is kept though its row is gone. */
 struct KeptTarget {
   /** @brief Key of the row. */
@@ -53,12 +63,27 @@
   core::Duration left{};
 };
 
+/** @brief The store has come back from an older copy of itself. */
+struct EraChange {
+  /** @brief Latest position that was known of the era before. */
+  platform::Position before;
+  /** @brief Latest position in the new era. */
+  platform::Position after;
+  /** @brief Rows that the store lacks and that stay in force for a time. */
+  std::size_t missing{};
+  /** @brief Rows that the store has in an older form, which is held back. */
+  std::size_t older{};
+};
+
 /**
  * @brief What operators, targets and entries have written to the store, made
  * into one configuration.
  *
  * Each table only moves forward: a state older than the one known is passed
- * over, so that a stale read changes nothing.
+ * over, so that a stale read changes nothing. A state of a later era is kept
+ * aside until all tables are known in that era, and they come into force
+ * together. What was known before then stays in force for a time where the
+ * store lacks it, since it is written again.
  */
 class Catalogue {
  public:
@@ -69,7 +94,7 @@
   explicit Catalogue(const RowCodec& codec) : codec(codec) {}
 
   /**
-   * @brief Takes a whole table.
+   * @brief Takes a whole table, into force or aside.
    * @param table Which table it is.
    * @param state Rows of the table.
    * @param now Current time.
@@ -81,7 +106,8 @@
   /**
    * @brief Takes changes of a table.
    * @param table Which table it is.
-   * @param changes Changes in their order.
+   * @param changes Changes in their order; those of another era than the
+   * table's are passed over, as only a whole table begins one.
    * @param now Current time.
    */
   void Take(Table table, const platform::TableChanges& changes,
@@ -133,6 +159,48 @@
    */
   [[nodiscard]] bool DropLapsed();
 
+  /**
+   * @brief Takes what the store has of the rows that were held and are known
+   * not to have been written again in time.
+   * @param now Current time.
+   * @return Whether any row was held for as long.
+   */
+  [[nodiscard]] bool SettleHeld(core::TimePoint now);
+
+  /** @return Number of the rows that are in force otherwise than the store has
+   * them. */
+  [[nodiscard]] std::size_t HeldCount() const noexcept;
+
+  /** @return Era of what is in force. */
+  [[nodiscard]] platform::Era Era() const noexcept {
+    return this->era.value_or(platform::Era{});
+  }
+
+  /** @return Whether tables of a later era wait for the others. */
+  [[nodiscard]] bool IsChangingEra() const noexcept;
+
+  /**
+   * @brief Tells whether a table is known in the latest era that any is.
+   * @param table Which table it is.
+   * @return Whether it need not be read for the sake of the era.
+   */
+  [[nodiscard]] bool HasLatestEra(Table table) const noexcept;
+
+  /**
+   * @brief Tells whether news come into force at once.
+   * @param position Position of the news.
+   * @return False if they are of another era than what is in force.
+   */
+  [[nodiscard]] bool IsInForce(
+      const platform::Position& position) const noexcept {
+    return !this->era || *this->era == position.Era();
+  }
+
+  /** @return The last change of era since the last call. */
+  [[nodiscard]] std::optional<EraChange> TakeEraChange() noexcept {
+    return std::exchange(this->era_change, std::nullopt);
+  }
+
   /** @return Whether targets of a new version were found since the last call to
    * belong to no order that was still to come. */
   [[nodiscard]] bool TakeSettled() noexcept {
@@ -156,10 +224,8 @@
   [[nodiscard]] platform::Transaction MoveRelease(
       const inventory::Release& after) const;
 
-  /** @return Version up to which a table is known; 0 before its first read. */
-  [[nodiscard]] platform::RowVersion VersionOf(Table table) const noexcept {
-    return this->versions[static_cast<std::size_t>(table)];
-  }
+  /** @return Position up to which a table is known, in force or aside. */
+  [[nodiscard]] platform::Position PositionOf(Table table) const noexcept;
 
   /** @return Number of the desired state in force. */
   [[nodiscard]] std::uint64_t DesiredVersion() const noexcept {
@@ -172,11 +238,9 @@
   /**
    * @brief Tells whether an entry has registered.
    * @param entry Name of the entry.
-   * @return Whether its row is known.
+   * @return Whether the store has its row.
    */
-  [[nodiscard]] bool HasEntry(const core::InstanceName& entry) const {
-    return this->entries.contains(kEntryRows + entry.Text());
-  }
+  [[nodiscard]] bool HasEntry(const core::InstanceName& entry) const;
 
   /** @return Number of the entries that have registered. */
   [[nodiscard]] std::size_t EntryCount() const noexcept {
@@ -194,7 +258,7 @@
  private:
   struct Target {
     TargetRecord record;
-    platform::RowVersion version;
+    platform::Position position;
     core::TimePoint cold_until{};
     /** Time up to which a target without a row may register again. */
     std::optional<core::TimePoint> lapses;
@@ -209,12 +273,23 @@
   using Versions = std::map<core::ServiceName, ServiceVersions>;
   using Put = void (Catalogue::*)(const platform::Row&, core::TimePoint);
   using Remove = void (Catalogue::*)(const std::string&, core::TimePoint);
-  using Keys = std::vector<std::string> (Catalogue::*)() const;
 
   struct Handlers {
     Put put;
     Remove remove;
-    Keys keys;
+    /** Time for which a row that the store lacks in a new era is kept. */
+    std::chrono::milliseconds keep_missing;
+  };
+
+  /** What is known of a table. */
+  struct TableKnowledge {
+    platform::Position position;
+    platform::Position newest_row;
+    RowMemory memory;
+    /** Time as of which it is known. */
+    std::optional<core::TimePoint> confirmed;
+    /** The table in a later era, which waits for the other tables. */
+    std::optional<platform::TableState> next;
   };
 
   [[nodiscard]] static const Handlers& HandlersOf(Table table) noexcept;
@@ -225,11 +300,37 @@
   void RemoveOrder(const std::string& key, core::TimePoint now);
   void RemoveTarget(const std::string& key, core::TimePoint now);
   void RemoveFleetRow(const std::string& key, core::TimePoint now);
-  [[nodiscard]] std::vector<std::string> OrderKeys() const;
-  [[nodiscard]] std::vector<std::string> TargetKeys() const;
-  [[nodiscard]] std::vector<std::string> FleetKeys() const;
 
-  void Advance(Table table, platform::RowVersion version) noexcept;
+  [[nodiscard]] TableKnowledge& Of(Table table) noexcept {
+    return this->tables[static_cast<std::size_t>(table)];
+  }
+  [[nodiscard]] const TableKnowledge& Of(Table table) const noexcept {
+    return this->tables[static_cast<std::size_t>(table)];
+  }
+  [[nodiscard]] platform::Position InStore(Table table,
+                                           const std::string& key) const {
+    return this->Of(table).memory.InStore(key);
+  }
+  /** Takes a row into force. */
+  void Apply(Table table, const platform::Row& row, core::TimePoint now);
+  /** Takes a row out of force. */
+  void Withdraw(Table table, const std::string& key, core::TimePoint now);
+  void Replace(Table table, const platform::TableState& state,
+               core::TimePoint now);
+  /** Whether a row of a later era is taken at once, whatever its version: steps
+   * of releases, as what is known of them is further and is written again by
+   * the holder of the lease, and targets that say that they leave. */
+  [[nodiscard]] bool IsTakenAtOnce(Table table, const platform::Row& row) const;
+  /** Replace for the first state of a later era. */
+  void ReplaceOverEras(Table table, const platform::TableState& state,
+                       core::TimePoint now);
+  void SetAside(Table table, const platform::TableState& state);
+  void ChangeSetAside(Table table, const platform::TableChanges& changes);
+  /** Brings the tables that were set aside into force once all are there. */
+  void TryBeginEra(core::TimePoint now);
+  /** Takes what the store has of a row that was held for long enough. */
+  void Settle(Table table, const std::string& key, const HeldRow& held,
+              core::TimePoint now);
   /** Whether the store last answered soon after an outage. */
   [[nodiscard]] bool IsAfterOutage() const noexcept;
   /** Whether the tables hold all that a peer's configuration was made from. */
@@ -242,7 +343,10 @@
       const core::ServiceName& service, std::chrono::sys_seconds wall);
   [[nodiscard]] VersionCounts VersionsOf(
       const core::ServiceName& service) const;
-  [[nodiscard]] std::vector<std::uint64_t> SourceVersions() const;
+  [[nodiscard]] std::vector<platform::Position> SourcePositions() const;
+  /** Whether a peer's configuration of an earlier era stays in force for a
+   * while, as the rows that the store has lost are written again. */
+  [[nodiscard]] bool KeepsRestored() const noexcept;
   [[nodiscard]] Versions AllVersions() const;
   /** Whether an order that names a target's version may still come. */
   [[nodiscard]] bool AwaitsOrders(const inventory::Instance& target,
@@ -252,8 +356,14 @@
                   std::vector<platform::ListedInstance>& listed) const;
 
   const RowCodec& codec;
-  std::array<platform::RowVersion, kTables> versions{};
-  std::array<platform::RowVersion, kTables> newest_rows{};
+  std::array<TableKnowledge, kTables> tables;
+  /** Era of what is in force; nothing before the first read. */
+  std::optional<platform::Era> era;
+  std::optional<EraChange> era_change;
+  /** Time from which the operators have written again what the store lost. */
+  std::optional<core::TimePoint> orders_rewritten;
+  /** Time of the first read. */
+  std::optional<core::TimePoint> first_read;
   /** Difference between the peers' count of changes and this entry's. */
   std::uint64_t missed{};
   std::optional<DesiredState> desired;
@@ -265,12 +375,12 @@
    * of TakeSettled. */
   bool orders_settled{};
   inventory::ConfigurationPtr restored;
+  /** Whether it was in force last though the tables hold as much. */
+  bool kept_restored{};
   std::vector<std::string> unreadable;
   std::vector<KeptTarget> kept;
   /** Time of the last answer on the targets' table. */
   std::optional<core::TimePoint> answered;
-  /** Time as of which that table is known. */
-  std::optional<core::TimePoint> confirmed;
   /** Time of the first answer after the last outage. */
   std::optional<core::TimePoint> returned_at;
 };
--- a/packages/registry/include/trefoilbend/registry/records.h
+++ b/packages/registry/include/trefoilbend/registry/records.h
@@ -35,6 +35,8 @@
   core::VersionName version;
   /** @brief Time from the order to its deadline. */
   std::chrono::milliseconds within{};
+
+  [[nodiscard]] bool operator==(const ReleaseOrder&) const = default;
 };
 
 /** @brief Operators' order to send nothing more to a data centre. */
--- a/packages/registry/include/trefoilbend/registry/release_book.h
+++ b/packages/registry/include/trefoilbend/registry/release_book.h
@@ -29,6 +29,10 @@
  * Operators may give a further order at any time. The version that carries the
  * traffic stays the one that did before the first of them until a release is
  * done; versions whose release was taken back or gave way are withdrawn.
+ *
+ * After the store has come back from an older copy, an order that is written
+ * again stays the one it was, and a release never goes further back than what
+ * is known of it.
  */
 class ReleaseBook {
  public:
@@ -36,11 +40,12 @@
    * @brief Takes an order, which may give way to a further one.
    * @param key Key of the order's row.
    * @param order Order of a release.
-   * @param version Version of the row.
+   * @param position Position of the row.
    * @param present Versions of the service's targets.
    */
   void PutOrder(const std::string& key, const ReleaseOrder& order,
-                platform::RowVersion version, const VersionCounts& present);
+                const platform::Position& position,
+                const VersionCounts& present);
 
   /**
    * @brief Removes an order; nothing happens without one.
@@ -51,20 +56,30 @@
 
   /**
    * @brief Takes a release that the store holds.
-   * @param release The release.
-   * @param version Version of its row.
+   * @param release The release. One that is further back than what is known is
+   * passed over, and the known one counts as not stored.
+   * @param position Position of its row.
    */
   void PutRelease(const inventory::Release& release,
-                  platform::RowVersion version);
+                  const platform::Position& position);
+
+  /** @brief Takes note that the store has come back from an older copy, which
+   * may lack the releases; those that it has are put again, and operators write
+   * their orders again. */
+  void BeginEra();
+
+  /** @brief Takes note that operators have had the time to write their orders
+   * again; from now on an order that says the same is a further one. */
+  void EndRewrites();
 
   /**
    * @brief Takes note of a target, whatever is known of its version.
    * @param target The target.
-   * @param version Version of its row.
+   * @param position Position of its row.
    * @param now Current time.
    */
   void NoteTarget(const inventory::Instance& target,
-                  platform::RowVersion version, core::TimePoint now);
+                  const platform::Position& position, core::TimePoint now);
 
   /**
    * @brief Takes note of the time as of which all orders are known.
@@ -106,47 +121,61 @@
   [[nodiscard]] std::optional<core::ServiceName> ServiceOf(
       const std::string& key) const;
 
-  /** @return Keys of the orders' rows. */
-  [[nodiscard]] std::vector<std::string> OrderKeys() const;
-
   /**
-   * @brief Finds the version of an order's row.
-   * @param key Key of the row.
-   * @return The version, or platform::kAbsent.
+   * @brief Tells whether a release that is in force has to be written to the
+   * store again.
+   * @param service Service of the release.
+   * @param key Key of the row of its order.
+   * @return Whether the store lacks it, or has it further back.
    */
-  [[nodiscard]] platform::RowVersion OrderRow(const std::string& key) const;
+  [[nodiscard]] bool IsLost(const core::ServiceName& service,
+                            const std::string& key) const;
 
   /**
-   * @brief Finds the version of the row that holds a service's release.
+   * @brief Finds the release that is in force of a service.
    * @param service Service of the release.
-   * @return The version, or platform::kAbsent.
+   * @return The release as it was stored last; null if none was.
    */
-  [[nodiscard]] platform::RowVersion ReleaseRow(
+  [[nodiscard]] const inventory::Release* StoredFor(
       const core::ServiceName& service) const;
 
  private:
   struct StoredOrder {
     ReleaseOrder order;
-    platform::RowVersion version;
+    /** Position of the row, which changes when it is written again. */
+    platform::Position row;
+    /** Position at which the order was given. */
+    platform::Position given;
+    /** Whether operators may write the same again, as the store may have lost
+     * it. */
+    bool may_be_rewritten{};
   };
 
   struct StoredRelease {
     inventory::Release release;
-    platform::RowVersion version;
+    /** Position of the row of the order that it carries out. */
+    platform::Position order;
+    /** Whether the store has it so. */
+    bool is_stored{};
   };
 
   /** When a version of a service was first known, and whether all orders were
    * known afterwards. */
   struct FirstTarget {
-    platform::RowVersion row;
+    platform::Position row;
     core::TimePoint at{};
     bool settled{};
   };
 
   using Names = std::set<core::VersionName>;
 
-  [[nodiscard]] const inventory::Release* StoredFor(
-      const core::ServiceName& service) const;
+  /** Whether the store's release of a service is that of an order, or of a
+   * later one. */
+  [[nodiscard]] bool IsCarriedOut(const StoredOrder& order) const;
+  /** Takes note that the same order was written again. */
+  void Rewrite(StoredOrder& order, const platform::Position& position);
+  /** Has the store's release of an order name the order's row as it is now. */
+  void FollowOrder(const StoredOrder& order);
   void NoteSuperseded(const std::string& key, const VersionCounts& present);
   [[nodiscard]] inventory::Release NewRelease(
       const StoredOrder& order, const inventory::Release* previous,
@@ -173,7 +202,7 @@
   std::map<core::ServiceName, Names> superseded;
   std::map<core::ServiceName, std::map<core::VersionName, FirstTarget>> first;
   std::map<core::ServiceName,
-           std::pair<platform::RowVersion, std::chrono::sys_seconds>>
+           std::pair<platform::Position, std::chrono::sys_seconds>>
       deadlines;
 };
 
--- a/packages/registry/src/catalogue.cc
+++ b/packages/registry/src/catalogue.cc
@@ -21,59 +21,96 @@
 
 const Catalogue::Handlers& Catalogue::HandlersOf(const Table table) noexcept {
   static constexpr std::array<Handlers, kTables> kHandlers{
-      {{&Catalogue::PutOrder, &Catalogue::RemoveOrder, &Catalogue::OrderKeys},
-       {&Catalogue::PutTarget, &Catalogue::RemoveTarget,
-        &Catalogue::TargetKeys},
-       {&Catalogue::PutFleetRow, &Catalogue::RemoveFleetRow,
-        &Catalogue::FleetKeys}}};
+      {{&Catalogue::PutOrder, &Catalogue::RemoveOrder, kRewriteTime},
+       {&Catalogue::PutTarget, &Catalogue::RemoveTarget, kReturnTime},
+       {&Catalogue::PutFleetRow, &Catalogue::RemoveFleetRow, kRewriteTime}}};
   return kHandlers[IndexOf(table)];
 }
 
+platform::Position Catalogue::PositionOf(const Table table) const noexcept {
+  const TableKnowledge& known = this->Of(table);
+  return known.next ? known.next->position : known.position;
+}
+
 bool Catalogue::Take(const Table table, const platform::TableState& state,
                      const core::TimePoint now) {
-  if (state.version < this->VersionOf(table)) {
+  if (state.position.Precedes(this->PositionOf(table))) {
     return false;
   }
-  const Handlers& handlers = HandlersOf(table);
-  std::set<std::string> present;
-  for (const platform::Row& row : state.rows) {
-    present.insert(row.key);
-    (this->*handlers.put)(row, now);
-    this->newest_rows[IndexOf(table)] =
-        std::max(this->newest_rows[IndexOf(table)], row.version);
-  }
-  for (const std::string& key : (this->*handlers.keys)()) {
-    if (!present.contains(key)) {
-      (this->*handlers.remove)(key, now);
-      this->newest_rows[IndexOf(table)] = state.version;
-    }
+  if (!this->era) {
+    this->era = state.position.Era();
+    this->first_read = now;
+  }
+  if (this->IsInForce(state.position)) {
+    this->Replace(table, state, now);
+  } else {
+    this->SetAside(table, state);
+    this->TryBeginEra(now);
   }
-  this->Advance(table, state.version);
   return true;
 }
 
 void Catalogue::Take(const Table table, const platform::TableChanges& changes,
                      const core::TimePoint now) {
-  const Handlers& handlers = HandlersOf(table);
+  TableKnowledge& known = this->Of(table);
+  if (!changes.position.SharesEraWith(this->PositionOf(table))) {
+    return;
+  }
+  this->era = this->era.value_or(changes.position.Era());
+  if (known.next) {
+    this->ChangeSetAside(table, changes);
+    return;
+  }
   for (const platform::RowChange& change : changes.changes) {
-    if (change.row.version <= this->VersionOf(table)) {
+    if (!known.position.Precedes(change.row.position)) {
       continue;
     }
     if (change.deleted) {
-      (this->*handlers.remove)(change.row.key, now);
+      this->Withdraw(table, change.row.key, now);
+      known.newest_row = core::LaterOf(known.newest_row, change.row.position);
     } else {
-      (this->*handlers.put)(change.row, now);
+      this->Apply(table, change.row, now);
     }
-    this->newest_rows[IndexOf(table)] =
-        std::max(this->newest_rows[IndexOf(table)], change.row.version);
   }
-  this->Advance(table, changes.version);
+  known.position = core::LaterOf(known.position, changes.position);
+}
+
+void Catalogue::Apply(const Table table, const platform::Row& row,
+                      const core::TimePoint now) {
+  TableKnowledge& known = this->Of(table);
+  known.memory.Put(row);
+  known.newest_row = core::LaterOf(known.newest_row, row.position);
+  (this->*HandlersOf(table).put)(row, now);
 }
 
-void Catalogue::Advance(const Table table,
-                        const platform::RowVersion version) noexcept {
-  platform::RowVersion& known = this->versions[IndexOf(table)];
-  known = std::max(known, version);
+void Catalogue::Withdraw(const Table table, const std::string& key,
+                         const core::TimePoint now) {
+  this->Of(table).memory.Remove(key, now);
+  (this->*HandlersOf(table).remove)(key, now);
+}
+
+void Catalogue::Replace(const Table table, const platform::TableState& state,
+                        const core::TimePoint now) {
+  TableKnowledge& known = this->Of(table);
+  std::set<std::string> present;
+  for (const platform::Row& row : state.rows) {
+    present.insert(row.key);
+    const HeldRow* held = known.memory.FindHeld(row.key);
+    const bool is_news =
+        held == nullptr ? !known.memory.Has(row) : !held->IsAgainst(&row);
+    if (is_news) {
+      this->Apply(table, row, now);
+    }
+  }
+  for (const std::string& key : known.memory.Keys()) {
+    const HeldRow* held = known.memory.FindHeld(key);
+    if (!present.contains(key) &&
+        (held == nullptr || !held->IsAgainst(nullptr))) {
+      this->Withdraw(table, key, now);
+      known.newest_row = state.position;
+    }
+  }
+  known.position = core::LaterOf(known.position, state.position);
 }
 
 void Catalogue::NoteAnswered(const Table table,
@@ -99,13 +136,17 @@
 void Catalogue::NoteConfirmed(const Table table,
                               const core::TimePoint as_of) noexcept {
   this->NoteAnswered(table, as_of);
-  if (table == Table::kOrders) {
+  const bool has_all_orders =
+      !this->orders_rewritten || *this->orders_rewritten <= as_of;
+  if (table == Table::kOrders && has_all_orders) {
+    if (std::exchange(this->orders_rewritten, std::nullopt)) {
+      this->releases.EndRewrites();
+    }
     this->orders_settled =
         this->releases.NoteOrdersKnown(as_of) || this->orders_settled;
   }
-  if (table == Table::kTargets) {
-    this->confirmed = std::max(this->confirmed.value_or(as_of), as_of);
-  }
+  auto& confirmed = this->Of(table).confirmed;
+  confirmed = std::max(confirmed.value_or(as_of), as_of);
 }
 
 bool Catalogue::IsAfterOutage() const noexcept {
@@ -115,16 +156,16 @@
 
 core::Revision Catalogue::Revision() const noexcept {
   std::uint64_t sum = this->missed;
-  for (const platform::RowVersion version : this->newest_rows) {
-    sum += version.Value();
+  for (const TableKnowledge& known : this->tables) {
+    sum += known.newest_row.Version().Value();
   }
   return core::Revision{sum};
 }
 
 bool Catalogue::Includes(const inventory::Configuration& other) const noexcept {
-  const std::vector<std::uint64_t>& sources = other.Sources();
+  const std::vector<platform::Position>& sources = other.Sources();
   for (std::size_t at = 0; at < std::min(kTables, sources.size()); ++at) {
-    if (this->versions[at].Value() < sources[at]) {
+    if (this->tables[at].position.Precedes(sources[at])) {
       return false;
     }
   }
@@ -133,9 +174,9 @@
 
 bool Catalogue::IsAheadOf(
     const inventory::Configuration& other) const noexcept {
-  const std::vector<std::uint64_t>& sources = other.Sources();
+  const std::vector<platform::Position>& sources = other.Sources();
   for (std::size_t at = 0; at < std::min(kTables, sources.size()); ++at) {
-    if (sources[at] < this->newest_rows[at].Value()) {
+    if (sources[at].Precedes(this->tables[at].newest_row)) {
       return true;
     }
   }
@@ -168,7 +209,7 @@
       this->desired = std::move(*state);
     }
   } else if (auto* release = std::get_if<ReleaseOrder>(&order)) {
-    this->releases.PutOrder(row.key, *release, row.version,
+    this->releases.PutOrder(row.key, *release, row.position,
                             this->VersionsOf(release->service));
   } else if (auto* evacuation = std::get_if<EvacuationOrder>(&order)) {
     this->evacuations.insert_or_assign(row.key, *evacuation);
@@ -184,14 +225,6 @@
   this->evacuations.erase(key);
 }
 
-std::vector<std::string> Catalogue::OrderKeys() const {
-  std::vector<std::string> keys = this->releases.OrderKeys();
-  for (const auto& [key, order] : this->evacuations) {
-    keys.push_back(key);
-  }
-  return keys;
-}
-
 void Catalogue::PutTarget(const platform::Row& row, const core::TimePoint now) {
   auto record = this->codec.DecodeTarget(row);
   if (!record) {
@@ -201,13 +234,16 @@
   }
   const auto known = this->targets.find(row.key);
   const bool again =
-      known != this->targets.end() && known->second.version == row.version;
+      known != this->targets.end() &&
+      (known->second.position == row.position ||
+       (known->second.position.IsOfEarlierEraThan(row.position) &&
+        known->second.record == *record));
   const core::TimePoint cold_until =
       again ? known->second.cold_until : now + record->cold_for;
-  this->releases.NoteTarget(record->instance, row.version, now);
+  this->releases.NoteTarget(record->instance, row.position, now);
   this->targets.insert_or_assign(
       row.key,
-      Target{std::move(*record), row.version, cold_until, std::nullopt});
+      Target{std::move(*record), row.position, cold_until, std::nullopt});
 }
 
 void Catalogue::RemoveTarget(const std::string& key, core::TimePoint /*now*/) {
@@ -224,19 +260,10 @@
       {.key = key, .left = *found->second.lapses - *this->answered});
 }
 
-std::vector<std::string> Catalogue::TargetKeys() const {
-  std::vector<std::string> keys;
-  for (const auto& [key, target] : this->targets) {
-    if (!target.lapses) {
-      keys.push_back(key);
-    }
-  }
-  return keys;
-}
-
 bool Catalogue::DropLapsed() {
-  return std::erase_if(this->targets, [this](const auto& entry) {
-           return entry.second.lapses && entry.second.lapses <= this->confirmed;
+  const auto& confirmed = this->Of(Table::kTargets).confirmed;
+  return std::erase_if(this->targets, [&confirmed](const auto& entry) {
+           return entry.second.lapses && entry.second.lapses <= confirmed;
          }) > 0;
 }
 
@@ -247,7 +274,7 @@
         row.key, std::get<inventory::Instance>(std::move(*object)));
   } else if (object && std::holds_alternative<inventory::Release>(*object)) {
     this->releases.PutRelease(std::get<inventory::Release>(*object),
-                              row.version);
+                              row.position);
   } else {
     this->unreadable.push_back(row.key);
   }
@@ -258,12 +285,10 @@
   this->entries.erase(key);
 }
 
-std::vector<std::string> Catalogue::FleetKeys() const {
-  std::vector<std::string> keys;
-  for (const auto& [key, entry] : this->entries) {
-    keys.push_back(key);
-  }
-  return keys;
+bool Catalogue::HasEntry(const core::InstanceName& entry) const {
+  const std::string key = kEntryRows + entry.Text();
+  return this->entries.contains(key) &&
+         this->InStore(Table::kFleet, key) != platform::kAbsent;
 }
 
 VersionCounts Catalogue::VersionsOf(const core::ServiceName& service) const {
@@ -320,7 +345,9 @@
 std::optional<configuration::Update> Catalogue::Build(
     const std::chrono::sys_seconds wall) {
   std::vector<platform::ListedInstance> listed;
-  if (this->restored != nullptr && this->Includes(*this->restored)) {
+  this->kept_restored = this->KeepsRestored();
+  if (this->restored != nullptr && this->Includes(*this->restored) &&
+      !this->kept_restored) {
     this->restored.reset();
   }
   if (this->restored != nullptr) {
@@ -339,13 +366,17 @@
   }
   inventory::Configuration::Builder builder;
   Versions versions = this->AllVersions();
+  std::vector<core::ServiceName> lost_releases;
   for (inventory::Service service : this->desired->services) {
     service.version = core::VersionName{kAnyVersion};
     service.carries_unnamed_versions = true;
     ServiceVersions& of_service = versions[service.name];
-    const auto release = this->releases.ReleaseOf(
-        service.name, this->codec.ReleaseOrderKey(service.name),
-        of_service.present, wall);
+    const std::string order_key = this->codec.ReleaseOrderKey(service.name);
+    const auto release = this->releases.ReleaseOf(service.name, order_key,
+                                                  of_service.present, wall);
+    if (this->releases.IsLost(service.name, order_key)) {
+      lost_releases.push_back(service.name);
+    }
     if (release) {
       const bool done = release->state == inventory::ReleaseState::kDone;
       service.version = done ? release->version : release->from;
@@ -368,16 +399,18 @@
   }
   return configuration::Update{
       .configuration =
-          builder.At(this->Revision()).From(this->SourceVersions()).Build(),
+          builder.At(this->Revision()).From(this->SourcePositions()).Build(),
       .listed = std::make_shared<const std::vector<platform::ListedInstance>>(
           std::move(listed)),
-      .bounds = this->desired->bounds};
+      .bounds = this->desired->bounds,
+      .era = this->Era(),
+      .lost_releases = std::move(lost_releases)};
 }
 
-std::vector<std::uint64_t> Catalogue::SourceVersions() const {
-  std::vector<std::uint64_t> sources;
-  for (const platform::RowVersion version : this->newest_rows) {
-    sources.push_back(version.Value());
+std::vector<platform::Position> Catalogue::SourcePositions() const {
+  std::vector<platform::Position> sources;
+  for (const TableKnowledge& known : this->tables) {
+    sources.emplace_back(this->Era(), known.newest_row.Version());
   }
   return sources;
 }
@@ -388,11 +421,14 @@
   const std::string row_key = kReleaseRows + after.name.Text();
   platform::Transaction transaction;
   transaction.conditions.push_back(
-      {.key = order_key, .version = this->releases.OrderRow(order_key)});
+      {.key = order_key, .position = this->InStore(Table::kOrders, order_key)});
   transaction.conditions.push_back(
-      {.key = row_key, .version = this->releases.ReleaseRow(after.name)});
+      {.key = row_key, .position = this->InStore(Table::kFleet, row_key)});
   inventory::Release written = after;
-  if (after.state == inventory::ReleaseState::kDone) {
+  const inventory::Release* stored = this->releases.StoredFor(after.name);
+  const bool was_done = stored != nullptr && stored->version == after.version &&
+                        stored->state == inventory::ReleaseState::kDone;
+  if (after.state == inventory::ReleaseState::kDone && !was_done) {
     written.withdrawn = ReplacedBy(after, this->VersionsOf(after.name));
   }
   transaction.writes.push_back(
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "internal/era_notes.h"
 #include "internal/feed_outbox.h"
 #include "internal/metrics.h"
 #include "internal/peer_source.h"
@@ -151,6 +152,7 @@
     if (!reading && this->heard_of != core::Revision{}) {
       this->catalogue.CatchUp(this->heard_of);
     }
+    this->NoteEra();
     this->ConfigureSource();
   }
 
@@ -165,25 +167,33 @@
     });
   }
 
-  [[nodiscard]] std::vector<platform::RowVersion> KnownVersions()
+  [[nodiscard]] std::vector<platform::Position> KnownPositions()
       const override {
-    return {this->catalogue.VersionOf(Table::kOrders),
-            this->catalogue.VersionOf(Table::kTargets),
-            this->catalogue.VersionOf(Table::kFleet)};
+    std::vector<platform::Position> positions;
+    for (const Table table : kAllTables) {
+      positions.push_back(this->catalogue.PositionOf(table));
+    }
+    return positions;
   }
 
-  void Hear(const feed::Heard& heard) override {
+  /** A reader of an earlier era confirms nothing that is in force here. */
+  [[nodiscard]] bool Hear(const feed::Heard& heard) override {
+    if (heard.era < this->catalogue.Era()) {
+      return false;
+    }
     for (const feed::Learnt& learnt : heard.tables) {
       this->Followers().at(learnt.table)->Hear(learnt.news, heard.confirmed);
     }
-    if (!heard.confirmed) {
-      return;
+    this->NoteEra();
+    if (!heard.confirmed || heard.era != this->catalogue.Era()) {
+      return true;
     }
     for (internal::TableFollower* follower : this->Followers()) {
       follower->HearConfirmed(*heard.confirmed);
     }
     this->Confirm();
     this->TellMembership(*heard.confirmed);
+    return true;
   }
 
   void ReadStore() override {
@@ -289,7 +299,7 @@
    * of this one. */
   void CheckRegistration() {
     if (!this->catalogue.HasEntry(this->options.self.name)) {
-      this->registration.NoteMissing(this->catalogue.VersionOf(Table::kFleet));
+      this->registration.NoteMissing(this->catalogue.PositionOf(Table::kFleet));
     }
   }
 
@@ -371,16 +381,45 @@
            found->state == membership::PeerState::kAlive;
   }
 
+  /** All tables are read in a new era, which comes into force with the last of
+   * them; then each is known as of what was read. */
+  void NoteEra() {
+    if (this->catalogue.IsChangingEra()) {
+      this->ReadInLatestEra();
+      return;
+    }
+    for (internal::TableFollower* follower : this->Followers()) {
+      follower->ConfirmEra();
+    }
+    if (const auto change = this->catalogue.TakeEraChange()) {
+      this->era_notes.NoteChange(*change, Now());
+      this->NoteChange();
+      this->CheckRegistration();
+    }
+  }
+
+  void ReadInLatestEra() {
+    for (const Table table : kAllTables) {
+      auto* follower = this->Followers().at(static_cast<std::size_t>(table));
+      if (!this->catalogue.HasLatestEra(table) && !follower->IsReading()) {
+        follower->Read();
+      }
+    }
+  }
+
   /** Tells the peers' duty how well the tables are known. Entries tell each
    * other of their own rows, so the fleet's table may be older. */
   void Confirm() {
     const bool dropped = this->catalogue.DropLapsed();
     const bool settled = this->catalogue.TakeSettled();
-    if (dropped || settled) {
+    const bool unheld = this->catalogue.SettleHeld(Now());
+    if (dropped || settled || unheld) {
       this->NoteChange();
     }
+    this->era_notes.NoteHeld(this->catalogue.HeldCount(), Now());
     feed::Confirmation confirmation{
         .at = std::nullopt,
+        .era = this->catalogue.Era(),
         .store_answers = this->orders.Answers() && this->targets.Answers()};
     if (this->ForAll(&internal::TableFollower::IsKnown)) {
       confirmation.at = std::min(this->orders.ConfirmedAt().value_or(Now()),
@@ -426,6 +465,7 @@
   Catalogue catalogue;
   internal::Metrics metrics;
   internal::RowNotes rows{this->metrics};
+  internal::EraNotes era_notes{this->metrics};
   internal::TableFollower orders;
   internal::TableFollower targets;
   internal::TableFollower fleet;
--- a/packages/registry/src/internal/metrics.h
+++ b/packages/registry/src/internal/metrics.h
@@ -46,6 +46,10 @@
   prometheus::Counter& stale;
   /** @brief Targets that were kept though their rows were gone. */
   prometheus::Counter& kept;
+  /** @brief Times that the store came back from an older copy. */
+  prometheus::Counter& eras;
+  /** @brief Rows in force otherwise than the store has them. */
+  prometheus::Gauge& held;
   /** @brief 1 while a peer tells this entry what the store holds, else 0. */
   prometheus::Gauge& listens;
 
--- a/packages/registry/src/internal/peer_source.h
+++ b/packages/registry/src/internal/peer_source.h
@@ -19,15 +19,16 @@
  public:
   virtual ~PeerSourceOwner() = default;
 
-  /** @return Versions up to which the tables are known. */
-  [[nodiscard]] virtual std::vector<platform::RowVersion> KnownVersions()
+  /** @return Positions up to which the tables are known. */
+  [[nodiscard]] virtual std::vector<platform::Position> KnownPositions()
       const = 0;
 
   /**
    * @brief Takes what a peer has told.
    * @param heard What the peer knows.
+   * @return False if the peer knows the store in an earlier era only.
    */
-  virtual void Hear(const feed::Heard& heard) = 0;
+  [[nodiscard]] virtual bool Hear(const feed::Heard& heard) = 0;
 
   /** @brief Watches the store from now on. */
   virtual void ReadStore() = 0;
--- a/packages/registry/src/internal/registration.h
+++ b/packages/registry/src/internal/registration.h
@@ -37,24 +37,25 @@
   /**
    * @brief Takes note that the store has no row of this entry, and writes it
    * again if it was written before.
-   * @param as_of Version of the table in which the row is missing.
+   * @param as_of Position of the table in which the row is missing.
    */
-  void NoteMissing(platform::RowVersion as_of);
+  void NoteMissing(const platform::Position& as_of);
 
   /** @brief Removes the row that this process has written, and no later one;
    * peers see the heartbeat stop if that fails. */
   void Remove();
 
  private:
-  void RemoveAsOf(platform::RowVersion version);
+  void ReadAndRemove();
+  void RemoveAsOf(const platform::Position& position);
   void OnRemoved(const platform::TransactOutcome& outcome);
   platform::Store& store;
   inventory::Instance self;
   Metrics& metrics;
   boost::asio::steady_timer timer;
   platform::Backoff backoff;
-  /** Version of the row that was written last; nothing if it is not known. */
-  std::optional<platform::RowVersion> written;
+  /** Position of the row that was written last; nothing if it is not known. */
+  std::optional<platform::Position> written;
   int removals = 0;
   bool removed = false;
   core::Log log{"registry"};
--- a/packages/registry/src/internal/table_follower.h
+++ b/packages/registry/src/internal/table_follower.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "internal/metrics.h"
 #include "trefoilbend/configuration/messages.h"
@@ -100,6 +101,10 @@
    */
   void HearConfirmed(core::TimePoint as_of);
 
+  /** @brief Confirms the table as of what was told of it in an era that is now
+   * in force. */
+  void ConfirmEra();
+
   /**
    * @brief Sets the pace of watches; one under way that would wait longer gives
    * way to another.
@@ -133,7 +138,14 @@
   void AwaitAnswer();
   void OnRead(const platform::TableOutcome& outcome);
   void OnWatched(const platform::ChangesOutcome& outcome, core::TimePoint sent);
+  /** What to do with changes of another era than the table's. */
+  void OnOtherEra(const platform::Position& told);
+  void OnStaleRead(const platform::Position& told);
   void NoteAnswer(bool now_answers, const std::string& message);
+  /** Confirms the table as of a time, or, with news of an era that is not in
+   * force yet, once it is. */
+  void NoteTold(const platform::Position& position, core::TimePoint as_of,
+                configuration::ToldBy by);
   /** Takes note of the time as of which the table is known. */
   void NoteConfirmed(core::TimePoint as_of, configuration::ToldBy by);
   /** Tells that rows have changed, and how old that word is. */
@@ -155,6 +167,9 @@
   bool active = false;
   /** Whether a watch is under way. */
   bool watching = false;
+  /** As of when, and by whom, the table was told in an era that is not in
+   * force yet. */
+  std::optional<std::pair<core::TimePoint, configuration::ToldBy>> unconfirmed;
   std::optional<core::TimePoint> confirmed_at;
   configuration::ToldBy told_by = configuration::ToldBy::kStore;
   core::Log log{"registry"};
--- a/packages/registry/src/metrics.cc
+++ b/packages/registry/src/metrics.cc
@@ -38,6 +38,17 @@
                .Help("Targets that were kept though their rows were gone.")
                .Register(registry)
                .Add({})),
+      eras(prometheus::BuildCounter()
+               .Name("trefoilbend_store_eras_total")
+               .Help("Times that the store came back from an older copy.")
+               .Register(registry)
+               .Add({})),
+      held(prometheus::BuildGauge()
+               .Name("trefoilbend_store_held_rows")
+               .Help("Rows in force otherwise than the store has them, since "
+                     "it came back from an older copy.")
+               .Register(registry)
+               .Add({})),
       listens(prometheus::BuildGauge()
                   .Name("trefoilbend_store_listens")
                   .Help("Whether a peer tells this entry what the store holds.")
--- a/packages/registry/src/peer_source.cc
+++ b/packages/registry/src/peer_source.cc
@@ -83,7 +83,7 @@
   this->waits_for_answer =
       this->feed->TryPush(feed::Ask{.id = this->asked,
                                     .peer = to.address,
-                                    .after = this->owner.KnownVersions(),
+                                    .after = this->owner.KnownPositions(),
                                     .wait = wait,
                                     .confirmed = this->plan.Confirmed()});
   if (!this->waits_for_answer) {
@@ -107,7 +107,10 @@
 }
 
 void PeerSource::OnHeard(const feed::Heard& heard) {
-  this->owner.Hear(heard);
+  if (!this->owner.Hear(heard)) {
+    this->OnFailed("peer-in-earlier-era");
+    return;
+  }
   if (!heard.store_answers) {
     this->OnFailed("peer-cut-off");
     return;
--- a/packages/registry/src/registration.cc
+++ b/packages/registry/src/registration.cc
@@ -46,7 +46,7 @@
         this->metrics.CountCall("write", done != nullptr);
         tried();
         if (done != nullptr) {
-          this->written = done->version;
+          this->written = done->position;
           this->backoff.Reset();
           this->log.Info("Registered.");
           return;
@@ -61,12 +61,12 @@
       });
 }
 
-void Registration::NoteMissing(const platform::RowVersion as_of) {
-  if (this->removed || !this->written || as_of < *this->written) {
+void Registration::NoteMissing(const platform::Position& as_of) {
+  if (this->removed || !this->written || as_of.Precedes(*this->written)) {
     return;
   }
-  this->log.Warn("The registration is gone, registers again. version={}",
-                 as_of.Value());
+  this->log.Warn("The registration is gone, registers again. era={} version={}",
+                 as_of.Era().Value(), as_of.Version().Value());
   this->Write([] {});
 }
 
@@ -76,25 +76,29 @@
   this->removed = true;
   if (this->written) {
     this->RemoveAsOf(*this->written);
-    return;
+  } else {
+    this->ReadAndRemove();
   }
+}
+
+void Registration::ReadAndRemove() {
   this->store.Read(
       KeyOf(this->self), [this](const platform::ReadOutcome& outcome) {
-        const auto* row = std::get_if<std::optional<platform::Row>>(&outcome);
-        if (row == nullptr) {
+        const auto* found = std::get_if<platform::FoundRow>(&outcome);
+        if (found == nullptr) {
           this->OnRemoved(std::get<platform::Unavailable>(outcome));
-        } else if (*row) {
-          this->RemoveAsOf((*row)->version);
+        } else if (found->row) {
+          this->RemoveAsOf(found->row->position);
         }
       });
 }
 
 /** The store may perform a call that it did not answer seconds later, when the
  * next process has registered; the condition then no longer holds. */
-void Registration::RemoveAsOf(const platform::RowVersion version) {
+void Registration::RemoveAsOf(const platform::Position& position) {
   ++this->removals;
   const std::string key = KeyOf(this->self);
-  this->store.Transact({.conditions = {{.key = key, .version = version}},
+  this->store.Transact({.conditions = {{.key = key, .position = position}},
                         .writes = {{.key = key, .value = std::nullopt}}},
                        [this](const platform::TransactOutcome& outcome) {
                          this->OnRemoved(outcome);
@@ -107,8 +111,12 @@
   const auto* conflict = std::get_if<platform::Conflict>(&outcome);
   const bool is_there = conflict != nullptr && !conflict->rows.empty() &&
                         !conflict->rows.front().value.empty();
+  // The row was written in an era that is over, and may stand in the copy.
+  const bool is_outdated = conflict != nullptr && conflict->rows.empty();
   if (is_there && this->removals < kMostRemovals) {
-    this->RemoveAsOf(conflict->rows.front().version);
+    this->RemoveAsOf(conflict->rows.front().position);
+  } else if (is_outdated && this->removals < kMostRemovals) {
+    this->ReadAndRemove();
   } else if (!std::holds_alternative<platform::Committed>(outcome)) {
     this->log.Warn(
         "The registration was not taken back; peers will see the heartbeat "
--- a/packages/registry/src/release_book.cc
+++ b/packages/registry/src/release_book.cc
@@ -9,16 +9,40 @@
 /** Stands for the version before a release where no target carried traffic. */
 constexpr const char* kNoVersion = "none";
 
-/** The version of an order grows like time and tells it from others. */
-std::chrono::sys_seconds BeginOf(const platform::RowVersion order) {
-  return std::chrono::sys_seconds{
-      std::chrono::seconds{static_cast<std::int64_t>(order.Value())}};
+/** The version of an order grows like time within an era and tells it from
+ * others; over eras each release begins after the one before it. */
+std::chrono::sys_seconds BeginOf(const platform::Position& given,
+                                 const inventory::Release* previous) {
+  const std::chrono::sys_seconds begin{
+      std::chrono::seconds{static_cast<std::int64_t>(given.Version().Value())}};
+  constexpr std::chrono::seconds kStep{1};
+  return previous == nullptr ? begin : std::max(begin, previous->begun + kStep);
 }
 
-/** Whether a stored release is that of an order, or of a later one. */
-bool Holds(const inventory::Release* stored,
-           const platform::RowVersion order) noexcept {
-  return stored != nullptr && stored->begun >= BeginOf(order);
+/** Position of the order that a stored release carries out. Rows of earlier
+ * programs tell its version by the release's begin. */
+platform::Position OrderOf(const inventory::Release& release,
+                           const platform::Position& row) {
+  const auto begun =
+      static_cast<std::uint64_t>(release.begun.time_since_epoch().count());
+  return release.order.value_or(
+      platform::Position{row.Era(), core::RowVersion{begun}});
+}
+
+bool IsOver(const inventory::Release& release) noexcept {
+  return release.state == inventory::ReleaseState::kDone ||
+         release.state == inventory::ReleaseState::kTakenBack;
+}
+
+/** Whether one state of a release comes after another one of it. */
+bool IsFurther(const inventory::Release& one,
+               const inventory::Release& other) noexcept {
+  return !IsOver(other) && (IsOver(one) || one.step > other.step);
+}
+
+bool IsSameRelease(const inventory::Release& one,
+                   const inventory::Release& other) {
+  return one.version == other.version && one.begun == other.begun;
 }
 
 std::optional<core::VersionName> MostCommon(
@@ -36,10 +60,40 @@
 }  // namespace
 
 void ReleaseBook::PutOrder(const std::string& key, const ReleaseOrder& order,
-                           const platform::RowVersion version,
+                           const platform::Position& position,
                            const VersionCounts& present) {
+  const auto known = this->orders.find(key);
+  if (known != this->orders.end() && known->second.order == order &&
+      (known->second.row == position || known->second.may_be_rewritten)) {
+    this->Rewrite(known->second, position);
+    return;
+  }
   this->NoteSuperseded(key, present);
-  this->orders.insert_or_assign(key, StoredOrder{order, version});
+  const auto put =
+      this->orders
+          .insert_or_assign(key, StoredOrder{order, position, position, false})
+          .first;
+  this->FollowOrder(put->second);
+}
+
+void ReleaseBook::Rewrite(StoredOrder& order,
+                          const platform::Position& position) {
+  const bool is_carried_out = this->IsCarriedOut(order);
+  order.row = position;
+  if (is_carried_out) {
+    StoredRelease& stored = this->releases.at(order.order.service);
+    stored.is_stored = stored.is_stored && stored.order == position;
+    stored.order = position;
+  }
+}
+
+void ReleaseBook::FollowOrder(const StoredOrder& order) {
+  const auto stored = this->releases.find(order.order.service);
+  if (stored != this->releases.end() && this->IsCarriedOut(order) &&
+      stored->second.order.IsOfEarlierEraThan(order.row)) {
+    stored->second.order = order.row;
+    stored->second.is_stored = false;
+  }
 }
 
 void ReleaseBook::RemoveOrder(const std::string& key,
@@ -49,16 +103,46 @@
 }
 
 void ReleaseBook::PutRelease(const inventory::Release& release,
-                             const platform::RowVersion version) {
+                             const platform::Position& position) {
+  const platform::Position order = OrderOf(release, position);
+  const auto known = this->releases.find(release.name);
+  const bool goes_back = known != this->releases.end() &&
+                         (IsSameRelease(known->second.release, release)
+                              ? IsFurther(known->second.release, release)
+                              : order.Precedes(known->second.order));
+  if (goes_back) {
+    known->second.is_stored = false;
+    return;
+  }
   this->releases.insert_or_assign(release.name,
-                                  StoredRelease{release, version});
+                                  StoredRelease{release, order, true});
+  for (const auto& [key, one] : this->orders) {
+    if (one.order.service == release.name) {
+      this->FollowOrder(one);
+    }
+  }
+}
+
+void ReleaseBook::BeginEra() {
+  for (auto& [service, stored] : this->releases) {
+    stored.is_stored = false;
+  }
+  for (auto& [key, order] : this->orders) {
+    order.may_be_rewritten = true;
+  }
+}
+
+void ReleaseBook::EndRewrites() {
+  for (auto& [key, order] : this->orders) {
+    order.may_be_rewritten = false;
+  }
 }
 
 void ReleaseBook::NoteTarget(const inventory::Instance& target,
-                             const platform::RowVersion version,
+                             const platform::Position& position,
                              const core::TimePoint now) {
   this->first[target.service].try_emplace(target.version,
-                                          FirstTarget{version, now, false});
+                                          FirstTarget{position, now, false});
 }
 
 bool ReleaseBook::NoteOrdersKnown(const core::TimePoint as_of) {
@@ -99,9 +183,12 @@
     return this->OrderTakenAway(service, present);
   }
   const bool stands =
-      order == this->orders.end() || Holds(stored, order->second.version);
+      order == this->orders.end() || this->IsCarriedOut(order->second);
   inventory::Release release =
       stands ? *stored : this->NewRelease(order->second, stored, present, wall);
+  if (stands) {
+    release.order = this->releases.at(service).order;
+  }
   release.withdrawn = this->WithdrawnBefore(release, stands ? nullptr : stored);
   return release;
 }
@@ -114,25 +201,12 @@
              : std::optional{order->second.order.service};
 }
 
-std::vector<std::string> ReleaseBook::OrderKeys() const {
-  std::vector<std::string> keys;
-  for (const auto& [key, order] : this->orders) {
-    keys.push_back(key);
-  }
-  return keys;
-}
-
-platform::RowVersion ReleaseBook::OrderRow(const std::string& key) const {
-  const auto order = this->orders.find(key);
-  return order == this->orders.end() ? platform::kAbsent
-                                     : order->second.version;
-}
-
-platform::RowVersion ReleaseBook::ReleaseRow(
-    const core::ServiceName& service) const {
+bool ReleaseBook::IsLost(const core::ServiceName& service,
+                         const std::string& key) const {
   const auto stored = this->releases.find(service);
-  return stored == this->releases.end() ? platform::kAbsent
-                                        : stored->second.version;
+  const auto order = this->orders.find(key);
+  return stored != this->releases.end() && !stored->second.is_stored &&
+         (order == this->orders.end() || this->IsCarriedOut(order->second));
 }
 
 const inventory::Release* ReleaseBook::StoredFor(
@@ -141,6 +215,22 @@
   return stored == this->releases.end() ? nullptr : &stored->second.release;
 }
 
+/** Within an era, the release of an order or of a later one. Over eras versions
+ * tell nothing, so that a release to the same version is that of the order: it
+ * stands in the copy, or was written again. */
+bool ReleaseBook::IsCarriedOut(const StoredOrder& order) const {
+  const auto stored = this->releases.find(order.order.service);
+  if (stored == this->releases.end()) {
+    return false;
+  }
+  const platform::Position& carried_out = stored->second.order;
+  if (carried_out.SharesEraWith(order.row)) {
+    return !carried_out.Precedes(order.row);
+  }
+  return order.row.IsOfEarlierEraThan(carried_out) ||
+         stored->second.release.version == order.order.version;
+}
+
 void ReleaseBook::NoteSuperseded(const std::string& key,
                                  const VersionCounts& present) {
   const auto known = this->orders.find(key);
@@ -150,7 +240,7 @@
   const StoredOrder& order = known->second;
   const core::VersionName& version = order.order.version;
   const inventory::Release* stored = this->StoredFor(order.order.service);
-  if (!Holds(stored, order.version) &&
+  if (!this->IsCarriedOut(order) &&
       this->CarrierBefore(order, stored, present) != version) {
     this->superseded[order.order.service].insert(version);
   }
@@ -161,15 +251,16 @@
     const VersionCounts& present, const std::chrono::sys_seconds wall) {
   const core::ServiceName& service = order.order.service;
   auto& deadline = this->deadlines[service];
-  if (deadline.first != order.version) {
-    deadline = {order.version, wall + std::chrono::floor<std::chrono::seconds>(
-                                          order.order.within)};
+  if (deadline.first != order.given) {
+    deadline = {order.given, wall + std::chrono::floor<std::chrono::seconds>(
+                                        order.order.within)};
   }
   return {.name = service,
           .version = order.order.version,
           .from = this->CarrierBefore(order, previous, present),
-          .begun = BeginOf(order.version),
-          .deadline = deadline.second};
+          .begun = BeginOf(order.given, previous),
+          .deadline = deadline.second,
+          .order = order.row};
 }
 
 std::optional<inventory::Release> ReleaseBook::OrderTakenAway(
@@ -216,8 +307,8 @@
     return core::VersionName{kNoVersion};
   }
   const auto known = versions->second.find(to);
-  const bool was_there =
-      known != versions->second.end() && known->second.row < order.version;
+  const bool was_there = known != versions->second.end() &&
+                         known->second.row.Precedes(order.given);
   return was_there ? to : core::VersionName{kNoVersion};
 }
 
--- a/packages/registry/src/table_follower.cc
+++ b/packages/registry/src/table_follower.cc
@@ -22,7 +22,7 @@
 
 /** The rows that changes leave of a table of which nothing was known. */
 platform::TableState StateOf(const platform::TableChanges& changes) {
-  platform::TableState state{.rows = {}, .version = changes.version};
+  platform::TableState state{.rows = {}, .position = changes.position};
   for (const platform::RowChange& change : changes.changes) {
     if (!change.deleted) {
       state.rows.push_back(change.row);
@@ -67,18 +67,14 @@
   }
   const auto& state = std::get<platform::TableState>(outcome);
   Catalogue& catalogue = this->owner.GetCatalogue();
-  if (state.version < catalogue.VersionOf(this->table)) {
-    catalogue.NoteAnswered(this->table, Now());
-    this->owner.GetMetrics().stale.Increment();
-    this->log.Info("Read is stale. table={} version={} known={}", this->name,
-                   state.version.Value(),
-                   catalogue.VersionOf(this->table).Value());
+  if (state.position.Precedes(catalogue.PositionOf(this->table))) {
+    this->OnStaleRead(state.position);
     this->After(this->backoff.Fail(), &TableFollower::Read);
     return;
   }
   this->known = true;
   this->reading = false;
-  this->NoteConfirmed(Now(), configuration::ToldBy::kStore);
+  this->NoteTold(state.position, Now(), configuration::ToldBy::kStore);
   (void)catalogue.Take(this->table, state, Now());
   this->LogChanges(state.rows.size(), configuration::ToldBy::kStore, Now());
   this->owner.NoteLearnt(this->table, state);
@@ -89,6 +85,17 @@
   }
 }
 
+void TableFollower::OnStaleRead(const platform::Position& told) {
+  Catalogue& catalogue = this->owner.GetCatalogue();
+  const platform::Position known = catalogue.PositionOf(this->table);
+  catalogue.NoteAnswered(this->table, Now());
+  this->owner.GetMetrics().stale.Increment();
+  this->log.Info(
+      "Read is stale. table={} era={} version={} known_era={} known={}",
+      this->name, told.Era().Value(), told.Version().Value(),
+      known.Era().Value(), known.Version().Value());
+}
+
 void TableFollower::Activate() {
   if (std::exchange(this->active, true) || this->reading) {
     return;
@@ -127,11 +134,13 @@
 void TableFollower::Hear(const feed::TableNews& news,
                          const std::optional<core::TimePoint> as_of) {
   Catalogue& catalogue = this->owner.GetCatalogue();
+  const platform::Position told =
+      std::visit([](const auto& one) { return one.position; }, news);
   if (as_of) {
-    this->HearConfirmed(*as_of);
+    this->NoteTold(told, *as_of, configuration::ToldBy::kPeer);
   }
   const bool knew_nothing =
-      catalogue.VersionOf(this->table) == platform::RowVersion{};
+      catalogue.PositionOf(this->table) == platform::Position{};
   feed::TableNews learnt = news;
   std::size_t rows = 0;
   if (const auto* state = std::get_if<platform::TableState>(&news)) {
@@ -158,6 +167,23 @@
   this->NoteConfirmed(as_of, configuration::ToldBy::kPeer);
 }
 
+void TableFollower::NoteTold(const platform::Position& position,
+                             const core::TimePoint as_of,
+                             const configuration::ToldBy by) {
+  if (this->owner.GetCatalogue().IsInForce(position)) {
+    this->NoteConfirmed(as_of, by);
+    return;
+  }
+  this->owner.GetCatalogue().NoteAnswered(this->table, as_of);
+  this->unconfirmed = std::pair{as_of, by};
+}
+
+void TableFollower::ConfirmEra() {
+  if (const auto told = std::exchange(this->unconfirmed, std::nullopt)) {
+    this->NoteConfirmed(told->first, told->second);
+  }
+}
+
 void TableFollower::NoteConfirmed(const core::TimePoint as_of,
                                   const configuration::ToldBy by) {
   const core::TimePoint before = this->confirmed_at.value_or(as_of);
@@ -174,10 +200,13 @@
                                const configuration::ToldBy by,
                                const core::TimePoint as_of) const {
   const bool own = by == configuration::ToldBy::kStore;
+  const platform::Position known =
+      this->owner.GetCatalogue().PositionOf(this->table);
   this->log.Info(
-      "Table has changed. table={} version={} rows={} told_by={} age_ms={}",
-      this->name, this->owner.GetCatalogue().VersionOf(this->table).Value(),
-      changes, own ? "store" : "peer",
+      "Table has changed. table={} era={} version={} rows={} told_by={} "
+      "age_ms={}",
+      this->name, known.Era().Value(), known.Version().Value(), changes,
+      own ? "store" : "peer",
       std::chrono::duration_cast<std::chrono::milliseconds>(Now() - as_of)
           .count());
 }
@@ -189,7 +218,7 @@
   }
   this->watching = true;
   this->owner.GetStore().Watch(
-      this->name, this->owner.GetCatalogue().VersionOf(this->table),
+      this->name, this->owner.GetCatalogue().PositionOf(this->table),
       this->pace.wait,
       [this, sent = Now(),
        begun = ++this->turn](const platform::ChangesOutcome& outcome) {
@@ -219,8 +248,13 @@
     return;
   }
   const auto& changes = std::get<platform::TableChanges>(outcome);
-  this->NoteConfirmed(Now(), configuration::ToldBy::kStore);
-  this->owner.GetCatalogue().Take(this->table, changes, Now());
+  Catalogue& catalogue = this->owner.GetCatalogue();
+  if (!changes.position.SharesEraWith(catalogue.PositionOf(this->table))) {
+    this->OnOtherEra(changes.position);
+    return;
+  }
+  this->NoteTold(changes.position, Now(), configuration::ToldBy::kStore);
+  catalogue.Take(this->table, changes, Now());
   this->owner.NoteLearnt(this->table, changes);
   this->owner.NoteWatched(sent);
   if (changes.changes.empty()) {
@@ -233,6 +267,22 @@
   this->After(this->pace.pause, &TableFollower::Watch);
 }
 
+/** The versions of a later era say nothing of what the table lacks, even if
+ * they are higher than those known. */
+void TableFollower::OnOtherEra(const platform::Position& told) {
+  const platform::Position known =
+      this->owner.GetCatalogue().PositionOf(this->table);
+  if (told.IsOfEarlierEraThan(known)) {
+    this->OnStaleRead(told);
+    this->After(this->backoff.Fail(), &TableFollower::Watch);
+    return;
+  }
+  this->log.Info(
+      "Store is in a later era, reads anew. table={} era={} known={}",
+      this->name, told.Era().Value(), known.Era().Value());
+  this->Read();
+}
+
 void TableFollower::NoteAnswer(const bool now_answers,
                                const std::string& message) {
   if (now_answers) {
--- a/packages/registry/test/catalogue_test.cc
+++ b/packages/registry/test/catalogue_test.cc
@@ -16,7 +16,7 @@
 using core::ServiceName;
 using core::VersionName;
 using inventory::ReleaseState;
-using platform::RowVersion;
+using platform::Position;
 
 namespace {
 
@@ -42,14 +42,14 @@
     }
   }
 
-  RowVersion Write(const Table table, const std::string& key,
-                   const std::string& value) {
+  Position Write(const Table table, const std::string& key,
+                 const std::string& value) {
     this->version = this->version.Next();
     this->catalogue.Take(
         table,
         platform::TableChanges{
             .changes = {{.row = {key, value, this->version}, .deleted = false}},
-            .version = this->version},
+            .position = this->version},
         this->now);
     return this->version;
   }
@@ -60,7 +60,7 @@
         table,
         platform::TableChanges{
             .changes = {{.row = {key, "", this->version}, .deleted = true}},
-            .version = this->version},
+            .position = this->version},
         this->now);
   }
 
@@ -119,8 +119,8 @@
 
   PlainCodec codec;
   Catalogue catalogue{codec};
-  RowVersion version;
-  RowVersion order;
+  Position version;
+  Position order;
   core::TimePoint now{100s};
   std::chrono::sys_seconds wall{1'000s};
 };
@@ -179,8 +179,9 @@
   Write(Table::kOrders, "config", "config 2");
   BOOST_TEST(!catalogue.Take(
       Table::kOrders,
-      platform::TableState{.rows = {{"config", "config 1", RowVersion{1}}},
-                           .version = RowVersion{1}},
+      platform::TableState{
+          .rows = {{"config", "config 1", Position::WithoutEra(1)}},
+          .position = Position::WithoutEra(1)},
       now));
   BOOST_TEST(catalogue.DesiredVersion() == 2U);
 }
@@ -192,11 +193,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(takes_out_what_a_newer_whole_read_lacks) {
-  BOOST_TEST(
-      catalogue.Take(Table::kTargets,
-                     platform::TableState{.rows = {{"a", "v1", RowVersion{2}}},
-                                          .version = RowVersion{50}},
-                     now));
+  BOOST_TEST(catalogue.Take(
+      Table::kTargets,
+      platform::TableState{.rows = {{"a", "v1", Position::WithoutEra(2)}},
+                           .position = Position::WithoutEra(50)},
+      now));
   BOOST_TEST((Live() == Names{"a"}));
 }
 
@@ -346,14 +347,14 @@
   BOOST_TEST(cut.catalogue.Take(
       Table::kOrders,
       platform::TableState{.rows = {{"config", "config 9", version}},
-                           .version = version},
+                           .position = version},
       now));
   BOOST_TEST(cut.Now().configuration->Sources() ==
              Now().configuration->Sources());
-  const RowVersion newest{version.Value() + 1};
+  const Position newest = version.Next();
   for (const Table table : {Table::kTargets, Table::kFleet}) {
     cut.catalogue.Take(
-        table, platform::TableChanges{.changes = {}, .version = newest}, now);
+        table, platform::TableChanges{.changes = {}, .position = newest}, now);
   }
   cut.version = newest;
   cut.Write(Table::kOrders, "orders/evacuate/xela", "evacuation");
@@ -431,13 +432,13 @@
 BOOST_AUTO_TEST_CASE(guards_each_step_by_the_order_and_the_step_before) {
   Order("v2");
   Commit(ReleaseState::kMoving, 60);
-  const RowVersion step = version;
+  const Position step = version;
   inventory::Release after = *ReleaseNow();
   after.share = 200;
   const platform::Transaction move = catalogue.MoveRelease(after);
   BOOST_REQUIRE(move.conditions.size() == 2U);
-  BOOST_TEST(move.conditions[0].version == order);
-  BOOST_TEST(move.conditions[1].version == step);
+  BOOST_TEST(move.conditions[0].position == order);
+  BOOST_TEST(move.conditions[1].position == step);
   BOOST_REQUIRE(move.writes.size() == 2U);
   BOOST_TEST(move.writes[1].key == "status/stock");
 }
--- a/packages/registry/test/order_sequence_test.cc
+++ b/packages/registry/test/order_sequence_test.cc
@@ -20,8 +20,8 @@
 using namespace std::chrono_literals;
 using core::VersionName;
 using inventory::ReleaseState;
+using platform::Position;
 using platform::Row;
-using platform::RowVersion;
 
 namespace {
 
@@ -54,7 +54,7 @@
   void Tell(const Table table, platform::RowChange change) {
     this->catalogue->Take(table,
                           platform::TableChanges{.changes = {std::move(change)},
-                                                 .version = this->version},
+                                                 .position = this->version},
                           this->now);
   }
 
@@ -79,7 +79,7 @@
   void Restart() {
     this->catalogue = std::make_unique<Catalogue>(this->codec);
     for (const Table table : {Table::kOrders, Table::kTargets, Table::kFleet}) {
-      platform::TableState state{.rows = {}, .version = this->version};
+      platform::TableState state{.rows = {}, .position = this->version};
       for (const auto& [key, row] : this->rows[table]) {
         state.rows.push_back(row);
       }
@@ -122,7 +122,7 @@
   std::unique_ptr<Catalogue> catalogue =
       std::make_unique<Catalogue>(this->codec);
   std::map<Table, std::map<std::string, Row>> rows;
-  RowVersion version;
+  Position version;
   core::TimePoint now{100s};
   std::chrono::sys_seconds wall{1'000s};
 };
--- a/packages/registry/test/peer_source_test.cc
+++ b/packages/registry/test/peer_source_test.cc
@@ -16,16 +16,21 @@
 
 /** A registry that notes whether it reads the store. */
 struct Owner final : PeerSourceOwner {
-  [[nodiscard]] std::vector<platform::RowVersion> KnownVersions()
+  [[nodiscard]] std::vector<platform::Position> KnownPositions()
       const override {
-    return {platform::RowVersion{4}};
+    return {platform::Position::WithoutEra(4)};
+  }
+  [[nodiscard]] bool Hear(const feed::Heard&) override {
+    ++this->heard;
+    return !this->is_ahead;
   }
-  void Hear(const feed::Heard&) override { ++this->heard; }
   void ReadStore() override { this->reads = true; }
   void LeaveStoreToPeer() override { this->reads = false; }
 
   std::optional<bool> reads;
   int heard = 0;
+  /** Whether it knows the store in a later era than the peers. */
+  bool is_ahead = false;
 };
 
 std::vector<feed::Candidate> Fleet() {
@@ -103,7 +108,7 @@
 BOOST_AUTO_TEST_CASE(asks_a_reader_before_it_reads_the_store_itself) {
   BOOST_REQUIRE(asks.size() == 1);
   BOOST_TEST(!owner.reads.has_value());
-  BOOST_TEST((asks[0].after.front() == platform::RowVersion{4}));
+  BOOST_TEST((asks[0].after.front() == platform::Position::WithoutEra(4)));
 }
 
 BOOST_AUTO_TEST_CASE(listens_to_a_fresh_word_and_asks_for_the_next) {
@@ -136,6 +141,17 @@
   BOOST_TEST((asks.back().peer != first));
 }
 
+/** CONFIG: a listener believed a reader that still knew the store's tables of
+ * the era before, and took what it told for fresh. */
+BOOST_AUTO_TEST_CASE(when_the_first_knows_an_earlier_era_of_the_store) {
+  AnswerLast(200ms);
+  const http::Address first = asks.back().peer;
+  owner.is_ahead = true;
+  AnswerLast(200ms);
+  BOOST_TEST((owner.reads == true));
+  BOOST_TEST((asks.back().peer != first));
+}
+
 BOOST_AUTO_TEST_CASE(when_the_first_falls_silent_before_its_word_is_too_old) {
   AnswerLast(200ms);
   Run(feed::kMostAge - 400ms);
--- a/packages/registry/test/table_follower_test.cc
+++ b/packages/registry/test/table_follower_test.cc
@@ -25,9 +25,10 @@
             std::function<void(platform::ReadOutcome)>) override {}
   void ReadTable(const std::string& /*table*/,
                  std::function<void(platform::TableOutcome)> done) override {
-    done(platform::TableState{.rows = {}, .version = platform::RowVersion{7}});
+    done(platform::TableState{.rows = {},
+                              .position = platform::Position::WithoutEra(7)});
   }
-  void Watch(const std::string& /*table*/, platform::RowVersion /*after*/,
+  void Watch(const std::string& /*table*/, platform::Position /*after*/,
              std::chrono::milliseconds wait,
              std::function<void(platform::ChangesOutcome)> done) override {
     waits.push_back(wait);
@@ -93,15 +94,16 @@
   void Hear(const std::uint64_t version) {
     follower.Hear(
         platform::TableChanges{
-            .changes = {{.row = {.key = "a",
-                                 .value = "",
-                                 .version = platform::RowVersion{version}},
-                         .deleted = false},
-                        {.row = {.key = "b",
-                                 .value = "",
-                                 .version = platform::RowVersion{version}},
-                         .deleted = true}},
-            .version = platform::RowVersion{version}},
+            .changes =
+                {{.row = {.key = "a",
+                          .value = "",
+                          .position = platform::Position::WithoutEra(version)},
+                  .deleted = false},
+                 {.row = {.key = "b",
+                          .value = "",
+                          .position = platform::Position::WithoutEra(version)},
+                  .deleted = true}},
+            .position = platform::Position::WithoutEra(version)},
         std::nullopt);
   }
 
@@ -138,7 +140,7 @@
   Hear(5);
   const auto& state = std::get<platform::TableState>(owner.learnt);
   BOOST_TEST(state.rows.size() == 1);
-  BOOST_TEST((state.version == platform::RowVersion{5}));
+  BOOST_TEST((state.position == platform::Position::WithoutEra(5)));
 }
 
 BOOST_AUTO_TEST_CASE(is_passed_on_as_changes_once_it_is_known) {
@@ -167,9 +169,9 @@
   const auto late = owner.store.answer;
   Run(900ms);
   late(platform::TableChanges{.changes = {},
-                              .version = platform::RowVersion{9}});
-  BOOST_TEST(
-      (owner.catalogue.VersionOf(Table::kOrders) == platform::RowVersion{7}));
+                              .position = platform::Position::WithoutEra(9)});
+  BOOST_TEST((owner.catalogue.PositionOf(Table::kOrders) ==
+              platform::Position::WithoutEra(7)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -193,7 +195,7 @@
 BOOST_AUTO_TEST_CASE(waits_until_peers_news_were_passed_on) {
   owner.backlogged = true;
   owner.store.answer(platform::TableChanges{
-      .changes = {}, .version = platform::RowVersion{8}});
+      .changes = {}, .position = platform::Position::WithoutEra(8)});
   Run(60ms);
   BOOST_TEST(owner.store.waits.size() == 1);
   owner.backlogged = false;
--- a/packages/rollout/include/trefoilbend/rollout/coordinator.h
+++ b/packages/rollout/include/trefoilbend/rollout/coordinator.h
@@ -92,8 +92,10 @@
                               core::TimePoint now,
                               std::chrono::sys_seconds wall);
 
-  /** @return Whether a release is under way. */
-  [[nodiscard]] bool HasWork() const noexcept { return !this->states.empty(); }
+  /** @return Whether a release is under way, or the store has lost one. */
+  [[nodiscard]] bool HasWork() const noexcept {
+    return !this->states.empty() || !this->update.lost_releases.empty();
+  }
 
   /** @return Brakes that this entry knows, to be passed on. */
   [[nodiscard]] const Brakes& KnownBrakes() const noexcept {
@@ -124,6 +126,11 @@
   void WatchWithoutLease(State& state, core::TimePoint now);
   void Control(State& state, const HeldLease& lease, const Situation& situation,
                Orders& orders);
+  /** Writes the releases again that the store has lost, as they are. */
+  void Restore(const HeldLease& lease, Orders& orders);
+  /** Whether a release is not as known in the store, so that no step of it can
+   * follow. */
+  [[nodiscard]] bool IsLost(const core::ServiceName& service) const;
   [[nodiscard]] configuration::ChangeRequest RequestFor(const Verdict& verdict,
                                                         const HeldLease& lease);
   [[nodiscard]] Capacity CapacityOf(const inventory::Release& release) const;
@@ -133,6 +140,8 @@
   std::map<core::ServiceName, State> states;
   Brakes brakes;
   std::vector<ReleaseId> fresh_brakes;
+  /** Requests under way that write a lost release again. */
+  std::map<core::ServiceName, configuration::RequestId> restoring;
   configuration::RequestId last_request;
 };
 
--- a/packages/rollout/src/coordinator.cc
+++ b/packages/rollout/src/coordinator.cc
@@ -1,5 +1,6 @@
 #include "trefoilbend/rollout/coordinator.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr const char* kWho = "release controller";
+constexpr const char* kLostRelease =
+    "the store came back from a copy without this state";
 
 std::string ChangeIdOf(const inventory::Release& after) {
   return "release/" + after.name.Text() + '/' +
@@ -80,6 +83,9 @@
       state.pending.reset();
     }
   }
+  std::erase_if(this->restoring, [&result](const auto& entry) {
+    return entry.second == result.request;
+  });
 }
 
 Orders Coordinator::Decide(const std::optional<HeldLease>& lease,
@@ -94,10 +100,32 @@
     this->Control(state, *lease, {.now = now, .wall = wall, .capacity = {}},
                   orders);
   }
+  if (lease) {
+    this->Restore(*lease, orders);
+  }
   orders.brakes = std::exchange(this->fresh_brakes, {});
   return orders;
 }
 
+void Coordinator::Restore(const HeldLease& lease, Orders& orders) {
+  for (const core::ServiceName& service : this->update.lost_releases) {
+    const auto* release =
+        this->update.configuration->Find<inventory::Release>(service.Text());
+    if (release == nullptr || this->restoring.contains(service)) {
+      continue;
+    }
+    Verdict verdict{.after = *release, .why = kLostRelease};
+    verdict.after.epoch = lease.epoch;
+    orders.changes.push_back(this->RequestFor(verdict, lease));
+    this->restoring.emplace(service, orders.changes.back().request);
+  }
+}
+
+bool Coordinator::IsLost(const core::ServiceName& service) const {
+  const auto& lost = this->update.lost_releases;
+  return std::find(lost.begin(), lost.end(), service) != lost.end();
+}
+
 std::vector<std::string> Coordinator::ConcernsOf(
     const core::ServiceName& service) const {
   const auto state = this->states.find(service);
@@ -151,7 +179,7 @@
   if (verdict->after.state == inventory::ReleaseState::kTakenBack) {
     this->Brake(state.id, verdict->why);
   }
-  if (!state.pending) {
+  if (!state.pending && !this->IsLost(state.id.service)) {
     orders.changes.push_back(this->RequestFor(*verdict, lease));
     state.pending = orders.changes.back().request;
   }
--- a/packages/rollout/src/duty.cc
+++ b/packages/rollout/src/duty.cc
@@ -59,6 +59,7 @@
     });
     this->duty.Read(this->updates, [this](configuration::Update&& update) {
       this->FindPeers(*update.configuration);
+      this->NoteEra(update);
       this->coordinator.Configure(std::move(update), Now());
     });
     this->duty.Read(this->peer_reports, [this](const PeerReport& report) {
@@ -151,12 +152,13 @@
   void ReadLease() {
     this->store->Read(
         this->lease.Key(), [this](const platform::ReadOutcome& outcome) {
-          const auto* row = std::get_if<std::optional<platform::Row>>(&outcome);
-          if (row != nullptr && *row) {
-            this->holder = platform::HolderOf(**row).name;
+          const auto* found = std::get_if<platform::FoundRow>(&outcome);
+          if (found != nullptr && found->row) {
+            this->holder = platform::HolderOf(*found->row).name;
           }
-          const auto attempt =
-              row == nullptr ? std::nullopt : this->lease.Attempt(*row, Now());
+          const auto attempt = found == nullptr
+                                   ? std::nullopt
+                                   : this->lease.Attempt(*found, Now());
           if (!attempt) {
             this->WaitLease(this->lease_period);
             return;
@@ -173,6 +175,17 @@
         });
   }
 
+  /** The lease's row may be lost with the store's newest rows, so the releases
+   * tell which epochs there were. */
+  void NoteEra(const configuration::Update& update) {
+    this->lease.NoteEra(update.era, Now());
+    for (const auto& [key, object] : update.configuration->Objects()) {
+      if (const auto* release = std::get_if<inventory::Release>(&object)) {
+        this->lease.NoteEpoch(platform::Epoch{release->epoch});
+      }
+    }
+  }
+
   void FindPeers(const inventory::Configuration& configuration) {
     this->addresses.clear();
     for (const inventory::Instance* entry : configuration.Entries()) {
--- a/packages/rollout/test/coordinator_test.cc
+++ b/packages/rollout/test/coordinator_test.cc
@@ -50,7 +50,7 @@
 
   bool Commit(const configuration::ChangeRequest& request) {
     for (const platform::Condition& fence : request.fences) {
-      if (fence.version != this->lease) {
+      if (fence.position != this->lease) {
         return false;
       }
     }
@@ -72,7 +72,7 @@
   }
 
   inventory::ConfigurationPtr now;
-  platform::RowVersion lease{1};
+  platform::Position lease = platform::Position::WithoutEra(1);
 };
 
 struct Fixture {
@@ -108,8 +108,9 @@
   }
 
   [[nodiscard]] std::optional<HeldLease> Held() const {
-    return HeldLease{.epoch = this->epoch,
-                     .fence = {.key = kLease, .version = this->platform.lease}};
+    return HeldLease{
+        .epoch = this->epoch,
+        .fence = {.key = kLease, .position = this->platform.lease}};
   }
 
   Orders Step(Coordinator& entry, const std::optional<HeldLease>& lease,
@@ -175,6 +176,50 @@
   BOOST_TEST(holder.Decide(Held(), now, wall).changes.empty());
 }
 
+/** The store came back from a copy: operators never saw that a release had
+ * ended, and entries that started took it for one under way. */
+BOOST_AUTO_TEST_SUITE(that_the_store_has_lost)
+
+BOOST_AUTO_TEST_CASE(write_it_again_as_it_is_once_one_holds_the_lease) {
+  Coordinator holder;
+  RunTo(holder, kSteps);
+  holder.Configure({platform.now, listed}, now);
+  BOOST_TEST(!holder.HasWork());
+  const configuration::Update lost{.configuration = platform.now,
+                                   .listed = listed,
+                                   .lost_releases = {kStock}};
+  holder.Configure(lost, now);
+  BOOST_TEST(holder.HasWork());
+  const auto wall = std::chrono::sys_seconds{1min};
+  BOOST_TEST(holder.Decide(std::nullopt, now, wall).changes.empty());
+  const Orders orders = holder.Decide(Held(), now, wall);
+  BOOST_REQUIRE(orders.changes.size() == 1);
+  const auto& after =
+      std::get<Release>(*orders.changes.front().changes.front().after);
+  BOOST_TEST((after.state == ReleaseState::kDone));
+  BOOST_TEST(after.step == platform.Now().step);
+  BOOST_TEST(holder.Decide(Held(), now, wall).changes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(move_it_no_further_before_that) {
+  Coordinator holder;
+  RunTo(holder, 2);
+  holder.TakeBrakes({{IdOf(platform.Now()), "bad"}});
+  holder.Configure({.configuration = platform.now,
+                    .listed = listed,
+                    .lost_releases = {kStock}},
+                   now);
+  const Orders orders =
+      holder.Decide(Held(), now, std::chrono::sys_seconds{1min});
+  BOOST_REQUIRE(orders.changes.size() == 1);
+  const auto& after =
+      std::get<Release>(*orders.changes.front().changes.front().after);
+  BOOST_TEST((after.state == ReleaseState::kMoving));
+  BOOST_TEST(after.step == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(at_every_step)
 
 BOOST_AUTO_TEST_CASE(go_on_with_another_holder_when_the_first_is_killed) {
--- a/tests/users_platform/order_test.cc
+++ b/tests/users_platform/order_test.cc
@@ -1,10 +1,9 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 
-#include "platform.h"
+#include "ordered.h"
 
 namespace trefoilbend::tests {
 
@@ -17,47 +16,7 @@
 constexpr int kCalls = 100;
 constexpr int kSecondEntry = 2;
 
-/** An entry whose target a carries the traffic as v1; b comes with v2 and c
- * with v3. All of them answer well, so that none is left for its failures. */
-struct Ordered : Platform {
-  Ordered() {
-    this->WriteDesiredState(1, "/look/", "non_idempotent");
-    this->OnStore([](stand_ins::Store& store) {
-      store.Write("servers/b", std::nullopt);
-      store.Write("servers/c", std::nullopt);
-    });
-  }
-
-  void Order(const std::string& version) {
-    this->OnStore([&](stand_ins::Store& store) {
-      store.Write("op/rollout/stock",
-                  nlohmann::json{
-                      {"Service", "stock"}, {"To", version}, {"Duration", "8s"}}
-                      .dump());
-    });
-  }
-
-  void StartTarget(const std::string& id, const std::string& version) {
-    this->OnStore([&](stand_ins::Store& store) {
-      store.Write("servers/" + id, this->Target(id).Entry("ready", version));
-    });
-  }
-
-  /** Whether the store holds a state of a version's release in time. */
-  [[nodiscard]] bool BecomesState(const std::string& version,
-                                  const std::string& state) {
-    return Await([&] {
-      nlohmann::json told = nlohmann::json::object();
-      this->OnStore([&](stand_ins::Store& store) {
-        if (const auto row = store.Read("status/rollout/stock")) {
-          told = nlohmann::json::parse(*row);
-        }
-      });
-      return told.value("To", "") == version &&
-             told.value("State", "") == state;
-    });
-  }
-
+struct Sequence : Ordered {
   /** Checks that no call reaches the second version any more and that each is
    * answered, once what was ordered is in force. */
   void CheckThatTheSecondGetsNothing(const int entry = 1) {
@@ -83,7 +42,7 @@
 
 /** EXPOSURE: the targets of a bad version got a share like the old version's
  * once its release had given way to another order (review/10). */
-BOOST_FIXTURE_TEST_SUITE(a_version_that_is_moved_to, Ordered)
+BOOST_FIXTURE_TEST_SUITE(a_version_that_is_moved_to, Sequence)
 
 BOOST_AUTO_TEST_SUITE(when_a_further_version_is_ordered)
 
@@ -140,7 +99,7 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 /** Calls were refused for as long as the order lasted (review/REPORT-2.md). */
-BOOST_FIXTURE_TEST_SUITE(a_version_that_carries_the_traffic, Ordered)
+BOOST_FIXTURE_TEST_SUITE(a_version_that_carries_the_traffic, Sequence)
 
 BOOST_AUTO_TEST_CASE(serves_on_when_it_is_ordered) {
   StartDaemon();
