--- a/packages/feed/src/feed_codec.cc
+++ b/packages/feed/src/feed_codec.cc
@@ -13,7 +13,6 @@
 namespace {
 
 using platform::Era;
-using platform::Position;
 using platform::RowVersion;
 
 void Encode(const platform::Row& row, const bool deleted,
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -170,6 +170,7 @@
   [[nodiscard]] std::vector<platform::Position> KnownPositions()
       const override {
     std::vector<platform::Position> positions;
+    positions.reserve(kTables);
     for (const Table table : kAllTables) {
       positions.push_back(this->catalogue.PositionOf(table));
     }
