--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,7 @@
 passed=0
 failed=0
 known_red=0
+most_output_bytes=$((16 * 1024 * 1024))
 
 # check NAME COMMAND... runs a check and counts it.
 check() {
@@ -32,7 +33,9 @@
     return
   fi
   rm -f "$report"
-  ctest --preset "$preset" -j "$(nproc)" --output-junit "$report" "$@"
+  # Failed cases are read from the whole output, of which ctest keeps 300 KiB by default.
+  ctest --preset "$preset" -j "$(nproc)" --output-junit "$report" \
+    --test-output-size-failed "$most_output_bytes" "$@"
   if ! counts=$(scripts/known_red.py "$report" KNOWN-RED.txt); then
     echo "FAILED: report of $preset"
     failed=$((failed + 1))
