Tell on which connection an attempt was made

An on-call engineer could not tell a target's refusal of an attempt from the copy of an earlier refusal: no line said that two attempts with one id shared a connection, nor that answers to other requests had come first.

Connections to targets are numbered. "Attempt ended." names the number, what the connection had carried before and how many answers to other requests were passed over; trefoilbend_target_answers_skipped_total counts these.

Nothing is decided otherwise. names_the_connection_of_an_attempt_that_was_sent holds the line.

--- a/packages/balancing/include/trefoilbend/balancing/call_trace.h
+++ b/packages/balancing/include/trefoilbend/balancing/call_trace.h
@@ -54,6 +54,8 @@
   forwarding::ExchangeResult result = forwarding::ExchangeResult::kNotSent;
   /** @brief HTTP status of the answer; 0 without one. */
   std::uint16_t status{};
+  /** @brief Connection of the attempt; empty if nothing was sent. */
+  std::optional<forwarding::ConnectionUse> use{};
 };
 
 /** @brief Records that the entry refused the call. */
--- a/packages/balancing/src/call_trace.cc
+++ b/packages/balancing/src/call_trace.cc
@@ -57,9 +57,14 @@
   const std::string waited =
       step.waited ? fmt::format(" waited_ms={:.1f}", Milliseconds(*step.waited))
                   : "";
-  return fmt::format("Attempt ended. target={}{} result={} status={}",
+  const std::string connection =
+      step.use ? fmt::format(" connection={} carried={} skipped={}",
+                             step.use->connection, step.use->carried,
+                             step.use->skipped)
+               : "";
+  return fmt::format("Attempt ended. target={}{} result={} status={}{}",
                      step.target.Text(), waited, ToString(step.result),
-                     step.status);
+                     step.status, connection);
 }
 
 std::string FormatStep(const TraceRefused& step, core::TimePoint /*now*/) {
--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -289,7 +289,8 @@
   call.trace.Add(TraceEnded{.target = ended.target,
                             .waited = ended.waited,
                             .result = ended.result,
-                            .status = ended.status},
+                            .status = ended.status,
+                            .use = ended.use},
                  now);
   ServiceState& service = this->services.at(call.request->service);
   service.targets.OnExchangeEnded(ended, now);
--- a/packages/balancing/test/call_trace_test.cc
+++ b/packages/balancing/test/call_trace_test.cc
@@ -74,6 +74,19 @@
   BOOST_TEST(lines[2].find("waited_ms=3.0") != std::string::npos);
 }
 
+/** REFUSED could not be traced: two attempts on one connection looked like
+ * attempts on two. */
+BOOST_AUTO_TEST_CASE(names_the_connection_of_an_attempt_that_was_sent) {
+  trace.Add(TraceEnded{.target = core::InstanceName{"i-1"},
+                       .waited = 3ms,
+                       .result = ExchangeResult::kRefused,
+                       .status = 503,
+                       .use = {{.connection = 17, .carried = 4, .skipped = 1}}},
+            start);
+  BOOST_TEST(trace.Lines()[1].ends_with(
+      "result=refused status=503 connection=17 carried=4 skipped=1"));
+}
+
 BOOST_AUTO_TEST_CASE(distinguishes_a_retry_from_a_hedge) {
   Send(AttemptKind::kRetry, start);
   Send(AttemptKind::kHedge, start);
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -160,6 +160,16 @@
   std::vector<core::InstanceName> targets;
 };
 
+/** @brief Connection on which a request was sent. */
+struct ConnectionUse {
+  /** @brief Number of the connection, which no other of this entry has. */
+  std::uint64_t connection{};
+  /** @brief Requests and health checks that it carried before. */
+  std::uint32_t carried{};
+  /** @brief Answers to other requests that came first and were passed over. */
+  std::uint32_t skipped{};
+};
+
 /** @brief How an exchange ended. */
 enum class ExchangeResult : std::uint8_t {
   /** @brief The answer came whole. */
@@ -205,6 +215,8 @@
   std::optional<core::Duration> waited{};
   /** @brief Load that the target told with its answer. */
   std::optional<LoadReport> load;
+  /** @brief Connection of the exchange; nothing if nothing was sent. */
+  std::optional<ConnectionUse> use{};
   /** @brief Where the answer can go on after it broke; nothing if the caller
    * was told that it broke or has its answer. */
   std::optional<ResumePoint> resume{};
--- a/packages/forwarding/src/closing_connection.cc
+++ b/packages/forwarding/src/closing_connection.cc
@@ -14,14 +14,14 @@
 
 void ClosingConnection::Start() {
   boost::system::error_code ignored;
-  this->connection->socket().shutdown(
+  this->connection->stream.socket().shutdown(
       boost::asio::ip::tcp::socket::shutdown_send, ignored);
-  this->connection->expires_after(kLongestClosing);
+  this->connection->stream.expires_after(kLongestClosing);
   this->Read();
 }
 
 void ClosingConnection::Read() {
-  this->connection->async_read_some(
+  this->connection->stream.async_read_some(
       boost::asio::buffer(this->scratch),
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) {
@@ -29,7 +29,7 @@
           self->Read();
           return;
         }
-        self->connection->close();
+        self->connection->stream.close();
         self->done();
       });
 }
--- a/packages/forwarding/src/connection_metrics.cc
+++ b/packages/forwarding/src/connection_metrics.cc
@@ -17,6 +17,12 @@
                 .Name("trefoilbend_target_connection_waits_total")
                 .Help("Exchanges that waited for a connection.")
                 .Register(registry)
-                .Add({})) {}
+                .Add({})),
+      skipped(prometheus::BuildCounter()
+                  .Name("trefoilbend_target_answers_skipped_total")
+                  .Help("Answers of targets to other requests than the one "
+                        "that was due.")
+                  .Register(registry)
+                  .Add({})) {}
 
 }  // namespace trefoilbend::forwarding::internal
--- a/packages/forwarding/src/connection_pool.cc
+++ b/packages/forwarding/src/connection_pool.cc
@@ -14,12 +14,13 @@
 /** Time for which a cut connection counts as open. */
 constexpr std::chrono::seconds kCutConnection{5};
 
-bool IsUntouched(boost::beast::tcp_stream& stream) {
+bool IsUntouched(TargetConnection& connection) {
   boost::system::error_code error;
-  stream.socket().non_blocking(true, error);
+  auto& socket = connection.stream.socket();
+  socket.non_blocking(true, error);
   char byte{};
-  stream.socket().receive(boost::asio::buffer(&byte, 1),
-                          boost::asio::ip::tcp::socket::message_peek, error);
+  socket.receive(boost::asio::buffer(&byte, 1),
+                 boost::asio::ip::tcp::socket::message_peek, error);
   return error == boost::asio::error::would_block;
 }
 
@@ -60,15 +61,19 @@
   this->ServeLater();
 }
 
+Connection ConnectionPool::Make() {
+  return std::make_unique<TargetConnection>(this->context, ++this->last_number);
+}
+
 void ConnectionPool::Keep(const http::Address& address, Connection connection,
                           const core::Duration most_idle) {
   Server& server = this->servers[address];
   if (server.open > server.bounds.open) {
-    connection->close();
+    connection->stream.close();
     this->Release(address);
     return;
   }
-  connection->expires_never();
+  connection->stream.expires_never();
   server.idle.push_back({std::move(connection), Now(), most_idle});
   this->Serve(server);
 }
@@ -218,7 +223,7 @@
     if (age < std::min(limit, idle.front().most_idle)) {
       return;
     }
-    idle.front().connection->close();
+    idle.front().connection->stream.close();
     idle.erase(idle.begin());
     this->CountClosed(server);
   }
--- a/packages/forwarding/src/duty.cc
+++ b/packages/forwarding/src/duty.cc
@@ -75,6 +75,10 @@
         "the ring to callers has room for every call's answer");
   }
 
+  void CountSkippedAnswer() override {
+    this->connection_metrics.skipped.Increment();
+  }
+
   void End(ExchangeEnded ended) override {
     this->exchanges.erase(ended.exchange);
     const auto by_call = this->exchanges_of_call.find(ended.call);
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -77,26 +77,26 @@
     return;
   }
   this->connection = std::move(granted);
-  this->connection->expires_at(ExpiryOf(*this->order.request));
+  this->connection->stream.expires_at(ExpiryOf(*this->order.request));
   this->Write();
 }
 
 void Exchange::Connect() {
-  this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
+  this->connection = this->owner.Pool().Make();
   const core::TimePoint expiry = ExpiryOf(*this->order.request);
   const auto patience = this->owner.GetOptions().connect_timeout;
-  this->connection->expires_at(
+  this->connection->stream.expires_at(
       patience.count() == 0
           ? expiry
           : std::min(expiry, std::chrono::steady_clock::now() + patience));
-  OpenConnection(*this->connection, this->order.address,
+  OpenConnection(this->connection->stream, this->order.address,
                  [self = this->shared_from_this()](
                      const boost::system::error_code failure) {
                    if (failure) {
                      self->Fail(failure);
                      return;
                    }
-                   self->connection->expires_at(ExpiryOf(*self->order.request));
+                   self->connection->stream.expires_at(ExpiryOf(*self->order.request));
                    self->Write();
                  });
 }
@@ -106,8 +106,11 @@
     return;
   }
   this->waited = this->Elapsed();
+  this->use = {.connection = this->connection->number,
+               .carried = this->connection->requests++,
+               .skipped = 0};
   beast::http::async_write(
-      *this->connection, this->out,
+      this->connection->stream, this->out,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) {
         if (error) {
@@ -128,7 +131,7 @@
   this->parser->skip(this->out.method() == beast::http::verb::head);
   this->awaits_head = true;
   beast::http::async_read_header(
-      *this->connection, this->buffer, *this->parser,
+      this->connection->stream, this->buffer, *this->parser,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) { self->OnHead(error); });
 }
@@ -170,7 +173,7 @@
     return;
   }
   if (this->withheld) {
-    this->connection->expires_at(
+    this->connection->stream.expires_at(
         std::min(ExpiryOf(*this->order.request),
                  std::chrono::steady_clock::now() + kDiscardTime));
   }
@@ -213,7 +216,7 @@
   body.size = this->part.size();
   body.more = true;
   beast::http::async_read_some(
-      *this->connection, this->buffer, *this->parser,
+      this->connection->stream, this->buffer, *this->parser,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) { self->OnPart(error); });
 }
@@ -339,6 +342,8 @@
     return;
   }
   this->foreign = false;
+  ++this->use->skipped;
+  this->owner.CountSkippedAnswer();
   this->ReadHead();
 }
 
@@ -417,6 +422,7 @@
                    .latency = answered ? this->latency : this->Elapsed(),
                    .waited = this->waited,
                    .load = this->load,
+                   .use = this->use,
                    .resume = answered ? std::nullopt : this->resume});
 }
 
@@ -433,11 +439,11 @@
         KeepAliveOf(View(this->parser->get()[beast::http::field::keep_alive])));
     return;
   }
-  this->connection->cancel();
+  this->connection->stream.cancel();
   if (this->awaits_head) {
     return;
   }
-  this->connection->close();
+  this->connection->stream.close();
   if (result == ExchangeResult::kTimedOut) {
     pool.ReleaseLater(this->order.address);
   } else {
--- a/packages/forwarding/src/internal/connection_metrics.h
+++ b/packages/forwarding/src/internal/connection_metrics.h
@@ -22,6 +22,8 @@
   prometheus::Counter& opened;
   /** @brief Exchanges that waited for a connection. */
   prometheus::Counter& waits;
+  /** @brief Answers to other requests that came where one was due. */
+  prometheus::Counter& skipped;
 };
 
 }  // namespace trefoilbend::forwarding::internal
--- a/packages/forwarding/src/internal/connection_pool.h
+++ b/packages/forwarding/src/internal/connection_pool.h
@@ -3,25 +3,21 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <utility>
 #include <vector>
 
 #include "internal/connection_metrics.h"
+#include "internal/target_connection.h"
 #include "trefoilbend/core/clock.h"
 #include "trefoilbend/http/address.h"
 
 namespace trefoilbend::forwarding::internal {
 
-/** @brief A connection to a target. */
-using Connection = std::unique_ptr<boost::beast::tcp_stream>;
-
 /** @brief What an exchange may do about its connection. */
 enum class Grant : std::uint8_t {
   /** @brief Use the idle connection that comes with the grant. */
@@ -82,6 +78,9 @@
   void Acquire(const http::Address& address, const ConnectionBounds& bounds,
                core::TimePoint deadline, Ready ready);
 
+  /** @return A connection that the holder of a grant opens. */
+  [[nodiscard]] Connection Make();
+
   /**
    * @brief Keeps a connection for a later exchange, or closes it if too many
    * are open.
@@ -150,6 +149,7 @@
   boost::asio::io_context& context;
   IdleTimeouts timeouts;
   ConnectionMetrics& metrics;
+  std::uint64_t last_number{};
   std::map<http::Address, Server> servers;
   boost::asio::steady_timer pace;
   boost::asio::steady_timer sweep;
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -44,6 +44,9 @@
    */
   virtual void Answer(ToCallers message) = 0;
 
+  /** @brief Takes note that an answer to another request was passed over. */
+  virtual void CountSkippedAnswer() = 0;
+
   /**
    * @brief Ends an exchange.
    * @param ended Report of the exchange.
@@ -139,6 +142,7 @@
   std::optional<ResumePoint> resume;
   /** Time from the start to the sending of the request. */
   std::optional<core::Duration> waited;
+  std::optional<ConnectionUse> use;
   bool head_passed{};
   bool abandoned{};
   /** What is reported of an answer that is not passed on. */
--- a/packages/forwarding/src/probe.cc
+++ b/packages/forwarding/src/probe.cc
@@ -59,14 +59,14 @@
     return;
   }
   this->connection = std::move(granted);
-  this->connection->expires_at(this->order.deadline);
+  this->connection->stream.expires_at(this->order.deadline);
   this->Write();
 }
 
 void Probe::Connect() {
-  this->connection = std::make_unique<beast::tcp_stream>(this->owner.Context());
-  this->connection->expires_at(this->order.deadline);
-  OpenConnection(*this->connection, this->order.address,
+  this->connection = this->owner.Pool().Make();
+  this->connection->stream.expires_at(this->order.deadline);
+  OpenConnection(this->connection->stream, this->order.address,
                  [self = this->shared_from_this()](
                      const boost::system::error_code failure) {
                    if (failure) {
@@ -78,8 +78,9 @@
 }
 
 void Probe::Write() {
+  ++this->connection->requests;
   beast::http::async_write(
-      *this->connection, this->out,
+      this->connection->stream, this->out,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) {
         if (error) {
@@ -95,7 +96,7 @@
   this->parser->header_limit(kHeadLimit);
   this->parser->body_limit(kBodyLimit);
   beast::http::async_read(
-      *this->connection, this->buffer, *this->parser,
+      this->connection->stream, this->buffer, *this->parser,
       [self = this->shared_from_this()](const boost::system::error_code error,
                                         std::size_t) { self->OnRead(error); });
 }
@@ -117,7 +118,7 @@
         this->order.address, std::move(this->connection),
         KeepAliveOf(View(this->parser->get()[beast::http::field::keep_alive])));
   } else {
-    this->connection->close();
+    this->connection->stream.close();
     pool.Release(this->order.address);
   }
   this->owner.EndProbe({this->order.probe, this->order.target,
@@ -125,7 +126,7 @@
 }
 
 void Probe::GiveUp() {
-  this->connection->close();
+  this->connection->stream.close();
   this->owner.Pool().Release(this->order.address);
   this->owner.EndProbe({this->order.probe, this->order.target, std::nullopt});
 }
