--- a/tests/users_platform/platform.cc
+++ b/tests/users_platform/platform.cc
@@ -277,13 +277,23 @@
 
 http::Response Platform::Call(const std::string& path,
                               const std::string& method, const int number) {
+  return this->Send(number, "r-" + std::to_string(++this->calls), path, method);
+}
+
+http::Response Platform::CallAs(const std::string& id, const std::string& path,
+                                const std::string& method) {
+  return this->Send(1, id, path, method);
+}
+
+http::Response Platform::Send(const int number, const std::string& id,
+                              const std::string& path,
+                              const std::string& method) const {
   const auto outcome =
       http::SendAndWait(this->At(kEntries + number, kFront),
                         {.method = method,
                          .target = path,
                          .fields = {{"Host", kHost},
-                                    {Text(wire::kRequestIdHeader),
-                                     "r-" + std::to_string(++this->calls)},
+                                    {Text(wire::kRequestIdHeader), id},
                                     {Text(wire::kTimeLeftHeader), "3000"}},
                          .body = {}},
                         kTimeout);
--- a/tests/users_platform/platform.h
+++ b/tests/users_platform/platform.h
@@ -232,6 +232,17 @@
                                     const std::string& method = "GET",
                                     int number = 1);
 
+  /**
+   * @brief Sends a client's request to the first entry.
+   * @param id Identity that the client gives its request.
+   * @param path Path of the request.
+   * @param method Method of the request.
+   * @return The response.
+   */
+  [[nodiscard]] http::Response CallAs(const std::string& id,
+                                      const std::string& path,
+                                      const std::string& method = "GET");
+
   /**
    * @brief Asks an entry whether it is ready.
    * @param number Number of the entry.
@@ -266,6 +277,10 @@
   [[nodiscard]] settings::Document SettingsOf(
       int number, const std::vector<Setting>& settings);
   [[nodiscard]] http::Address At(int host, std::uint16_t port) const;
+  /** Sends a request to an entry. */
+  [[nodiscard]] http::Response Send(int number, const std::string& id,
+                                    const std::string& path,
+                                    const std::string& method) const;
   /** Address under which an entry knows the store. */
   [[nodiscard]] http::Address StoreOf(int number) const;
   [[nodiscard]] static http::Response Get(const http::Address& address,
