Send a request over another connection than the one that refused it

Cause: a target may write a refusal twice, and the copy bears the id of the request. Judge believes a refusal (Trefoilbend-Not-Executed, or 421) by its id; once the same request is under way again on the same connection, the id tells nothing. The pool gave out the newest idle connection of an address, hence as a rule the very one that had just refused: to the call's own further attempt when a target had started again under a new name (its old row stays for three heartbeats, so both names stand at one address), and to the caller's repeat with the id, which is a new call to which no target counts as tried.

Why this works: a copy comes on the connection of its original. Connections remember the requests that were refused on them, by a digest, and none is given to such a request again; so an answer with the request's id on the connection that it got can only be to this attempt. Two ids with one digest cost a new connection, no more. Nothing is forgotten: after 256 refusals, or one that names no request, the connection is closed.

It holds for refusals and 421, first attempts, further ones and hedges, and for the project's own targets with trust-refusals, whose refusals name no request.

--- a/packages/balancing/src/dispatcher.cc
+++ b/packages/balancing/src/dispatcher.cc
@@ -428,6 +428,7 @@
       .request = call.request,
       .beside = beside,
       .holds_refusals = call.request->idempotent || service.trusts_refusals,
+      .trusts_refusals = service.trusts_refusals,
       .holds_failures = this->options.retries_failures &&
                         call.request->idempotent &&
                         call.sent_attempts < this->MaxAttempts(call),
--- a/packages/forwarding/include/trefoilbend/forwarding/fwd.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/fwd.h
@@ -13,11 +13,13 @@
 struct AnswerStarted;
 struct AnswerContinued;
 struct AnswerBroken;
+struct ConnectionUse;
 struct ExchangeEnded;
 struct ExchangeBegan;
 struct LoadReport;
 
 class ForwardingDuty;
+class RefusedRequests;
 
 }  // namespace trefoilbend::forwarding
 
--- a/packages/forwarding/include/trefoilbend/forwarding/messages.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/messages.h
@@ -48,6 +48,9 @@
   /** @brief Whether a refusal of the target (status 503) is reported in place
    * of being passed on, so that another target can be asked. */
   bool holds_refusals{};
+  /** @brief Whether a refusal of the target proves that it has not run the
+   * request. */
+  bool trusts_refusals{};
   /** @brief Whether a failure of the target (status 500 and above) is reported
    * in place of being passed on. */
   bool holds_failures{};
--- a/packages/forwarding/include/trefoilbend/forwarding/target_protocol.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/target_protocol.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "trefoilbend/core/call.h"
 #include "trefoilbend/forwarding/messages.h"
@@ -42,6 +43,14 @@
                        std::chrono::milliseconds left,
                        core::Fields& fields) const = 0;
 
+  /**
+   * @brief Finds the identity that answers to a request repeat.
+   * @param request The request; outlives the identity.
+   * @return The identity; empty if answers to it repeat none.
+   */
+  [[nodiscard]] virtual std::string_view IdentityOf(
+      const core::CallRequest& request) const = 0;
+
   /**
    * @brief Judges the head of an answer.
    * @param order What was sent to which target.
@@ -77,6 +86,11 @@
   void Prepare(const StartExchange& order, std::chrono::milliseconds left,
                core::Fields& fields) const override;
 
+  [[nodiscard]] std::string_view IdentityOf(
+      const core::CallRequest& /*request*/) const override {
+    return {};
+  }
+
   [[nodiscard]] AnswerKind Judge(const StartExchange& order,
                                  const core::AnswerHead& head) const override;
 
--- a/packages/forwarding/src/connection_metrics.cc
+++ b/packages/forwarding/src/connection_metrics.cc
@@ -23,6 +23,12 @@
                   .Help("Answers of targets to other requests than the one "
                         "that was due.")
                   .Register(registry)
+                  .Add({})),
+      avoided(prometheus::BuildCounter()
+                  .Name("trefoilbend_target_connections_avoided_total")
+                  .Help("Connections closed since they had refused the request "
+                        "that was to be sent.")
+                  .Register(registry)
                   .Add({})) {}
 
 }  // namespace trefoilbend::forwarding::internal
--- a/packages/forwarding/src/connection_pool.cc
+++ b/packages/forwarding/src/connection_pool.cc
@@ -46,7 +46,7 @@
   Server& server = this->servers[address];
   server.bounds = bounds;
   if (server.waiters.empty()) {
-    if (Connection connection = this->TakeIdle(server, bounds.most_idle)) {
+    if (Connection connection = this->TakeIdle(server, bounds)) {
       ready(Grant::kReuse, std::move(connection));
       return;
     }
@@ -57,7 +57,7 @@
     }
   }
   this->metrics.waits.Increment();
-  server.waiters.push_back({deadline, bounds.most_idle, std::move(ready)});
+  server.waiters.push_back({deadline, bounds, std::move(ready)});
   this->ServeLater();
 }
 
@@ -68,7 +68,7 @@
 void ConnectionPool::Keep(const http::Address& address, Connection connection,
                           const core::Duration most_idle) {
   Server& server = this->servers[address];
-  if (server.open > server.bounds.open) {
+  if (server.open > server.bounds.open || !connection->refused.AllowMore()) {
     connection->stream.close();
     this->Release(address);
     return;
@@ -103,18 +103,21 @@
 }
 
 Connection ConnectionPool::TakeIdle(Server& server,
-                                    const core::Duration most_idle) {
+                                    const ConnectionBounds& bounds) {
   const core::TimePoint now = Now();
   while (!server.idle.empty()) {
     IdleConnection& newest = server.idle.back();
     const core::Duration age = now - newest.since;
-    if (age > most_idle && age <= newest.most_idle) {
+    if (age > bounds.most_idle && age <= newest.most_idle) {
       return nullptr;
     }
     Connection connection = std::move(newest.connection);
     const bool expired = age > newest.most_idle;
+    const bool refused =
+        bounds.request && connection->refused.Contains(*bounds.request);
     server.idle.pop_back();
-    if (!expired && IsUntouched(*connection)) {
+    this->metrics.avoided.Increment(refused ? 1 : 0);
+    if (!expired && !refused && IsUntouched(*connection)) {
       return connection;
     }
     this->CountClosed(server);
@@ -150,7 +153,7 @@
   this->DropLate(server, now);
   while (!server.waiters.empty()) {
     Connection connection =
-        this->TakeIdle(server, server.waiters.front().most_idle);
+        this->TakeIdle(server, server.waiters.front().bounds);
     if (!connection && !this->MayOpen(server, now)) {
       return;
     }
--- a/packages/forwarding/src/exchange.cc
+++ b/packages/forwarding/src/exchange.cc
@@ -51,7 +51,8 @@
        .interval = this->order.connection_interval,
        .most_idle = this->order.request->idempotent
                         ? core::Duration::max()
-                        : core::Duration{options.unsafe_idle}},
+                        : core::Duration{options.unsafe_idle},
+       .request = DigestOf(options.protocol->IdentityOf(*this->order.request))},
       this->order.request->deadline,
       [self = this->shared_from_this()](const Grant grant, Connection granted) {
         self->TakeConnection(grant, std::move(granted));
@@ -89,16 +90,17 @@
       patience.count() == 0
           ? expiry
           : std::min(expiry, std::chrono::steady_clock::now() + patience));
-  OpenConnection(this->connection->stream, this->order.address,
-                 [self = this->shared_from_this()](
-                     const boost::system::error_code failure) {
-                   if (failure) {
-                     self->Fail(failure);
-                     return;
-                   }
-                   self->connection->stream.expires_at(ExpiryOf(*self->order.request));
-                   self->Write();
-                 });
+  OpenConnection(
+      this->connection->stream, this->order.address,
+      [self =
+           this->shared_from_this()](const boost::system::error_code failure) {
+        if (failure) {
+          self->Fail(failure);
+          return;
+        }
+        self->connection->stream.expires_at(ExpiryOf(*self->order.request));
+        self->Write();
+      });
 }
 
 void Exchange::Write() {
@@ -185,7 +187,11 @@
     this->foreign = true;
     return;
   }
-  this->load = this->owner.GetOptions().protocol->LoadOf(head.fields);
+  const TargetProtocol& protocol = *this->owner.GetOptions().protocol;
+  this->load = protocol.LoadOf(head.fields);
+  if (this->ProvesNotRun(kind)) {
+    this->connection->refused.Add(protocol.IdentityOf(*this->order.request));
+  }
   if (kind == AnswerKind::kMisdirected) {
     this->withheld = ExchangeResult::kMisdirected;
   } else if (kind == AnswerKind::kRefusal && this->order.holds_refusals) {
@@ -203,6 +209,11 @@
   this->holding = this->MayHold(head);
 }
 
+bool Exchange::ProvesNotRun(const AnswerKind kind) const noexcept {
+  return kind == AnswerKind::kMisdirected ||
+         (kind == AnswerKind::kRefusal && this->order.trusts_refusals);
+}
+
 bool Exchange::MayHold(const core::AnswerHead& head) const noexcept {
   return this->order.request->idempotent && !this->order.resume &&
          head.length.value_or(0) <= this->owner.GetOptions().hold &&
--- a/packages/forwarding/src/internal/connection_metrics.h
+++ b/packages/forwarding/src/internal/connection_metrics.h
@@ -24,6 +24,9 @@
   prometheus::Counter& waits;
   /** @brief Answers to other requests that came where one was due. */
   prometheus::Counter& skipped;
+  /** @brief Connections closed because they had refused the request at hand.
+   */
+  prometheus::Counter& avoided;
 };
 
 }  // namespace trefoilbend::forwarding::internal
--- a/packages/forwarding/src/internal/connection_pool.h
+++ b/packages/forwarding/src/internal/connection_pool.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,9 @@
   core::Duration interval{};
   /** @brief Longest time for which the connection may have been idle. */
   core::Duration most_idle = core::Duration::max();
+  /** @brief Request that the connection must not have refused; nothing for a
+   * health check. */
+  std::optional<RequestDigest> request{};
 };
 
 /** @brief Times after which idle connections are closed. */
@@ -83,7 +87,7 @@
 
   /**
    * @brief Keeps a connection for a later exchange, or closes it if too many
-   * are open.
+   * are open or it may carry nothing more.
    * @param address Address of the target.
    * @param connection Connection whose last answer was whole.
    * @param most_idle Time for which the target keeps it open at least.
@@ -121,7 +125,7 @@
 
   struct Waiter {
     core::TimePoint deadline;
-    core::Duration most_idle;
+    ConnectionBounds bounds;
     Ready ready;
   };
 
@@ -133,7 +137,8 @@
     std::deque<Waiter> waiters;
   };
 
-  [[nodiscard]] Connection TakeIdle(Server& server, core::Duration most_idle);
+  [[nodiscard]] Connection TakeIdle(Server& server,
+                                    const ConnectionBounds& bounds);
   [[nodiscard]] bool MayOpen(const Server& server, core::TimePoint now) const;
   void CountOpened(Server& server, core::TimePoint now);
   void CountClosed(Server& server);
--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -118,6 +118,9 @@
   void Fail(boost::system::error_code error);
   void Finish(ExchangeResult result);
   [[nodiscard]] core::AnswerHead MakeHead() const;
+  /** Whether callers are told by such an answer that the request has not run.
+   */
+  [[nodiscard]] bool ProvesNotRun(AnswerKind kind) const noexcept;
   [[nodiscard]] bool MayHold(const core::AnswerHead& head) const noexcept;
   /** Whether a part of a continued answer leaves it as long as it says, or, if
    * more follows, not longer. */
--- a/packages/forwarding/src/internal/target_connection.h
+++ b/packages/forwarding/src/internal/target_connection.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <memory>
 
+#include "trefoilbend/forwarding/refused_requests.h"
+
 namespace trefoilbend::forwarding::internal {
 
 /** @brief A connection to a target and what it has carried. */
@@ -24,6 +26,8 @@
   std::uint64_t number;
   /** @brief Requests and health checks that were written on it. */
   std::uint32_t requests{};
+  /** @brief Requests that the target has refused on it. */
+  RefusedRequests refused;
 };
 
 /** @brief The one who may use a connection. */
