--- a/tests/users_platform/raw_target.cc
+++ b/tests/users_platform/raw_target.cc
@@ -134,7 +134,7 @@
 }
 
 void RawTarget::Serve(tcp::socket socket) {
-  RawConnection connection{std::move(socket), this->stopping};
+  RawConnection connection{std::move(socket), ++this->accepted, this->stopping};
   for (std::string head = connection.ReadHead(); !head.empty();
        head = connection.ReadHead()) {
     this->story(connection, head);
--- a/tests/users_platform/raw_target.h
+++ b/tests/users_platform/raw_target.h
@@ -38,11 +38,15 @@
   /**
    * @brief Takes a connection.
    * @param socket The connection.
+   * @param number Number that no other connection of the target has.
    * @param stopping Whether the target ends.
    */
-  RawConnection(boost::asio::ip::tcp::socket socket,
+  RawConnection(boost::asio::ip::tcp::socket socket, const int number,
                 const std::atomic<bool>& stopping)
-      : socket(std::move(socket)), stopping(stopping) {}
+      : socket(std::move(socket)), number(number), stopping(stopping) {}
+
+  /** @return Number that no other connection of the target has. */
+  [[nodiscard]] int Number() const noexcept { return this->number; }
 
   /**
    * @brief Waits for the head of a request without a body.
@@ -68,6 +72,7 @@
 
  private:
   boost::asio::ip::tcp::socket socket;
+  int number;
   const std::atomic<bool>& stopping;
 };
 
@@ -103,6 +108,7 @@
   boost::asio::ip::tcp::acceptor acceptor;
   Story story;
   std::atomic<bool> stopping{};
+  std::atomic<int> accepted{};
   std::list<ServedConnection> connections;
   std::thread accepting;
 };
--- a/tests/users_platform/repeated_refusal_test.cc
+++ b/tests/users_platform/repeated_refusal_test.cc
@@ -58,7 +58,7 @@
 
   /** Writes what is still due of an earlier refusal on the connection. */
   void WriteCopy(RawConnection& connection) {
-    const auto copy = this->copies.find(&connection);
+    const auto copy = this->copies.find(connection.Number());
     if (copy != this->copies.end()) {
       connection.Write(copy->second);
       this->copies.erase(copy);
@@ -68,7 +68,7 @@
 
   void Refuse(RawConnection& connection, const std::string& refusal) {
     connection.Write(refusal);
-    this->copies[&connection] = refusal;
+    this->copies[connection.Number()] = refusal;
     ++this->refusals;
   }
 
@@ -131,7 +131,8 @@
   }
 
   std::mutex mutex;
-  std::map<const RawConnection*, std::string> copies;
+  /** Copies that are still due, by their connections. */
+  std::map<int, std::string> copies;
   std::set<std::string> seen;
   std::atomic<int> refusals{};
   std::atomic<int> runs{};
