Keep the answers of health checks and of requests apart

What callers saw: a request that ran was answered 502, and its target's answer was lost.

Cause: two health checks of one connection, or a check and a request, are told apart by the order of answers alone. (a) A check took the copy of a request's refusal for its own answer; the true one came later, without an id, where the answer to the next request was due. (b) The copy of a refused check came there. Both are no answer to a request, which then counts as failed.

Why this works: (a) an answer that names a request is none to a check and is passed over, 16 at most within the check's time; (b) a connection on which a check was not answered with health carries nothing more, as after any refusal that names no request.

--- a/packages/forwarding/include/trefoilbend/forwarding/target_protocol.h
+++ b/packages/forwarding/include/trefoilbend/forwarding/target_protocol.h
@@ -60,6 +60,14 @@
   [[nodiscard]] virtual AnswerKind Judge(
       const StartExchange& order, const core::AnswerHead& head) const = 0;
 
+  /**
+   * @brief Tells whether an answer names a request, so that it is none to a
+   * health check.
+   * @param fields Header fields of the answer.
+   * @return True if it names one.
+   */
+  [[nodiscard]] virtual bool NamesRequest(const core::Fields& fields) const = 0;
+
   /**
    * @brief Reads the load that a target tells.
    * @param fields Header fields of an answer.
@@ -94,6 +102,11 @@
   [[nodiscard]] AnswerKind Judge(const StartExchange& order,
                                  const core::AnswerHead& head) const override;
 
+  [[nodiscard]] bool NamesRequest(
+      const core::Fields& /*fields*/) const override {
+    return false;
+  }
+
   [[nodiscard]] std::optional<LoadReport> LoadOf(
       const core::Fields& fields) const override;
 
--- a/packages/forwarding/src/internal/probe.h
+++ b/packages/forwarding/src/internal/probe.h
@@ -3,6 +3,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -33,6 +34,9 @@
   void Write();
   void Read();
   void OnRead(boost::system::error_code error);
+  /** Reads on after an answer to a request. */
+  void SkipAnswer();
+  void Finish(HealthReport report);
   void GiveUp();
 
   ExchangeOwner& owner;
@@ -43,6 +47,7 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       parser;
+  std::uint32_t skipped{};
 };
 
 }  // namespace trefoilbend::forwarding::internal
--- a/packages/forwarding/src/probe.cc
+++ b/packages/forwarding/src/probe.cc
@@ -16,6 +16,8 @@
 constexpr unsigned kHttp11 = 11;
 constexpr std::uint32_t kHeadLimit = 8U << 10U;
 constexpr std::uint64_t kBodyLimit = 64U << 10U;
+/** Answers to requests that may come before the one that is due. */
+constexpr std::uint32_t kMostSkipped = 16;
 
 std::string_view View(const beast::string_view text) {
   return {text.data(), text.size()};
@@ -112,6 +114,27 @@
     return;
   }
   const core::AnswerHead head = HeadOf(this->parser->get());
+  if (this->owner.GetOptions().protocol->NamesRequest(head.fields)) {
+    this->SkipAnswer();
+    return;
+  }
+  this->Finish(this->owner.GetOptions().protocol->HealthOf(head));
+}
+
+void Probe::SkipAnswer() {
+  if (!this->parser->keep_alive() || ++this->skipped > kMostSkipped) {
+    this->GiveUp();
+    return;
+  }
+  this->owner.CountSkippedAnswer();
+  this->Read();
+}
+
+void Probe::Finish(HealthReport report) {
+  if (!report.healthy) {
+    // It may be a refusal that comes twice.
+    this->connection->refused.Add({});
+  }
   ConnectionPool& pool = this->owner.Pool();
   if (this->parser->keep_alive() && this->buffer.size() == 0) {
     pool.Keep(
@@ -121,8 +144,8 @@
     this->connection->stream.close();
     pool.Release(this->order.address);
   }
-  this->owner.EndProbe({this->order.probe, this->order.target,
-                        this->owner.GetOptions().protocol->HealthOf(head)});
+  this->owner.EndProbe(
+      {this->order.probe, this->order.target, std::move(report)});
 }
 
 void Probe::GiveUp() {
