Tests: the project's own targets may write a refusal twice

Callers of the project's own interface were told `busy`, `not-run` of a call that ran, if a service trusts refusals: its targets repeat no identity, so that the copy of a refusal was believed of any next request on its connection.

--- a/stand_ins/target/faults.h
+++ b/stand_ins/target/faults.h
@@ -36,6 +36,9 @@
   /** @brief Share of requests, in percent, that are refused with status 503
    * after they have run. */
   std::int64_t refuse_after_run_percent = 0;
+  /** @brief Whether a refusal is written once more where the next answer on its
+   * connection is due. */
+  std::int64_t repeat_refusals = 0;
   /** @brief Whether load reports say that the target is idle. */
   std::int64_t lie = 0;
   /** @brief Age of load reports in milliseconds. */
@@ -58,6 +61,7 @@
         {"cold", &Faults::cold},
         {"drain", &Faults::drain},
         {"refuse_after_run_percent", &Faults::refuse_after_run_percent},
+        {"repeat_refusals", &Faults::repeat_refusals},
         {"lie", &Faults::lie},
         {"report_lag_ms", &Faults::report_lag_ms},
         {"one_route", &Faults::one_route}};
--- a/stand_ins/target/session.cc
+++ b/stand_ins/target/session.cc
@@ -32,6 +32,22 @@
   if (error) {
     return;
   }
+  if (this->copy.empty()) {
+    this->Handle();
+    return;
+  }
+  boost::asio::async_write(
+      this->stream, boost::asio::buffer(this->copy),
+      [self = this->shared_from_this()](const boost::system::error_code failure,
+                                        std::size_t) {
+        self->copy.clear();
+        if (!failure) {
+          self->Handle();
+        }
+      });
+}
+
+void Session::Handle() {
   this->in_progress = this->target.Token();
   http::Request request{.method = std::string{this->in.method_string()},
                         .target = std::string{this->in.target()},
@@ -74,6 +90,11 @@
     this->WriteCut();
     return;
   }
+  if (reply.repeat) {
+    std::ostringstream text;
+    text << this->out;
+    this->copy = text.str();
+  }
   beast::http::async_write(
       this->stream, this->out,
       [self = this->shared_from_this()](const boost::system::error_code error,
--- a/stand_ins/target/session.h
+++ b/stand_ins/target/session.h
@@ -32,6 +32,7 @@
 
  private:
   void OnRead(boost::system::error_code error);
+  void Handle();
   void Write(Reply reply);
   void WriteCut();
 
@@ -41,6 +42,8 @@
   boost::beast::http::request<boost::beast::http::string_body> in;
   boost::beast::http::response<boost::beast::http::string_body> out;
   std::string cut;
+  /** Answer that is written once more before the next one. */
+  std::string copy;
   std::shared_ptr<const void> in_progress;
   bool counted{};
 };
--- a/stand_ins/target/target.cc
+++ b/stand_ins/target/target.cc
@@ -131,7 +131,9 @@
   this->CountCold();
   if (this->faults.drain == 1 || this->waiting.size() >= this->options.queue) {
     ++this->shed;
-    done(Refusal());
+    Reply refusal = Refusal();
+    refusal.repeat = this->faults.repeat_refusals != 0;
+    done(std::move(refusal));
     return;
   }
   if (this->Strikes(this->faults.fast_fail_percent, request)) {
--- a/stand_ins/target/target.h
+++ b/stand_ins/target/target.h
@@ -44,6 +44,9 @@
   bool reset{};
   /** @brief Whether the response is cut within its body. */
   bool truncate{};
+  /** @brief Whether the response is written once more where the next one on the
+   * connection is due. */
+  bool repeat{};
 };
 
 /** @brief Model of a server with slots, a queue, a cold start and faults; it
--- a/tests/calls/not_run_test.cc
+++ b/tests/calls/not_run_test.cc
@@ -234,6 +234,17 @@
   CheckThatNoneRan("busy", 20);
 }
 
+/** REFUSED: the copy of a refusal, which names no request here, was believed of
+ * the next request on its connection, which ran. */
+BOOST_FIXTURE_TEST_CASE(is_true_of_a_target_that_writes_it_twice, WithTrust) {
+  for (const char* target : {"stock-1", "stock-2"}) {
+    fleet->Fault(target, "repeat_refusals", 1);
+  }
+  Flood("entry-1", 10);
+  BOOST_TEST(Shed() > 10);
+  CheckThatNoneRan("busy", 20);
+}
+
 BOOST_FIXTURE_TEST_CASE(is_found_out_when_the_rule_trusts_a_liar, WithTrust) {
   for (const char* target : {"stock-1", "stock-2"}) {
     fleet->Fault(target, "refuse_after_run_percent", 100);
