Forwarding: read answers in a file of their own

Asking for a connection, writing and ending an exchange stay in it; reading and passing on its answer go to exchange_answer.cc. The conversion of Beast's text view stood twice in the slice. No behaviour changes; forwarding_test and the stories of targets in users_platform_test pass.

--- a/packages/forwarding/src/internal/exchange.h
+++ b/packages/forwarding/src/internal/exchange.h
@@ -128,6 +128,8 @@
   void PassOn(std::string body, bool complete);
   void GiveBackConnection(ExchangeResult result, bool answered);
   void CloseAfterCancel();
+  /** Time at which the exchange is given up. */
+  [[nodiscard]] core::TimePoint Expiry() const noexcept;
   [[nodiscard]] core::Duration Elapsed() const noexcept;
 
   ExchangeOwner& owner;
--- a/packages/forwarding/src/probe.cc
+++ b/packages/forwarding/src/probe.cc
@@ -1,10 +1,10 @@
 #include "internal/probe.h"
 
-#include <string_view>
 #include <utility>
 
 #include "internal/open_connection.h"
 #include "internal/status.h"
+#include "internal/text_view.h"
 #include "trefoilbend/forwarding/fields.h"
 
 namespace trefoilbend::forwarding::internal {
@@ -19,10 +19,6 @@
 /** Answers to requests that may come before the one that is due. */
 constexpr std::uint32_t kMostSkipped = 16;
 
-std::string_view View(const beast::string_view text) {
-  return {text.data(), text.size()};
-}
-
 core::AnswerHead HeadOf(
     const beast::http::response<beast::http::string_body>& message) {
   core::AnswerHead head{
