Ask a peer at the start for the tables before a return of the store (CONFIG)

What callers saw: an entry that started after the store had come back from an older copy, and before operators wrote again, served the copy: 404 for what the newer desired state allows, 200 for what only the older one does.

Cause: the entry reads the store, finds a table of the present era and takes it for the truth.

Change: the feed keeps each table as it was before the return for 10 s; a peer that has not seen the return has it in force. Peers of earlier programs tell nothing, and it goes on as before.

--- a/packages/feed/include/trefoilbend/feed/messages.h
+++ b/packages/feed/include/trefoilbend/feed/messages.h
@@ -41,6 +41,15 @@
   bool store_answers{};
 };
 
+/** @brief The tables as they were before the store came back from an older
+ * copy, for peers that start since then and find only the copy. */
+struct EarlierEra {
+  /** @brief Rows of each table, and deletions of late. */
+  std::vector<platform::TableChanges> tables;
+  /** @brief Time up to which what the store lacks of them may be in force. */
+  core::TimePoint until{};
+};
+
 /** @brief Number of a question, by which its answer is known. */
 using AskId = core::Number<struct AskTag>;
 
@@ -57,6 +66,10 @@
   /** @brief Time as of which this entry knows the store, if it does; the peer
    * does not wait once it knows it as of a later time. */
   std::optional<core::TimePoint> confirmed;
+  /** @brief Whether the peer is asked for the tables before the store came
+   * back.
+   */
+  bool wants_earlier{};
 };
 
 /** @brief Message to the duty of the feed. */
@@ -74,6 +87,9 @@
   /** @brief Whether the store answers the peer; it tells nothing of whether the
    * store answers others. */
   bool store_answers{};
+  /** @brief The tables before the store came back, if the peer was asked for
+   * them and they may still be in force. */
+  std::optional<EarlierEra> earlier{};
 };
 
 /** @brief The peer gave no answer. */
--- a/packages/feed/include/trefoilbend/feed/table_image.h
+++ b/packages/feed/include/trefoilbend/feed/table_image.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -62,6 +63,15 @@
     return after.Precedes(this->newest);
   }
 
+  /** @return All rows, and the deletions that are remembered. */
+  [[nodiscard]] platform::TableChanges Content() const;
+
+  /** @return Content in the era before the present one, if it was known. */
+  [[nodiscard]] const std::optional<platform::TableChanges>& Earlier()
+      const noexcept {
+    return this->earlier;
+  }
+
   /**
    * @brief Lists what a reader lacks.
    * @param after Position up to which the reader knows the table.
@@ -83,6 +93,7 @@
   platform::Position newest;
   /** Position up to which deletions may be missing from the list. */
   platform::Position forgotten;
+  std::optional<platform::TableChanges> earlier;
 };
 
 }  // namespace trefoilbend::feed
--- a/packages/feed/src/duty.cc
+++ b/packages/feed/src/duty.cc
@@ -106,6 +106,7 @@
         request.setWaitMs(static_cast<std::uint32_t>(ask.wait.count()));
         // Earlier programs wait only if told what they believe themselves.
         request.setStoreAnswers(true);
+        request.setWantsEarlier(ask.wants_earlier);
         request.setKnown(ask.confirmed.has_value());
         if (ask.confirmed) {
           request.setAgeMs(internal::AgeOf(*ask.confirmed,
--- a/packages/feed/src/feed.capnp
+++ b/packages/feed/src/feed.capnp
@@ -24,6 +24,8 @@
   known @2 :Bool;  # Whether all tables are known at all.
   storeAnswers @3 :Bool;
   era @4 :UInt64;  # Era in which all tables are in force.
+  earlier @5 :List(Table);  # Tables before the era that the caller lists, if wanted.
+  earlierLeftMs @6 :UInt32;  # Time for which they may still hold what the store lacks.
 }
 
 interface Feed {
@@ -32,5 +34,5 @@
   # after the wait.
   # A caller that lists no eras is of an earlier program, and compares versions.
   watch @0 (after :List(UInt64), waitMs :UInt32, storeAnswers :Bool, known :Bool, ageMs :UInt32,
-      eras :List(UInt64)) -> (news :News);
+      eras :List(UInt64), wantsEarlier :Bool) -> (news :News);
 }
--- a/packages/feed/src/feed.capnp.h
+++ b/packages/feed/src/feed.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9086681152cbd106, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9086681152cbd106, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -359,6 +359,11 @@
 
   inline  ::uint64_t getEra() const;
 
+  inline bool hasEarlier() const;
+  inline  ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Reader getEarlier() const;
+
+  inline  ::uint32_t getEarlierLeftMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -406,6 +411,16 @@
   inline  ::uint64_t getEra();
   inline void setEra( ::uint64_t value);
 
+  inline bool hasEarlier();
+  inline  ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Builder getEarlier();
+  inline void setEarlier( ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Builder initEarlier(unsigned int size);
+  inline void adoptEarlier(::capnp::Orphan< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>> disownEarlier();
+
+  inline  ::uint32_t getEarlierLeftMs();
+  inline void setEarlierLeftMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -516,6 +531,8 @@
   inline bool hasEras() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEras() const;
 
+  inline bool getWantsEarlier() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -572,6 +589,9 @@
   inline void adoptEras(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEras();
 
+  inline bool getWantsEarlier();
+  inline void setWantsEarlier(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -958,6 +978,54 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool News::Reader::hasEarlier() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasEarlier() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Reader News::Reader::getEarlier() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Builder News::Builder::getEarlier() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setEarlier( ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>::Builder News::Builder::initEarlier(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptEarlier(
+    ::capnp::Orphan< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>> News::Builder::disownEarlier() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::trefoilbend::feed::wire::Table,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t News::Reader::getEarlierLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t News::Builder::getEarlierLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void News::Builder::setEarlierLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Feed::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1114,6 +1182,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Feed::WatchParams::Reader::getWantsEarlier() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+
+inline bool Feed::WatchParams::Builder::getWantsEarlier() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS);
+}
+inline void Feed::WatchParams::Builder::setWantsEarlier(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<34>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Feed::WatchResults::Reader::hasNews() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/feed/src/feed_codec.cc
+++ b/packages/feed/src/feed_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -53,13 +54,18 @@
   }
 }
 
-TableNews Decode(const wire::Table::Reader table) {
+platform::TableChanges DecodeChanges(const wire::Table::Reader table) {
   const Era era{table.getEra()};
   platform::TableChanges changes{
       .changes = {}, .position = {era, RowVersion{table.getVersion()}}};
   for (const wire::Row::Reader row : table.getRows()) {
     changes.changes.push_back(Decode(row, era));
   }
+  return changes;
+}
+
+TableNews Decode(const wire::Table::Reader table) {
+  platform::TableChanges changes = DecodeChanges(table);
   if (!table.getWhole()) {
     return changes;
   }
@@ -70,6 +76,31 @@
   return state;
 }
 
+void Encode(const EarlierEra& earlier, const core::TimePoint now,
+            wire::News::Builder news) {
+  news.setEarlierLeftMs(AgeOf(now, earlier.until));
+  auto tables = news.initEarlier(static_cast<unsigned>(earlier.tables.size()));
+  for (unsigned at = 0; at < tables.size(); ++at) {
+    tables[at].setNumber(static_cast<std::uint8_t>(at));
+    EncodeChanges(earlier.tables[at], tables[at]);
+  }
+}
+
+std::optional<EarlierEra> DecodeEarlier(const wire::News::Reader news,
+                                        const std::size_t tables,
+                                        const core::TimePoint now) {
+  if (news.getEarlier().size() != tables) {
+    return std::nullopt;
+  }
+  EarlierEra earlier{
+      .tables = {},
+      .until = now + std::chrono::milliseconds{news.getEarlierLeftMs()}};
+  for (const wire::Table::Reader table : news.getEarlier()) {
+    earlier.tables.push_back(DecodeChanges(table));
+  }
+  return earlier;
+}
+
 }  // namespace
 
 std::uint32_t AgeOf(const core::TimePoint confirmed,
@@ -90,6 +121,9 @@
   if (heard.confirmed) {
     news.setAgeMs(AgeOf(*heard.confirmed, now));
   }
+  if (heard.earlier) {
+    Encode(*heard.earlier, now, news);
+  }
   auto tables = news.initTables(static_cast<unsigned>(heard.tables.size()));
   for (unsigned at = 0; at < tables.size(); ++at) {
     wire::Table::Builder out = tables[at];
@@ -109,7 +143,8 @@
   Heard heard{.tables = {},
               .confirmed = std::nullopt,
               .era = Era{news.getEra()},
-              .store_answers = news.getStoreAnswers()};
+              .store_answers = news.getStoreAnswers(),
+              .earlier = DecodeEarlier(news, tables, now)};
   if (news.getKnown()) {
     heard.confirmed = now - std::chrono::milliseconds{news.getAgeMs()};
   }
--- a/packages/feed/src/internal/server.h
+++ b/packages/feed/src/internal/server.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <list>
+#include <optional>
 #include <vector>
 
 #include "feed.capnp.h"
@@ -47,11 +48,16 @@
                                            std::size_t table) const;
   [[nodiscard]] bool HasNews(WatchParams::Reader peer) const;
   [[nodiscard]] Heard After(WatchParams::Reader peer) const;
+  /** The tables in an earlier era than the peer knows them in. */
+  [[nodiscard]] std::optional<EarlierEra> EarlierThan(
+      WatchParams::Reader peer) const;
   void Tell(WatchContext context) const;
   void WakeAll();
 
   std::vector<TableImage> images;
   Confirmation confirmation;
+  /** Time up to which tables of the era before may be in force. */
+  core::TimePoint earlier_until{};
   /** Newest confirmation that waiting peers were told of. */
   core::TimePoint told_at{};
   kj::Timer& timer;
--- a/packages/feed/src/server.cc
+++ b/packages/feed/src/server.cc
@@ -17,6 +17,9 @@
 /** Least time between two confirmations that peers are told at once. */
 constexpr std::chrono::milliseconds kConfirmationStep{300};
 constexpr std::uint32_t kLongestWaitMs = 5'000;
+/** Time after a return of the store for which the tables before it are told;
+ * what it lacks is written again by then. */
+constexpr std::chrono::milliseconds kEarlierTime{10'000};
 
 std::optional<std::uint64_t> NumberAt(
     const capnp::List<std::uint64_t>::Reader numbers, const std::size_t at) {
@@ -33,6 +36,9 @@
   TableImage& image = this->images.at(learnt.table);
   const platform::Position before = image.Newest();
   image.Take(learnt.news);
+  if (before.IsOfEarlierEraThan(image.Newest())) {
+    this->earlier_until = std::chrono::steady_clock::now() + kEarlierTime;
+  }
   if (image.HasNews(before)) {
     this->WakeAll();
   }
@@ -104,9 +110,30 @@
           {.table = table, .news = this->images[table].After(known)});
     }
   }
+  if (peer.getWantsEarlier()) {
+    heard.earlier = this->EarlierThan(peer);
+  }
   return heard;
 }
 
+std::optional<EarlierEra> Server::EarlierThan(
+    const WatchParams::Reader peer) const {
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  EarlierEra earlier{.tables = {}, .until = now + kEarlierTime};
+  for (std::size_t table = 0; table < this->images.size(); ++table) {
+    const TableImage& image = this->images[table];
+    if (image.Known().IsOfEarlierEraThan(this->KnownTo(peer, table))) {
+      earlier.tables.push_back(image.Content());
+    } else if (image.Earlier() && now < this->earlier_until) {
+      earlier.tables.push_back(*image.Earlier());
+      earlier.until = std::min(earlier.until, this->earlier_until);
+    } else {
+      return std::nullopt;
+    }
+  }
+  return earlier;
+}
+
 void Server::Tell(WatchContext context) const {
   Encode(this->After(context.getParams()), std::chrono::steady_clock::now(),
          context.getResults().initNews());
--- a/packages/feed/src/table_image.cc
+++ b/packages/feed/src/table_image.cc
@@ -20,6 +20,10 @@
   if (state.position.Precedes(this->known)) {
     return;
   }
+  if (this->known.IsOfEarlierEraThan(state.position) &&
+      this->known != platform::Position{}) {
+    this->earlier = this->Content();
+  }
   this->rows.clear();
   this->deletions.clear();
   this->newest = core::LaterOf(this->newest, state.position);
@@ -64,6 +68,21 @@
   }
 }
 
+platform::TableChanges TableImage::Content() const {
+  platform::TableChanges content{.changes = {}, .position = this->known};
+  for (const auto& [key, deleted_at] : this->deletions) {
+    if (!this->rows.contains(key)) {
+      content.changes.push_back(
+          {.row = {.key = key, .value = "", .position = deleted_at},
+           .deleted = true});
+    }
+  }
+  for (const auto& [key, row] : this->rows) {
+    content.changes.push_back({.row = row, .deleted = false});
+  }
+  return content;
+}
+
 TableNews TableImage::After(const platform::Position& after) const {
   if (after.Precedes(this->forgotten)) {
     platform::TableState state{.rows = {}, .position = this->known};
--- a/packages/feed/test/feed_test.cc
+++ b/packages/feed/test/feed_test.cc
@@ -57,17 +57,34 @@
   std::future<Answer> Begin(const http::Address& peer,
                             const std::chrono::milliseconds wait,
                             const std::uint64_t known = 0) {
+    return Begin(
+        Ask{.id = AskId{7},
+            .peer = peer,
+            .after = {Position::WithoutEra(0), Position::WithoutEra(known),
+                      Position::WithoutEra(0)},
+            .wait = wait,
+            .confirmed = std::chrono::steady_clock::now()});
+  }
+
+  std::future<Answer> Begin(Ask ask) {
     received = {};
     auto answer = received.get_future();
-    Send(Ask{.id = AskId{7},
-             .peer = peer,
-             .after = {Position::WithoutEra(0), Position::WithoutEra(known),
-                       Position::WithoutEra(0)},
-             .wait = wait,
-             .confirmed = std::chrono::steady_clock::now()});
+    Send(std::move(ask));
     return answer;
   }
 
+  /** Asks for the tables before an era in which the entry knows them. */
+  std::future<Answer> BeginEarlier(const http::Address& peer,
+                                   const platform::Era era) {
+    const Position known{era, platform::RowVersion{9}};
+    return Begin(Ask{.id = AskId{7},
+                     .peer = peer,
+                     .after = {known, known, known},
+                     .wait = 0ms,
+                     .confirmed = std::chrono::steady_clock::now(),
+                     .wants_earlier = true});
+  }
+
   core::Ring<Answer> answers{16};
   core::Duty registry{"registry"};
   FeedDuty feed{kTables};
@@ -181,6 +198,59 @@
   }
 }
 
+/** CONFIG: an entry that started after a return of the store served the copy,
+ * though its peers knew what was lost. */
+BOOST_AUTO_TEST_SUITE(and_has_found_only_a_copy_in_the_store)
+
+BOOST_AUTO_TEST_CASE(hears_the_tables_of_a_reader_that_has_not_seen_it_yet) {
+  const Heard heard = HeardOf(listener.BeginEarlier(kReader, platform::Era{2}));
+  BOOST_REQUIRE(heard.earlier.has_value());
+  BOOST_REQUIRE(heard.earlier->tables.size() == kTables);
+  const auto& targets = heard.earlier->tables[kTargets];
+  BOOST_TEST((targets.position == Position::WithoutEra(5)));
+  BOOST_REQUIRE(targets.changes.size() == 1);
+  BOOST_TEST(targets.changes.front().row.key == "servers/a");
+  BOOST_TEST((heard.earlier->until > std::chrono::steady_clock::now()));
+}
+
+BOOST_AUTO_TEST_CASE(hears_the_tables_as_they_were_before_it) {
+  const Position later{platform::Era{2}, platform::RowVersion{3}};
+  for (std::size_t table = 0; table < kTables; ++table) {
+    const Position before{platform::Era{1}, platform::RowVersion{7}};
+    reader.Send(
+        Learnt{.table = table,
+               .news = platform::TableState{
+                   .rows = {{.key = "lost", .value = "v", .position = before}},
+                   .position = before}});
+    reader.Send(
+        Learnt{.table = table,
+               .news = platform::TableState{.rows = {}, .position = later}});
+  }
+  reader.Send(Confirmation{.at = std::chrono::steady_clock::now(),
+                           .era = platform::Era{2},
+                           .store_answers = true});
+  Heard heard = HeardOf(listener.BeginEarlier(kReader, platform::Era{2}));
+  while (heard.era != platform::Era{2}) {
+    heard = HeardOf(listener.BeginEarlier(kReader, platform::Era{2}));
+  }
+  BOOST_REQUIRE(heard.earlier.has_value());
+  for (const platform::TableChanges& table : heard.earlier->tables) {
+    BOOST_REQUIRE(table.changes.size() == 1);
+    BOOST_TEST(table.changes.front().row.key == "lost");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(hears_nothing_of_the_kind_unless_it_asks_for_it) {
+  BOOST_TEST(!HeardOf(listener.Begin(kReader, 0ms)).earlier.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(hears_nothing_of_a_reader_that_knows_no_earlier_one) {
+  BOOST_TEST(!HeardOf(listener.BeginEarlier(kReader, platform::Era{0}))
+                  .earlier.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(and_lacks_nothing)
 
 BOOST_AUTO_TEST_CASE(is_told_of_a_change_as_soon_as_there_is_one) {
--- a/packages/registry/include/trefoilbend/registry/catalogue.h
+++ b/packages/registry/include/trefoilbend/registry/catalogue.h
@@ -113,6 +113,19 @@
   void Take(Table table, const platform::TableChanges& changes,
             core::TimePoint now);
 
+  /**
+   * @brief Takes the tables that a peer knew before the store came back from an
+   * older copy, where this entry has read the copy alone. Rows that the store
+   * lacks or has in an older form are held as peers hold them.
+   * @param tables Rows and late deletions of each table in an earlier era.
+   * @param until Time up to which they may be held.
+   * @param now Current time.
+   * @return Whether any row is held by it.
+   */
+  [[nodiscard]] bool TakeEarlier(
+      const std::vector<platform::TableChanges>& tables, core::TimePoint until,
+      core::TimePoint now);
+
   /**
    * @brief Takes note that the store has answered on a table, though it may
    * have told an older state of it.
@@ -328,6 +341,10 @@
   void ChangeSetAside(Table table, const platform::TableChanges& changes);
   /** Brings the tables that were set aside into force once all are there. */
   void TryBeginEra(core::TimePoint now);
+  /** Holds a row as a peer had it in force, unless the store has it as new.
+   * Returns whether it is held. */
+  bool HoldEarlier(Table table, const platform::RowChange& earlier,
+                   core::TimePoint until, core::TimePoint now);
   /** Takes what the store has of a row that was held for long enough. */
   void Settle(Table table, const std::string& key, const HeldRow& held,
               core::TimePoint now);
--- a/packages/registry/include/trefoilbend/registry/row_memory.h
+++ b/packages/registry/include/trefoilbend/registry/row_memory.h
@@ -121,6 +121,13 @@
   [[nodiscard]] std::map<std::string, HeldRow> DueAt(
       core::TimePoint as_of) const;
 
+  /**
+   * @brief Finds a row that is in force.
+   * @param key Key of the row.
+   * @return The row; null if there is none.
+   */
+  [[nodiscard]] const platform::Row* Find(const std::string& key) const;
+
   /** @return Number of the rows that are held. */
   [[nodiscard]] std::size_t HeldCount() const noexcept {
     return this->held.size();
--- a/packages/registry/src/catalogue_eras.cc
+++ b/packages/registry/src/catalogue_eras.cc
@@ -122,6 +122,63 @@
   this->CatchUp(before.Next());
 }
 
+bool Catalogue::TakeEarlier(const std::vector<platform::TableChanges>& tables,
+                            const core::TimePoint until,
+                            const core::TimePoint now) {
+  const bool fits =
+      tables.size() == kTables && !this->IsChangingEra() &&
+      std::all_of(kAllTables.begin(), kAllTables.end(), [&](const Table table) {
+        return tables[static_cast<std::size_t>(table)]
+            .position.IsOfEarlierEraThan(this->PositionOf(table));
+      });
+  if (!fits) {
+    return false;
+  }
+  bool any = false;
+  for (const Table table : kAllTables) {
+    for (const platform::RowChange& row :
+         tables[static_cast<std::size_t>(table)].changes) {
+      any = this->HoldEarlier(table, row, until, now) || any;
+    }
+  }
+  if (any) {
+    this->orders_rewritten = until;
+    this->releases.BeginEra();
+  }
+  return any;
+}
+
+bool Catalogue::HoldEarlier(const Table table,
+                            const platform::RowChange& earlier,
+                            const core::TimePoint until,
+                            const core::TimePoint now) {
+  TableKnowledge& known = this->Of(table);
+  const std::string& key = earlier.row.key;
+  if (known.memory.FindHeld(key) != nullptr || IsStep(table, key)) {
+    return false;
+  }
+  HeldRow held{.in_store = std::nullopt, .until = until};
+  if (const platform::Row* row = known.memory.Find(key)) {
+    const bool newer = earlier.row.position.HasLowerNumberThan(row->position) ||
+                       (!earlier.deleted && row->value == earlier.row.value);
+    if (newer || this->IsTakenAtOnce(table, *row)) {
+      return false;
+    }
+    held.in_store = *row;
+  } else if (earlier.deleted) {
+    return false;
+  } else {
+    held.until = std::min(until, now + HandlersOf(table).keep_missing);
+  }
+  if (earlier.deleted) {
+    this->Withdraw(table, key, now);
+  } else {
+    this->Apply(table, earlier.row, now);
+  }
+  known.memory.Hold(key, std::move(held));
+  return true;
+}
+
 void Catalogue::Settle(const Table table, const std::string& key,
                        const HeldRow& held, const core::TimePoint now) {
   if (!held.in_store) {
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -47,6 +47,8 @@
 /** kMostWatch of the fleet's table, whose rows entries tell each other too. */
 constexpr std::chrono::milliseconds kMostFleetWatch{2'000};
 constexpr std::size_t kMostChangeLines = 24;
+/** Peers that an entry asks at its start for the era before. */
+constexpr std::size_t kMostAskedForEarlier = 2;
 
 core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
 
@@ -197,6 +199,24 @@
     return true;
   }
 
+  /** A peer that has started since the store came back tells nothing. */
+  void HearEarlier(const std::optional<feed::EarlierEra>& earlier) override {
+    const core::TimePoint now = Now();
+    const bool held =
+        earlier &&
+        this->catalogue.TakeEarlier(
+            earlier->tables, std::min(earlier->until, now + kRewriteTime), now);
+    if (held) {
+      this->log.Info("Took from a peer what the store lacks. rows={}",
+                     this->catalogue.HeldCount());
+    }
+    if (!earlier && !this->may_tell_earlier.empty()) {
+      this->AskNextForEarlier();
+      return;
+    }
+    this->NoteChange();
+  }
+
   void ReadStore() override {
     this->metrics.listens.Set(0);
     this->SetPace();
@@ -314,6 +334,9 @@
   /** The first update waits until operators' and targets' tables are known,
    * so that nothing is refused for want of what is only unread. */
   void Rebuild() {
+    if (this->source.AsksEarlier()) {
+      return;
+    }
     auto built = this->catalogue.Build(this->wall.Seconds());
     this->rows.Note(this->catalogue);
     if (!built ||
@@ -372,6 +395,32 @@
       }
     }
     this->source.Configure(live);
+    this->AskEarlier(live);
+  }
+
+  /** An entry that starts finds in the store what an older copy has; what was
+   * in force before, and is still to be written again, its peers know. */
+  void AskEarlier(const std::vector<feed::Candidate>& live) {
+    if (!this->ForAll(&internal::TableFollower::IsKnown) ||
+        std::exchange(this->has_read_all, true) ||
+        this->catalogue.Era() == platform::Era{}) {
+      return;
+    }
+    for (const feed::Candidate& candidate : live) {
+      if (candidate.name != this->options.self.name &&
+          this->may_tell_earlier.size() < kMostAskedForEarlier) {
+        this->may_tell_earlier.push_back(candidate);
+      }
+    }
+    if (!this->may_tell_earlier.empty()) {
+      this->AskNextForEarlier();
+    }
+  }
+
+  void AskNextForEarlier() {
+    const feed::Candidate next = this->may_tell_earlier.back();
+    this->may_tell_earlier.pop_back();
+    this->source.AskEarlier(next);
   }
 
   [[nodiscard]] bool IsLive(const core::InstanceName& entry) const {
@@ -487,6 +536,9 @@
   bool waits_for_news = false;
   std::uint64_t desired{};
   bool has_update = false;
+  bool has_read_all = false;
+  /** Peers that are still to be asked for the era before. */
+  std::vector<feed::Candidate> may_tell_earlier;
   bool changed = false;
   core::Log log{"registry"};
 };
--- a/packages/registry/src/internal/peer_source.h
+++ b/packages/registry/src/internal/peer_source.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "trefoilbend/core/log.h"
@@ -30,6 +31,13 @@
    */
   [[nodiscard]] virtual bool Hear(const feed::Heard& heard) = 0;
 
+  /**
+   * @brief Takes what a peer had in force before the store came back from an
+   * older copy.
+   * @param earlier What it had; nothing if the peer has not told it.
+   */
+  virtual void HearEarlier(const std::optional<feed::EarlierEra>& earlier) = 0;
+
   /** @brief Watches the store from now on. */
   virtual void ReadStore() = 0;
 
@@ -61,6 +69,16 @@
    */
   void Configure(const std::vector<feed::Candidate>& live);
 
+  /**
+   * @brief Asks a peer for what was in force before the store came back, before
+   * anything else is asked.
+   * @param peer Peer to ask.
+   */
+  void AskEarlier(const feed::Candidate& peer);
+
+  /** @return Whether an answer to AskEarlier is still to come. */
+  [[nodiscard]] bool AsksEarlier() const noexcept { return this->asks_earlier; }
+
   /**
    * @brief Takes the answer of a peer.
    * @param answer Answer to take.
@@ -79,7 +97,10 @@
   void BeginReading(const char* why);
   void BeginListening(const feed::Candidate& peer);
   void AskAgain();
-  void Send(const feed::Candidate& peer, std::chrono::milliseconds wait);
+  void Send(const feed::Candidate& peer, std::chrono::milliseconds wait,
+            bool wants_earlier = false);
+  /** Whether peers may be asked by now which entries read. */
+  [[nodiscard]] bool HasStarted() const;
   void OnHeard(const feed::Heard& heard);
   void OnFailed(const char* why);
   void AwaitStale();
@@ -92,6 +113,7 @@
   /** Number of the question under way; answers to others are passed over. */
   feed::AskId asked;
   bool waits_for_answer = false;
+  bool asks_earlier = false;
   feed::Candidate peer;
   boost::asio::steady_timer start_timer;
   boost::asio::steady_timer stale_timer;
--- a/packages/registry/src/peer_source.cc
+++ b/packages/registry/src/peer_source.cc
@@ -40,13 +40,20 @@
 }
 
 void PeerSource::Configure(const std::vector<feed::Candidate>& live) {
-  const bool started =
-      this->feed != nullptr && this->start_timer.expiry() <= Now();
-  if (this->plan.Configure(live) && started) {
+  if (this->plan.Configure(live) && this->HasStarted() && !this->asks_earlier) {
     this->Decide();
   }
 }
 
+bool PeerSource::HasStarted() const {
+  return this->feed != nullptr && this->start_timer.expiry() <= Now();
+}
+
+void PeerSource::AskEarlier(const feed::Candidate& of) {
+  this->Send(of, kNoWait, true);
+  this->asks_earlier = this->waits_for_answer;
+}
+
 void PeerSource::Decide() {
   if (this->plan.IsReader()) {
     this->waits_for_answer = false;
@@ -77,7 +84,8 @@
 }
 
 void PeerSource::Send(const feed::Candidate& to,
-                      const std::chrono::milliseconds wait) {
+                      const std::chrono::milliseconds wait,
+                      const bool wants_earlier) {
   this->asked = this->asked.Next();
   this->peer = to;
   this->waits_for_answer =
@@ -85,8 +93,9 @@
                                     .peer = to.address,
                                     .after = this->owner.KnownPositions(),
                                     .wait = wait,
-                                    .confirmed = this->plan.Confirmed()});
-  if (!this->waits_for_answer) {
+                                    .confirmed = this->plan.Confirmed(),
+                                    .wants_earlier = wants_earlier});
+  if (!this->waits_for_answer && !wants_earlier) {
     this->OnFailed("ring-full");
   }
 }
@@ -96,7 +105,15 @@
     return;
   }
   this->waits_for_answer = false;
-  if (const auto* heard = std::get_if<feed::Heard>(&answer.result)) {
+  const auto* heard = std::get_if<feed::Heard>(&answer.result);
+  if (std::exchange(this->asks_earlier, false)) {
+    this->owner.HearEarlier(heard == nullptr ? std::nullopt : heard->earlier);
+    if (this->HasStarted()) {
+      this->Decide();
+    }
+    return;
+  }
+  if (heard != nullptr) {
     this->OnHeard(*heard);
   } else {
     this->log.Info("Peer does not tell its news. peer={} cause=\"{}\"",
--- a/packages/registry/src/row_memory.cc
+++ b/packages/registry/src/row_memory.cc
@@ -78,4 +78,9 @@
   return due;
 }
 
+const platform::Row* RowMemory::Find(const std::string& key) const {
+  const auto found = this->rows.find(key);
+  return found == this->rows.end() ? nullptr : &found->second;
+}
+
 }  // namespace trefoilbend::registry
--- a/packages/registry/test/peer_source_test.cc
+++ b/packages/registry/test/peer_source_test.cc
@@ -24,11 +24,17 @@
     ++this->heard;
     return !this->is_ahead;
   }
+  void HearEarlier(const std::optional<feed::EarlierEra>& earlier) override {
+    ++this->heard_earlier;
+    this->earlier = earlier;
+  }
   void ReadStore() override { this->reads = true; }
   void LeaveStoreToPeer() override { this->reads = false; }
 
   std::optional<bool> reads;
   int heard = 0;
+  int heard_earlier = 0;
+  std::optional<feed::EarlierEra> earlier;
   /** Whether it knows the store in a later era than the peers. */
   bool is_ahead = false;
 };
