--- a/packages/forwarding/test/connection_test.cc
+++ b/packages/forwarding/test/connection_test.cc
@@ -62,11 +62,11 @@
     return ended == count;
   }
 
-  ExchangeEnded last;
   core::Ring<ToCallers> to_callers{16};
   core::Ring<ToBalancing> to_balancing{16};
   prometheus::Registry registry;
   ForwardingDuty duty{{.max_calls = 4}, registry};
+  ExchangeEnded last;
 };
 
 }  // namespace
