Registry: bound the question for the era before (found by review)

What callers would see: in a store with eras an entry could stay not ready for good. Cause: keeps the first configuration back while a question for the tables before a return is under way. If the first peer told nothing, another one was asked, and the decision that followed gave that question up without a word; so did a reader that had grown stale meanwhile.

Change: one peer is asked, once. Whatever takes the place of the question ends it (GiveUpEarlier), and the owner hears that nothing was told.

--- a/packages/feed/include/trefoilbend/feed/table_image.h
+++ b/packages/feed/include/trefoilbend/feed/table_image.h
@@ -72,6 +72,9 @@
     return this->earlier;
   }
 
+  /** @brief Frees the content of the era before. */
+  void ForgetEarlier() noexcept { this->earlier.reset(); }
+
   /**
    * @brief Lists what a reader lacks.
    * @param after Position up to which the reader knows the table.
--- a/packages/feed/src/server.cc
+++ b/packages/feed/src/server.cc
@@ -48,6 +48,11 @@
   const bool turned =
       now_confirmed.store_answers != this->confirmation.store_answers;
   this->confirmation = now_confirmed;
+  if (this->earlier_until <= std::chrono::steady_clock::now()) {
+    for (TableImage& image : this->images) {
+      image.ForgetEarlier();
+    }
+  }
   if (turned || this->IsNewerThan(this->told_at)) {
     this->told_at = now_confirmed.at.value_or(this->told_at);
     this->WakeAll();
--- a/packages/registry/src/duty.cc
+++ b/packages/registry/src/duty.cc
@@ -47,8 +47,6 @@
 /** kMostWatch of the fleet's table, whose rows entries tell each other too. */
 constexpr std::chrono::milliseconds kMostFleetWatch{2'000};
 constexpr std::size_t kMostChangeLines = 24;
-/** Peers that an entry asks at its start for the era before. */
-constexpr std::size_t kMostAskedForEarlier = 2;
 
 core::TimePoint Now() noexcept { return std::chrono::steady_clock::now(); }
 
@@ -210,10 +208,6 @@
       this->log.Info("Took from a peer what the store lacks. rows={}",
                      this->catalogue.HeldCount());
     }
-    if (!earlier && !this->may_tell_earlier.empty()) {
-      this->AskNextForEarlier();
-      return;
-    }
     this->NoteChange();
   }
 
@@ -406,23 +400,15 @@
         this->catalogue.Era() == platform::Era{}) {
       return;
     }
-    for (const feed::Candidate& candidate : live) {
-      if (candidate.name != this->options.self.name &&
-          this->may_tell_earlier.size() < kMostAskedForEarlier) {
-        this->may_tell_earlier.push_back(candidate);
-      }
-    }
-    if (!this->may_tell_earlier.empty()) {
-      this->AskNextForEarlier();
+    const auto peer = std::find_if(
+        live.begin(), live.end(), [this](const feed::Candidate& candidate) {
+          return candidate.name != this->options.self.name;
+        });
+    if (peer != live.end()) {
+      this->source.AskEarlier(*peer);
     }
   }
 
-  void AskNextForEarlier() {
-    const feed::Candidate next = this->may_tell_earlier.back();
-    this->may_tell_earlier.pop_back();
-    this->source.AskEarlier(next);
-  }
-
   [[nodiscard]] bool IsLive(const core::InstanceName& entry) const {
     const auto found = std::find_if(
         this->peers.begin(), this->peers.end(),
@@ -537,8 +523,6 @@
   std::uint64_t desired{};
   bool has_update = false;
   bool has_read_all = false;
-  /** Peers that are still to be asked for the era before. */
-  std::vector<feed::Candidate> may_tell_earlier;
   bool changed = false;
   core::Log log{"registry"};
 };
--- a/packages/registry/src/internal/peer_source.h
+++ b/packages/registry/src/internal/peer_source.h
@@ -94,6 +94,7 @@
   enum class Mode : std::uint8_t { kUndecided, kReads, kListens };
 
   void Decide();
+  void GiveUpEarlier();
   void BeginReading(const char* why);
   void BeginListening(const feed::Candidate& peer);
   void AskAgain();
--- a/packages/registry/src/peer_source.cc
+++ b/packages/registry/src/peer_source.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "trefoilbend/core/clock.h"
@@ -54,7 +55,15 @@
   this->asks_earlier = this->waits_for_answer;
 }
 
+/** Another question takes the place of the one for the era before. */
+void PeerSource::GiveUpEarlier() {
+  if (std::exchange(this->asks_earlier, false)) {
+    this->owner.HearEarlier(std::nullopt);
+  }
+}
+
 void PeerSource::Decide() {
+  this->GiveUpEarlier();
   if (this->plan.IsReader()) {
     this->waits_for_answer = false;
     this->BeginReading("reader");
@@ -143,6 +152,7 @@
 
 /** The store is read at once, and another reader is asked meanwhile. */
 void PeerSource::OnFailed(const char* why) {
+  this->GiveUpEarlier();
   (void)this->plan.NoteAnswer(this->peer.address, std::nullopt, Now());
   this->waits_for_answer = false;
   this->BeginReading(why);
--- a/packages/registry/test/peer_source_test.cc
+++ b/packages/registry/test/peer_source_test.cc
@@ -109,6 +109,49 @@
 
 }  // namespace
 
+/** Entries of a store that had come back never took a configuration, since an
+ * answer that was still awaited was given up for another question. */
+BOOST_FIXTURE_TEST_SUITE(an_entry_that_asks_for_the_era_before, Listener)
+
+BOOST_AUTO_TEST_CASE(hears_it_or_that_there_is_none_once) {
+  source.AskEarlier(fleet.front());
+  Run(10ms);
+  BOOST_TEST(source.AsksEarlier());
+  BOOST_TEST(asks.back().wants_earlier);
+  AnswerLast(100ms);
+  BOOST_TEST(!source.AsksEarlier());
+  BOOST_TEST(owner.heard_earlier == 1);
+  BOOST_TEST(!owner.earlier.has_value());
+  BOOST_TEST(!asks.back().wants_earlier);
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_when_the_peer_fails) {
+  source.AskEarlier(fleet.front());
+  Run(10ms);
+  FailLast();
+  BOOST_TEST(!source.AsksEarlier());
+  BOOST_TEST(owner.heard_earlier == 1);
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_when_the_peer_that_it_listens_to_is_stale) {
+  AnswerLast(100ms);
+  source.AskEarlier(fleet.front());
+  Run(3s);
+  BOOST_TEST(!source.AsksEarlier());
+  BOOST_TEST(owner.heard_earlier == 1);
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_when_it_becomes_a_reader_meanwhile) {
+  source.AskEarlier(fleet.front());
+  Run(10ms);
+  source.Configure({fleet.back()});
+  AnswerLast(100ms);
+  BOOST_TEST(!source.AsksEarlier());
+  BOOST_TEST(owner.heard_earlier == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(an_entry_that_is_no_reader, Listener)
 
 BOOST_AUTO_TEST_CASE(asks_a_reader_before_it_reads_the_store_itself) {
